Add the workspace, shared packages and the design

Cause: an empty repository; several slices are to be written side by side and need one page and one set of shared types. Change: go.work with two modules, design.md, api, reason, ring, bootclock, settings, telemetry, the peer service with its generated code, the store client, an instance that only listens, lint and test scripts. Conclusion: the slices can be built against these interfaces.

--- /dev/null
+++ b/bootclock/bootclock.go
@@ -0,0 +1,22 @@
+// Package bootclock reads a clock that runs on while the process or the
+// machine is paused, so that a lease holder notices a pause.
+package bootclock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since the machine booted, suspension included.
+func Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// CLOCK_BOOTTIME exists on every Linux that Go supports.
+		panic("bootclock: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Func is the type of Now, for code that takes the clock as an option.
+type Func func() time.Duration
--- /dev/null
+++ b/httpapi/httpapi.go
@@ -0,0 +1,82 @@
+// Package httpapi has what all HTTP interfaces of an instance share: error
+// bodies, bearer tokens, bounded request bodies.
+package httpapi
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// ErrorBody is the JSON body of every refusal and of the error event of a
+// stream.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is the content of ErrorBody.
+type ErrorDetail struct {
+	Reason  reason.Reason `json:"reason"`
+	Run     reason.Run    `json:"run"`
+	Message string        `json:"message"`
+	Field   string        `json:"field,omitempty"`
+}
+
+// Body returns the JSON form of the error.
+func Body(e *reason.Error) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{Reason: e.Reason, Run: e.Run, Message: e.Message, Field: e.Field}}
+}
+
+// WriteError writes a refusal with its status code and Retry-After in seconds.
+func WriteError(w http.ResponseWriter, err error) {
+	typed := reason.From(err)
+	if typed.RetryAfter > 0 {
+		seconds := int(math.Ceil(typed.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	WriteJSON(w, typed.Reason.HTTPStatus(), Body(typed))
+}
+
+// WriteJSON writes a JSON body. An error on the connection is the caller's
+// loss and is not reported.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// BearerToken returns the token of the Authorization header, or "".
+func BearerToken(r *http.Request) string {
+	scheme, token, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// CredentialSHA256 returns the form in which a bearer token is configured.
+func CredentialSHA256(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// ReadBody reads a request body of at most limit bytes.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, reason.New(reason.TooLarge, "the body is larger than %d bytes", limit)
+	}
+	return nil, reason.New(reason.BadRequest, "the body could not be read")
+}
--- /dev/null
+++ b/reason/list.go
@@ -0,0 +1,161 @@
+package reason
+
+import (
+	"net/http"
+	"sort"
+)
+
+// The list of reasons, grouped by the slice that uses them most.
+const (
+	// Requests and access.
+	BadRequest      Reason = "bad_request"
+	Unauthenticated Reason = "unauthenticated"
+	TooLarge        Reason = "too_large"
+	NotFound        Reason = "not_found"
+	Overloaded      Reason = "overloaded"
+	NotReady        Reason = "not_ready"
+	ShuttingDown    Reason = "shutting_down"
+	Internal        Reason = "internal"
+	Fenced          Reason = "fenced"
+
+	// Generations.
+	DeadlineExceeded  Reason = "deadline_exceeded"
+	CallerGone        Reason = "caller_gone"
+	SlowCaller        Reason = "slow_caller"
+	Superseded        Reason = "superseded"
+	EngineClosed      Reason = "engine_closed"
+	EngineSilent      Reason = "engine_silent"
+	EngineRefused     Reason = "engine_refused"
+	ConnectFailed     Reason = "connect_failed"
+	ChunkForeign      Reason = "chunk_foreign"
+	ChunkLate         Reason = "chunk_late"
+	ChunkRepeated     Reason = "chunk_repeated"
+	ChunkSkipped      Reason = "chunk_skipped"
+	ChunkMalformed    Reason = "chunk_malformed"
+	AttemptSuspect    Reason = "attempt_suspect"
+	AttemptsExhausted Reason = "attempts_exhausted"
+	PrefixMismatch    Reason = "prefix_mismatch"
+	PrefixLost        Reason = "prefix_lost"
+	EventIDInvalid    Reason = "event_id_invalid"
+	CrashSuspect      Reason = "crash_suspect"
+	HedgeLost         Reason = "hedge_lost"
+
+	// Placement and limits.
+	NoEndpoint          Reason = "no_endpoint"
+	ModelUnknown        Reason = "model_unknown"
+	EndpointLeaving     Reason = "endpoint_leaving"
+	AccountRate         Reason = "account_rate"
+	AccountTokens       Reason = "account_tokens"
+	NoSlot              Reason = "no_slot"
+	RetryBudget         Reason = "retry_budget"
+	CrossRegionBudget   Reason = "cross_region_budget"
+	RecoveryPaced       Reason = "recovery_paced"
+	EndpointUnreachable Reason = "endpoint_unreachable"
+
+	// Orders.
+	KeyRequired      Reason = "key_required"
+	KeyReused        Reason = "key_reused"
+	StoreUnavailable Reason = "store_unavailable"
+	StoreConflict    Reason = "store_conflict"
+	StoreRateLimited Reason = "store_rate_limited"
+	OrderInProgress  Reason = "order_in_progress"
+	OrderUnknown     Reason = "order_unknown"
+	OrderRejected    Reason = "order_rejected"
+	DispatchWindow   Reason = "dispatch_window"
+
+	// Tickets, fleet and engine control.
+	TicketInvalid     Reason = "ticket_invalid"
+	TicketSuperseded  Reason = "ticket_superseded"
+	TicketConflict    Reason = "ticket_conflict"
+	TicketPending     Reason = "ticket_pending"
+	PeerUnreachable   Reason = "peer_unreachable"
+	PeerStale         Reason = "peer_stale"
+	LeaseNotHeld      Reason = "lease_not_held"
+	FenceTooOld       Reason = "fence_too_old"
+	WeightLoadPaced   Reason = "weight_load_paced"
+	LastCopy          Reason = "last_copy"
+	PeerUnauthorized  Reason = "peer_unauthorized"
+	InstanceDuplicate Reason = "instance_duplicate"
+)
+
+type info struct {
+	status int
+	help   string
+}
+
+var list = map[Reason]info{
+	BadRequest:      {http.StatusBadRequest, "the request is malformed; the field names the place"},
+	Unauthenticated: {http.StatusUnauthorized, "no or an unknown credential"},
+	TooLarge:        {http.StatusRequestEntityTooLarge, "header, body or answer above its limit"},
+	NotFound:        {http.StatusNotFound, "the thing asked for does not exist"},
+	Overloaded:      {http.StatusServiceUnavailable, "a bounded ring or queue is full"},
+	NotReady:        {http.StatusServiceUnavailable, "the instance has no configuration yet"},
+	ShuttingDown:    {http.StatusServiceUnavailable, "the instance is draining"},
+	Internal:        {http.StatusInternalServerError, "an error without a more precise reason"},
+	Fenced:          {http.StatusServiceUnavailable, "the instance reaches neither the store nor a peer and takes no new work"},
+
+	DeadlineExceeded:  {http.StatusGatewayTimeout, "the caller's deadline passed"},
+	CallerGone:        {499, "the caller closed its connection"},
+	SlowCaller:        {http.StatusRequestTimeout, "the caller did not read its stream"},
+	Superseded:        {http.StatusConflict, "a newer connection of the same request took over"},
+	EngineClosed:      {http.StatusBadGateway, "the engine's connection closed in mid-output"},
+	EngineSilent:      {http.StatusBadGateway, "the engine sent nothing within the bound"},
+	EngineRefused:     {http.StatusServiceUnavailable, "the engine refused the request before it started"},
+	ConnectFailed:     {http.StatusBadGateway, "no connection to the endpoint"},
+	ChunkForeign:      {http.StatusBadGateway, "a chunk of another request or attempt"},
+	ChunkLate:         {http.StatusBadGateway, "a chunk of an ended attempt"},
+	ChunkRepeated:     {http.StatusBadGateway, "a chunk at a position that was delivered already"},
+	ChunkSkipped:      {http.StatusBadGateway, "a chunk beyond the position that is due"},
+	ChunkMalformed:    {http.StatusBadGateway, "a chunk that cannot be parsed"},
+	AttemptSuspect:    {http.StatusBadGateway, "an attempt was given up on suspicion"},
+	AttemptsExhausted: {http.StatusBadGateway, "no attempt could complete the answer"},
+	PrefixMismatch:    {http.StatusConflict, "the prefix does not match the event id's hash"},
+	PrefixLost:        {http.StatusConflict, "the delivered prefix can no longer be had"},
+	EventIDInvalid:    {http.StatusBadRequest, "the Last-Event-ID does not belong to this request"},
+	CrashSuspect:      {http.StatusUnprocessableEntity, "the content was running on several engines when they died"},
+	HedgeLost:         {http.StatusBadGateway, "another attempt delivered the due token first"},
+
+	NoEndpoint:          {http.StatusServiceUnavailable, "no endpoint is available for the model and account"},
+	ModelUnknown:        {http.StatusNotFound, "no configured endpoint serves the model"},
+	EndpointLeaving:     {http.StatusServiceUnavailable, "the endpoint takes no new work"},
+	AccountRate:         {http.StatusTooManyRequests, "the account's request rate is used up"},
+	AccountTokens:       {http.StatusTooManyRequests, "the account's tokens in flight are used up"},
+	NoSlot:              {http.StatusTooManyRequests, "no slot became free in time"},
+	RetryBudget:         {http.StatusServiceUnavailable, "the retry budget is used up"},
+	CrossRegionBudget:   {http.StatusServiceUnavailable, "the budget of the paid link is used up"},
+	RecoveryPaced:       {http.StatusServiceUnavailable, "a continuation was delayed to spread the recovery"},
+	EndpointUnreachable: {http.StatusBadGateway, "the endpoint cannot be reached"},
+
+	KeyRequired:      {http.StatusBadRequest, "an order needs an Idempotency-Key"},
+	KeyReused:        {http.StatusUnprocessableEntity, "the Idempotency-Key was used with another body"},
+	StoreUnavailable: {http.StatusServiceUnavailable, "the store does not answer"},
+	StoreConflict:    {http.StatusConflict, "a conditional update lost against another"},
+	StoreRateLimited: {http.StatusServiceUnavailable, "the store's rate is used up"},
+	OrderInProgress:  {http.StatusConflict, "the order is being dispatched"},
+	OrderUnknown:     {http.StatusBadGateway, "the order may have run; it is not sent again"},
+	OrderRejected:    {http.StatusUnprocessableEntity, "the service refused the order"},
+	DispatchWindow:   {http.StatusServiceUnavailable, "the dispatch window passed before the order was sent"},
+
+	TicketInvalid:     {http.StatusUnprocessableEntity, "the ticket has findings"},
+	TicketSuperseded:  {http.StatusConflict, "a ticket with this or a higher number exists"},
+	TicketConflict:    {http.StatusConflict, "the number is taken by a ticket with another body"},
+	TicketPending:     {http.StatusConflict, "an earlier ticket is not accepted yet"},
+	PeerUnreachable:   {http.StatusBadGateway, "a peer instance does not answer"},
+	PeerStale:         {http.StatusConflict, "a message of an earlier incarnation"},
+	LeaseNotHeld:      {http.StatusConflict, "the lease is not held or has too little time left"},
+	FenceTooOld:       {http.StatusConflict, "the endpoint refused an old fencing number"},
+	WeightLoadPaced:   {http.StatusServiceUnavailable, "a weight load waits for the weight store's limit"},
+	LastCopy:          {http.StatusConflict, "the command would remove the last copy of a version in service"},
+	PeerUnauthorized:  {http.StatusUnauthorized, "a peer message without a valid signature"},
+	InstanceDuplicate: {http.StatusConflict, "two instances use one instance id"},
+}
+
+// All returns the whole list in alphabetical order.
+func All() []Reason {
+	all := make([]Reason, 0, len(list))
+	for r := range list {
+		all = append(all, r)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	return all
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,281 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+)
+
+// Error is the class of all findings on settings.
+var Error = errs.Class("settings")
+
+const (
+	allowedID      = "1 to 63 of a-z, 0-9 and -"
+	allowedAddress = "IP:PORT"
+	// minSecretLength keeps trivially guessable peer secrets out.
+	minSecretLength = 16
+)
+
+var identifier = regexp.MustCompile(`^[a-z0-9-]{1,63}$`)
+
+var errNotAllowed = errors.New("not allowed")
+
+// FromCommand reads and checks all settings. environ is the process
+// environment, in which unknown variables with the prefix are findings.
+// All findings are returned together.
+func FromCommand(cmd *cli.Command, environ []string) (*Settings, error) {
+	texts := make(map[string]string, len(specs))
+	for _, s := range specs {
+		texts[s.name] = cmd.String(s.name)
+	}
+	return Check(texts, environ)
+}
+
+// Check turns the texts, by flag name, into settings.
+func Check(texts map[string]string, environ []string) (*Settings, error) {
+	settings := &Settings{}
+	var findings errs.Group
+	for _, s := range specs {
+		findings.Add(checkOne(settings, s, texts[s.name]))
+	}
+	findings.Add(unknownVariables(environ)...)
+	if settings.RequestTimeout > settings.MaxTimeout {
+		findings.Add(Error.New("--request-timeout=%s: allowed is at most --max-timeout=%s", settings.RequestTimeout, settings.MaxTimeout))
+	}
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+func checkOne(settings *Settings, s spec, text string) error {
+	if text == "" {
+		if s.required {
+			return Error.New("--%s: missing; set it or %s; allowed is %s", s.name, s.env(), s.allowed)
+		}
+		if s.value == "" {
+			return nil
+		}
+	}
+	if err := s.apply(settings, text); err != nil {
+		shown := strconv.Quote(text)
+		if s.secret {
+			shown = "(not shown)"
+		}
+		return Error.New("--%s=%s: allowed is %s", s.name, shown, s.allowed)
+	}
+	return nil
+}
+
+func unknownVariables(environ []string) []error {
+	known := make(map[string]bool, len(specs))
+	for _, s := range specs {
+		known[s.env()] = true
+	}
+	var names []string
+	for _, entry := range environ {
+		name, _, _ := strings.Cut(entry, "=")
+		if strings.HasPrefix(name, EnvPrefix) && !known[name] {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	findings := make([]error, 0, len(names))
+	for _, name := range names {
+		findings = append(findings, Error.New("%s: unknown variable; see --help for the known ones", name))
+	}
+	return findings
+}
+
+func parseID(text string) (string, error) {
+	if !identifier.MatchString(text) {
+		return "", errNotAllowed
+	}
+	return text, nil
+}
+
+func parseAddress(text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 {
+		return netip.AddrPort{}, errNotAllowed
+	}
+	return address, nil
+}
+
+func parseDuration(text string, low, high time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || d < low || d > high {
+		return 0, errNotAllowed
+	}
+	return d, nil
+}
+
+func parseInt(text string, low, high int64) (int64, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < low || n > high {
+		return 0, errNotAllowed
+	}
+	return n, nil
+}
+
+func applyInstance(s *Settings, text string) error {
+	id, err := parseID(text)
+	s.Instance = api.InstanceID(id)
+	return err
+}
+
+func applyHalf(s *Settings, text string) error {
+	id, err := parseID(text)
+	s.Half = api.Half(id)
+	return err
+}
+
+func applyRegion(s *Settings, text string) error {
+	id, err := parseID(text)
+	s.Place.Region = api.Region(id)
+	return err
+}
+
+func applyFailureDomain(s *Settings, text string) error {
+	id, err := parseID(text)
+	s.Place.FailureDomain = api.FailureDomain(id)
+	return err
+}
+
+func applyCallerListen(s *Settings, text string) (err error) {
+	s.CallerListen, err = parseAddress(text)
+	return err
+}
+
+func applyOperatorListen(s *Settings, text string) (err error) {
+	s.OperatorListen, err = parseAddress(text)
+	return err
+}
+
+func applyPeerListen(s *Settings, text string) (err error) {
+	s.PeerListen, err = parseAddress(text)
+	return err
+}
+
+func applyStoreURL(s *Settings, text string) error {
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return errNotAllowed
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		return errNotAllowed
+	}
+	s.StoreURL = text
+	return nil
+}
+
+func applyStoreTimeout(s *Settings, text string) (err error) {
+	s.StoreTimeout, err = parseDuration(text, 100*time.Millisecond, 30*time.Second)
+	return err
+}
+
+func applyPeers(s *Settings, text string) error {
+	for _, part := range strings.Split(text, ",") {
+		address, err := parseAddress(strings.TrimSpace(part))
+		if err != nil {
+			return fmt.Errorf("peer %q: %w", part, err)
+		}
+		s.Peers = append(s.Peers, address)
+	}
+	return nil
+}
+
+func applyOperatorToken(s *Settings, text string) error {
+	if !regexp.MustCompile(`^[0-9a-f]{64}$`).MatchString(text) {
+		return errNotAllowed
+	}
+	s.OperatorTokenSHA256 = text
+	return nil
+}
+
+func applyPeerSecret(s *Settings, text string) error {
+	if len(text) < minSecretLength {
+		return errNotAllowed
+	}
+	s.PeerSecret = text
+	return nil
+}
+
+func applyRecovery(s *Settings, text string) error {
+	s.Recovery = RecoveryMode(text)
+	if s.Recovery != RecoveryEager && s.Recovery != RecoverySparing {
+		return errNotAllowed
+	}
+	return nil
+}
+
+func applyExpel(s *Settings, text string) error {
+	s.Expel = ExpelMode(text)
+	if s.Expel != ExpelAuto && s.Expel != ExpelManual {
+		return errNotAllowed
+	}
+	return nil
+}
+
+func applyLinkBits(s *Settings, text string) (err error) {
+	s.LinkBitsPerSec, err = parseInt(text, 100_000, 100_000_000_000)
+	return err
+}
+
+func applyRequestTimeout(s *Settings, text string) (err error) {
+	s.RequestTimeout, err = parseDuration(text, time.Second, 2*time.Hour)
+	return err
+}
+
+func applyMaxTimeout(s *Settings, text string) (err error) {
+	s.MaxTimeout, err = parseDuration(text, time.Second, 2*time.Hour)
+	return err
+}
+
+func applyDrainTimeout(s *Settings, text string) (err error) {
+	s.DrainTimeout, err = parseDuration(text, 0, 2*time.Hour)
+	return err
+}
+
+func applyMaxBody(s *Settings, text string) (err error) {
+	s.MaxBodyBytes, err = parseInt(text, 1024, 64<<20)
+	return err
+}
+
+func applyMaxHeader(s *Settings, text string) error {
+	n, err := parseInt(text, 1024, 1<<20)
+	s.MaxHeaderBytes = int(n)
+	return err
+}
+
+func applyMaxTokens(s *Settings, text string) error {
+	n, err := parseInt(text, 1, 1_000_000)
+	s.MaxTokens = int(n)
+	return err
+}
+
+func applySlowCaller(s *Settings, text string) (err error) {
+	s.SlowCallerBound, err = parseDuration(text, time.Second, 10*time.Minute)
+	return err
+}
+
+func applyWeightLoads(s *Settings, text string) error {
+	n, err := parseInt(text, 1, 1000)
+	s.WeightLoadsPerMinute = int(n)
+	return err
+}
+
+func applyLogLevel(s *Settings, text string) error {
+	return s.LogLevel.UnmarshalText([]byte(text))
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,61 @@
+package settings_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+func valid() map[string]string {
+	return map[string]string{
+		"instance-id": "i1", "half": "kitakyushu", "region": "fukuoka", "failure-domain": "fukuoka-1",
+		"caller-listen": "127.0.0.1:8080", "operator-listen": "127.0.0.1:8081", "peer-listen": "127.0.0.1:8082",
+		"store-url": "http://127.0.0.1:7000", "store-timeout": "3s", "peers": "127.0.0.1:8083, 127.0.0.1:8084",
+		"operator-token-sha256": "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
+		"peer-secret":           "0123456789abcdef",
+		"recovery":              "sparing", "expel": "auto", "link-bits-per-second": "30000000",
+		"request-timeout": "10m", "max-timeout": "1h", "drain-timeout": "15m",
+		"max-body-bytes": "4194304", "max-header-bytes": "16384", "max-tokens": "65536",
+		"slow-caller-bound": "30s", "weight-loads-per-minute": "6", "log-level": "info",
+	}
+}
+
+var _ = Describe("settings", func() {
+	It("accepts a complete set", func() {
+		checked, err := settings.Check(valid(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(checked.Peers).To(HaveLen(2))
+		Expect(checked.Recovery).To(Equal(settings.RecoverySparing))
+	})
+
+	// Guards against stopping at the first mistake, which makes an operator
+	// restart the process once per mistake.
+	It("reports all findings together, with name, value and what is allowed", func() {
+		texts := valid()
+		texts["recovery"] = "fast"
+		texts["half"] = ""
+		texts["peer-listen"] = "localhost:80"
+		texts["peer-secret"] = "short-secret"
+		_, err := settings.Check(texts, []string{"HIBISCUSSTAIR_RECOVRY=eager", "HOME=/root"})
+		Expect(err).To(HaveOccurred())
+		text := err.Error()
+		for _, part := range []string{
+			`--recovery="fast": allowed is eager or sparing`,
+			`--half: missing`,
+			`--peer-listen="localhost:80": allowed is IP:PORT`,
+			`HIBISCUSSTAIR_RECOVRY: unknown variable`,
+			`--peer-secret=(not shown)`,
+		} {
+			Expect(text).To(ContainSubstring(part))
+		}
+		Expect(text).NotTo(ContainSubstring("short-secret"))
+	})
+})
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,79 @@
+// Package telemetry builds the logger and the metrics scope of a process.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// reportInterval is how often the scope passes its counts to the scrape
+// endpoint's registry.
+const reportInterval = time.Second
+
+// NewLogger returns a logger that writes JSON lines.
+func NewLogger(w io.Writer, level slog.Level) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
+}
+
+// Metrics is the metrics scope of the process and its scrape endpoint.
+type Metrics struct {
+	Scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns the scope with prefix "hibiscusstair".
+func NewMetrics() *Metrics {
+	registry := prom.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "hibiscusstair",
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{
+		Scope:   scope,
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		closer:  closer,
+	}
+}
+
+// Handler serves the scrape endpoint.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close reports the last counts.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// ReasonCounters holds one counter for each reason of the list.
+type ReasonCounters struct {
+	counters map[reason.Reason]tally.Counter
+}
+
+// NewReasonCounters creates the counter "name" with a tag for each reason.
+func NewReasonCounters(scope tally.Scope, name string) *ReasonCounters {
+	c := &ReasonCounters{counters: make(map[reason.Reason]tally.Counter)}
+	for _, r := range reason.All() {
+		c.counters[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter(name)
+		c.counters[r].Inc(0)
+	}
+	return c
+}
+
+// Inc counts one event with the reason.
+func (c *ReasonCounters) Inc(r reason.Reason) {
+	counter, ok := c.counters[r]
+	if !ok {
+		counter = c.counters[reason.Internal]
+	}
+	counter.Inc(1)
+}
