generation: serve completions and continue them on another engine

Cause: an engine that dies or goes silent in mid-output interrupts answers that took minutes of work. Conclusion: the whole path can be run; properties, fuzz tests and resume across instances still need tests.

--- /dev/null
+++ b/generation/engine.go
@@ -0,0 +1,266 @@
+package generation
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+)
+
+const (
+	connectTimeout = 500 * time.Millisecond
+	// recoveryConnectTimeout is shorter, since a caller is waiting; it covers
+	// several round trips between regions.
+	recoveryConnectTimeout = 250 * time.Millisecond
+	probeTimeout           = 250 * time.Millisecond
+	cancelTimeout          = 2 * time.Second
+	idleConnTimeout        = 30 * time.Second
+	maxIdlePerEndpoint     = 16
+	// maxChunkBytes bounds one line of an engine's stream.
+	maxChunkBytes = 64 << 10
+	// maxDrainBytes bounds what is read after the end of a stream so that its
+	// connection can be used again.
+	maxDrainBytes = 4 << 10
+	// notStartedHeader is how an engine says that it refused before it started.
+	notStartedHeader = "X-Not-Started"
+)
+
+// engineClient speaks the engines' protocol. Pooled connections are kept by
+// address and dropped when the address comes under suspicion; everything else
+// uses a new connection for each request.
+type engineClient struct {
+	mu     sync.Mutex
+	pooled map[string]*http.Transport
+	fresh  *http.Transport
+}
+
+func newEngineClient() *engineClient {
+	return &engineClient{
+		pooled: make(map[string]*http.Transport),
+		fresh:  newTransport(recoveryConnectTimeout, true),
+	}
+}
+
+func newTransport(connect time.Duration, fresh bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connect}).DialContext,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerEndpoint,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+}
+
+func (c *engineClient) transport(address string, fresh bool) *http.Transport {
+	if fresh {
+		return c.fresh
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.pooled[address]
+	if t == nil {
+		t = newTransport(connectTimeout, false)
+		c.pooled[address] = t
+	}
+	return t
+}
+
+// suspect drops the pooled connections to the address.
+func (c *engineClient) suspect(address string) {
+	c.mu.Lock()
+	t := c.pooled[address]
+	delete(c.pooled, address)
+	c.mu.Unlock()
+	if t != nil {
+		t.CloseIdleConnections()
+	}
+}
+
+func (c *engineClient) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.pooled {
+		t.CloseIdleConnections()
+	}
+	clear(c.pooled)
+}
+
+type engineRequest struct {
+	RequestID    string   `json:"request_id"`
+	Attempt      uint64   `json:"attempt"`
+	Model        string   `json:"model"`
+	Version      string   `json:"version"`
+	Adapter      string   `json:"adapter"`
+	Prompt       string   `json:"prompt"`
+	PrefixTokens []uint32 `json:"prefix_tokens"`
+	MaxTokens    int      `json:"max_tokens"`
+	Temperature  float64  `json:"temperature"`
+	Seed         int64    `json:"seed"`
+	Priority     int      `json:"priority"`
+}
+
+func newEngineRequest(o Open) engineRequest {
+	r := o.Request
+	return engineRequest{
+		RequestID: r.Generation, Attempt: o.Attempt,
+		Model: r.Model.Model, Version: r.Model.Version, Adapter: r.Model.Adapter,
+		Prompt: r.Prompt, PrefixTokens: o.Prefix, MaxTokens: r.MaxTokens,
+		Temperature: r.Temperature, Seed: r.Seed, Priority: int(r.Priority),
+	}
+}
+
+type resumeRequest struct {
+	Attempt uint64 `json:"attempt"`
+	From    int    `json:"from"`
+}
+
+type cancelRequest struct {
+	Attempt uint64 `json:"attempt"`
+}
+
+// newPost builds a request that the transport cannot send twice: it has no
+// GetBody and no Idempotency-Key.
+func newPost(ctx context.Context, address, path string, body any) (*http.Request, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// stream sends a request and passes the chunks of its answer on until the
+// connection ends. It returns how it ended.
+func (c *engineClient) stream(ctx context.Context, address, path string, body any, fresh bool, chunk func(Chunk) error) CloseKind {
+	request, err := newPost(ctx, address, path, body)
+	if err != nil {
+		return ClosedConnect
+	}
+	response, err := c.transport(address, fresh).RoundTrip(request)
+	if err != nil {
+		if isDialError(err) {
+			return ClosedConnect
+		}
+		return ClosedMidway
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return refusalKind(response)
+	}
+	readChunks(response.Body, chunk)
+	return ClosedMidway
+}
+
+func refusalKind(response *http.Response) CloseKind {
+	_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
+	switch {
+	case response.Header.Get(notStartedHeader) == "true":
+		return ClosedRefused
+	case response.StatusCode == http.StatusNotFound || response.StatusCode == http.StatusGone:
+		return ClosedUnknown
+	default:
+		return ClosedRejected
+	}
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// readChunks parses an engine's stream until it ends or chunk returns an error.
+func readChunks(body io.Reader, chunk func(Chunk) error) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4<<10), maxChunkBytes)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			continue
+		}
+		if chunk(parseChunk([]byte(data))) != nil {
+			return
+		}
+	}
+}
+
+type engineChunk struct {
+	RequestID string  `json:"request_id"`
+	Attempt   uint64  `json:"attempt"`
+	Position  *int    `json:"position"`
+	Token     *uint32 `json:"token"`
+	Text      string  `json:"text"`
+	Finish    string  `json:"finish_reason"`
+}
+
+// parseChunk never fails; a chunk that cannot be used is marked malformed.
+func parseChunk(data []byte) Chunk {
+	var parsed engineChunk
+	if err := json.Unmarshal(data, &parsed); err != nil {
+		return Chunk{Malformed: true}
+	}
+	// A notice of supersession has no token of its own.
+	hasToken := parsed.Token != nil && parsed.Finish != finishSuperseded
+	if hasToken && (parsed.Position == nil || *parsed.Position < 0) {
+		return Chunk{Malformed: true}
+	}
+	chunk := Chunk{
+		RequestID: parsed.RequestID, Attempt: parsed.Attempt,
+		HasToken: hasToken, Text: parsed.Text, Finish: parsed.Finish,
+	}
+	if parsed.Token != nil {
+		chunk.Token = *parsed.Token
+	}
+	if parsed.Position != nil {
+		chunk.Position = *parsed.Position
+	}
+	return chunk
+}
+
+// probe asks on a new connection whether the engine is alive.
+func (c *engineClient) probe(ctx context.Context, address string) (alive, refused bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
+	if err != nil {
+		return false, false
+	}
+	response, err := c.fresh.RoundTrip(request)
+	if err != nil {
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK, false
+}
+
+// cancel tells the engine to drop a stream. A lost cancel costs tokens only.
+func (c *engineClient) cancel(ctx context.Context, endpoint api.Endpoint, generation string, attempt uint64) {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	request, err := newPost(ctx, endpoint.Address, "/v1/streams/"+generation+"/cancel", cancelRequest{Attempt: attempt})
+	if err != nil {
+		return
+	}
+	response, err := c.fresh.RoundTrip(request)
+	if err == nil {
+		response.Body.Close()
+	}
+}
--- /dev/null
+++ b/generation/fake_test.go
@@ -0,0 +1,338 @@
+package generation
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// tokenAt is the token that every fake engine generates at a position.
+func tokenAt(prompt string, seed int64, position int) uint32 {
+	return uint32(xxhash.Sum64String(fmt.Sprint(prompt, seed, position)))
+}
+
+// fakeEngine speaks the engine's protocol and fails on demand.
+type fakeEngine struct {
+	*httptest.Server
+	mu       sync.Mutex
+	opens    []engineRequest
+	resumes  int
+	cancels  int
+	requests map[string]engineRequest // by request id, for resume
+	headers  []http.Header
+	remotes  map[string]int
+
+	closeAt  int // closes the connection before this position; 0: never
+	freezeAt int // goes silent before this position; 0: never
+	gap      time.Duration
+	refuse   bool
+	salt     string // makes the engine generate other tokens
+	release  chan struct{}
+}
+
+func newFakeEngine() *fakeEngine {
+	e := &fakeEngine{requests: make(map[string]engineRequest), remotes: make(map[string]int), release: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.open)
+	mux.HandleFunc("POST /v1/streams/{id}/resume", e.resume)
+	mux.HandleFunc("POST /v1/streams/{id}/cancel", func(http.ResponseWriter, *http.Request) {
+		e.mu.Lock()
+		e.cancels++
+		e.mu.Unlock()
+	})
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	e.Server = httptest.NewServer(mux)
+	return e
+}
+
+func (e *fakeEngine) address() string { return strings.TrimPrefix(e.URL, "http://") }
+
+func (e *fakeEngine) stop() {
+	close(e.release)
+	e.CloseClientConnections()
+	e.Close()
+}
+
+func (e *fakeEngine) open(w http.ResponseWriter, r *http.Request) {
+	var request engineRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	e.mu.Lock()
+	e.opens = append(e.opens, request)
+	e.requests[request.RequestID] = request
+	e.headers = append(e.headers, r.Header)
+	e.remotes[r.RemoteAddr]++
+	refuse := e.refuse
+	e.mu.Unlock()
+	if refuse {
+		w.Header().Set(notStartedHeader, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.generate(w, r, request, request.Attempt, len(request.PrefixTokens), e.closeAt, e.freezeAt)
+}
+
+func (e *fakeEngine) resume(w http.ResponseWriter, r *http.Request) {
+	var body resumeRequest
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	e.mu.Lock()
+	request, ok := e.requests[r.PathValue("id")]
+	e.resumes++
+	e.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.generate(w, r, request, body.Attempt, body.From, 0, 0)
+}
+
+func (e *fakeEngine) generate(w http.ResponseWriter, r *http.Request, request engineRequest, attempt uint64, from, closeAt, freezeAt int) {
+	flusher := w.(http.Flusher)
+	flusher.Flush()
+	for position := from; position < request.MaxTokens; position++ {
+		if closeAt > 0 && position >= closeAt {
+			panic(http.ErrAbortHandler)
+		}
+		if freezeAt > 0 && position >= freezeAt {
+			select {
+			case <-e.release:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		time.Sleep(e.gap)
+		finish := ""
+		if position == request.MaxTokens-1 {
+			finish = "length"
+		}
+		token := tokenAt(e.salt+request.Prompt, request.Seed, position)
+		fmt.Fprintf(w, "data: {\"request_id\":%q,\"attempt\":%d,\"position\":%d,\"token\":%d,\"text\":\"t%d \",\"finish_reason\":%q}\n\n",
+			request.RequestID, attempt, position, token, position, finish)
+		flusher.Flush()
+	}
+}
+
+// fakePlacer grants the configured engines in order, without those excluded.
+type fakePlacer struct {
+	mu        sync.Mutex
+	endpoints []api.Endpoint
+	next      uint64
+	held      map[uint64]bool
+	outcomes  []api.Outcome
+}
+
+func (p *fakePlacer) Place(_ context.Context, request api.PlacementRequest) (api.Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, endpoint := range p.endpoints {
+		excluded := false
+		for _, id := range request.Exclude {
+			excluded = excluded || id == endpoint.ID
+		}
+		if !excluded {
+			p.next++
+			p.held[p.next] = true
+			return api.Grant{ID: p.next, Endpoint: endpoint}, nil
+		}
+	}
+	return api.Grant{}, reason.New(reason.NoEndpoint, "none")
+}
+
+func (p *fakePlacer) Progress(uint64, int)    {}
+func (p *fakePlacer) Silent(_ api.EndpointID) {}
+
+func (p *fakePlacer) Release(grant uint64, outcome api.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.held[grant] {
+		panic("grant released twice")
+	}
+	delete(p.held, grant)
+	p.outcomes = append(p.outcomes, outcome)
+}
+
+type fakeAdmitter struct{}
+
+func (fakeAdmitter) Admit(context.Context, api.AdmissionRequest) (api.Admission, error) {
+	return api.Admission{}, nil
+}
+func (fakeAdmitter) Release(api.Admission)          {}
+func (fakeAdmitter) AllowRetry(_ api.Priority) bool { return true }
+
+type fakeMarks struct {
+	mu        sync.Mutex
+	level     api.Isolation
+	died      int
+	completed int
+}
+
+func (m *fakeMarks) Level(api.Digest) api.Isolation { return m.level }
+func (m *fakeMarks) EndpointDied(api.EndpointID, api.FailureDomain, []api.Digest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.died++
+}
+func (m *fakeMarks) Completed(api.Digest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.completed++
+}
+
+const testToken = "secret"
+
+// bench is a runner with its callers' server and engines.
+type bench struct {
+	runner *Runner
+	placer *fakePlacer
+	marks  *fakeMarks
+	server *httptest.Server
+	stop   func()
+}
+
+func newBench(change func(*Options), engines ...*fakeEngine) *bench {
+	b := &bench{placer: &fakePlacer{held: make(map[uint64]bool)}, marks: &fakeMarks{}}
+	config := &api.Config{Endpoints: make(map[api.EndpointID]api.Endpoint), Accounts: map[api.AccountID]api.Account{
+		"a1": {ID: "a1", Half: "h1", Priority: api.PriorityInteractive, CredentialSHA256: httpapi.CredentialSHA256(testToken)},
+	}}
+	for i, engine := range engines {
+		endpoint := api.Endpoint{
+			ID: api.EndpointID(fmt.Sprintf("e%d", i+1)), Kind: api.KindEngine, Address: engine.address(),
+			Half: "h1", Models: []api.ModelRef{{Model: "m"}},
+		}
+		config.Endpoints[endpoint.ID] = endpoint
+		b.placer.endpoints = append(b.placer.endpoints, endpoint)
+	}
+	o := Options{
+		Instance: "i1", Half: "h1", Config: func() *api.Config { return config },
+		Placer: b.placer, Admitter: fakeAdmitter{}, Marks: b.marks, Recovery: RecoveryEager,
+		RequestTimeout: 20 * time.Second, MaxTimeout: time.Minute, SlowCallerBound: 5 * time.Second,
+		MaxBodyBytes: 1 << 16, MaxTokens: 1000,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope, Clock: bootclock.Now,
+	}
+	if change != nil {
+		change(&o)
+	}
+	runner, err := New(o)
+	if err != nil {
+		panic(err)
+	}
+	b.runner = runner
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = runner.Run(ctx)
+		close(ended)
+	}()
+	<-runner.ready
+	b.server = httptest.NewServer(runner.Handler())
+	b.stop = func() {
+		cancel()
+		<-ended
+		b.server.CloseClientConnections()
+		b.server.Close()
+	}
+	return b
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	ids    []string
+	tokens []uint32
+	text   string
+	finish string
+	err    httpapi.ErrorDetail
+	done   bool
+}
+
+func (b *bench) call(body string, header map[string]string) *answer {
+	return b.callUntil(body, header, -1)
+}
+
+// callUntil closes the connection after some tokens; -1 reads to the end.
+func (b *bench) callUntil(body string, header map[string]string, limit int) *answer {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/v1/completions", strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return &answer{status: -1, body: err.Error()}
+	}
+	defer response.Body.Close()
+	a := &answer{status: response.StatusCode, header: response.Header}
+	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		data, _ := io.ReadAll(response.Body)
+		a.body = string(data)
+		var refusal httpapi.ErrorBody
+		_ = json.Unmarshal(data, &refusal)
+		a.err = refusal.Error
+		return a
+	}
+	a.read(response.Body, limit)
+	return a
+}
+
+func (a *answer) read(body io.Reader, limit int) {
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			a.ids = append(a.ids, id)
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.done = true
+			continue
+		}
+		var event struct {
+			completion
+			Error httpapi.ErrorDetail `json:"error"`
+		}
+		_ = json.Unmarshal([]byte(data), &event)
+		a.err = event.Error
+		for _, c := range event.Choices {
+			a.text += c.Text
+			if c.Token != nil {
+				a.tokens = append(a.tokens, *c.Token)
+			}
+			if c.Finish != nil {
+				a.finish = *c.Finish
+			}
+		}
+		if limit >= 0 && len(a.tokens) >= limit {
+			return
+		}
+	}
+}
+
+func wantTokens(prompt string, seed int64, from, to int) []uint32 {
+	var tokens []uint32
+	for position := from; position < to; position++ {
+		tokens = append(tokens, tokenAt(prompt, seed, position))
+	}
+	return tokens
+}
--- /dev/null
+++ b/generation/identity.go
@@ -0,0 +1,176 @@
+package generation
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+const (
+	eventIDVersion = "v1"
+	eventIDParts   = 8
+	// noNonce stands in the event id of a request that has a key.
+	noNonce = "0"
+	// noEndpoint stands in the event id of an answer that has no live engine.
+	noEndpoint = "0"
+	// maxEventIDBytes bounds the header; a valid event id is far shorter.
+	maxEventIDBytes = 512
+	generationBytes = 16
+	// attemptsPerConnection is the range of attempt numbers of one caller
+	// connection. A newer connection starts in the next range, so all of its
+	// attempts are higher than any attempt of the older one.
+	attemptsPerConnection = 256
+)
+
+// canonical is the part of a request that determines its answer.
+type canonical struct {
+	Model       string  `json:"model"`
+	Version     string  `json:"version"`
+	Adapter     string  `json:"adapter"`
+	Prompt      string  `json:"prompt"`
+	MaxTokens   int     `json:"max_tokens"`
+	Temperature float64 `json:"temperature"`
+	Seed        *int64  `json:"seed"`
+}
+
+func contentDigest(c canonical) api.Digest {
+	// The fields are plain values, so the encoding cannot fail.
+	encoded, _ := json.Marshal(c)
+	sum := sha256.Sum256(encoded)
+	return api.Digest(sum[:len(api.Digest{})])
+}
+
+// generationID binds the answer to account, key (or nonce) and content, so
+// that another account or another body cannot resume it.
+func generationID(account api.AccountID, key, nonce string, digest api.Digest) string {
+	encoded, _ := json.Marshal([]string{string(account), key, nonce, hex.EncodeToString(digest[:])})
+	sum := sha256.Sum256(encoded)
+	return hex.EncodeToString(sum[:generationBytes])
+}
+
+func derivedSeed(generation string) int64 {
+	return int64(xxhash.Sum64String("seed:"+generation) >> 1)
+}
+
+// extendHash is the running hash of a prefix, extended by one token.
+func extendHash(hash uint64, token uint32) uint64 {
+	var buffer [12]byte
+	binary.LittleEndian.PutUint64(buffer[:8], hash)
+	binary.LittleEndian.PutUint32(buffer[8:], token)
+	return xxhash.Sum64(buffer[:])
+}
+
+func hashTokens(tokens []uint32) uint64 {
+	var hash uint64
+	for _, token := range tokens {
+		hash = extendHash(hash, token)
+	}
+	return hash
+}
+
+// EventID is the location of one delivered token.
+type EventID struct {
+	Generation string
+	Attempt    uint64
+	Position   int
+	Endpoint   api.EndpointID
+	Instance   api.InstanceID
+	Hash       uint64 // of the tokens 0 to Position
+	Nonce      string
+}
+
+func (e EventID) String() string {
+	endpoint := string(e.Endpoint)
+	if endpoint == "" {
+		endpoint = noEndpoint
+	}
+	nonce := e.Nonce
+	if nonce == "" {
+		nonce = noNonce
+	}
+	return strings.Join([]string{
+		eventIDVersion,
+		e.Generation,
+		strconv.FormatUint(e.Attempt, 10),
+		strconv.Itoa(e.Position),
+		endpoint,
+		string(e.Instance),
+		strconv.FormatUint(e.Hash, 16),
+		nonce,
+	}, ".")
+}
+
+// ParseEventID parses a Last-Event-ID.
+func ParseEventID(text string) (EventID, error) {
+	invalid := reason.New(reason.EventIDInvalid, "the Last-Event-ID is not an event id of this system").WithField("Last-Event-ID")
+	parts := strings.Split(text, ".")
+	if len(text) > maxEventIDBytes || len(parts) != eventIDParts || parts[0] != eventIDVersion {
+		return EventID{}, invalid
+	}
+	for _, part := range parts[1:] {
+		if !isIdentifier(part) {
+			return EventID{}, invalid
+		}
+	}
+	attempt, errAttempt := strconv.ParseUint(parts[2], 10, 48)
+	position, errPosition := strconv.ParseUint(parts[3], 10, 31)
+	hash, errHash := strconv.ParseUint(parts[6], 16, 64)
+	if errAttempt != nil || errPosition != nil || errHash != nil || len(parts[1]) != 2*generationBytes {
+		return EventID{}, invalid
+	}
+	id := EventID{
+		Generation: parts[1],
+		Attempt:    attempt,
+		Position:   int(position),
+		Endpoint:   api.EndpointID(parts[4]),
+		Instance:   api.InstanceID(parts[5]),
+		Hash:       hash,
+		Nonce:      parts[7],
+	}
+	if id.Endpoint == noEndpoint {
+		id.Endpoint = ""
+	}
+	if id.Nonce == noNonce {
+		id.Nonce = ""
+	}
+	return id, nil
+}
+
+func isIdentifier(text string) bool {
+	for _, c := range []byte(text) {
+		ok := c == '-' || c >= '0' && c <= '9' || c >= 'a' && c <= 'z'
+		if !ok {
+			return false
+		}
+	}
+	return text != ""
+}
+
+const (
+	// blockBytes is the unit of prefix affinity, about 256 tokens of text.
+	blockBytes = 1024
+	// maxBlocks bounds the affinity hashes of one prompt.
+	maxBlocks = 32
+)
+
+// prefixBlocks returns the running hashes of the prompt's leading blocks.
+func prefixBlocks(model api.ModelRef, prompt string) []uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(model.Model + "\x00" + model.Version + "\x00" + model.Adapter + "\x00")
+	var blocks []uint64
+	for len(prompt) > 0 && len(blocks) < maxBlocks {
+		size := min(blockBytes, len(prompt))
+		_, _ = digest.WriteString(prompt[:size])
+		blocks = append(blocks, digest.Sum64())
+		prompt = prompt[size:]
+	}
+	return blocks
+}
--- /dev/null
+++ b/generation/request.go
@@ -0,0 +1,178 @@
+package generation
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+const (
+	maxKeyBytes = 256
+	nonceBytes  = 8
+	// defaultTemperature applies when the request has none.
+	defaultTemperature = 1.0
+	maxTemperature     = 2.0
+	maxNameBytes       = 128
+)
+
+// completionBody is the body of POST /v1/completions.
+type completionBody struct {
+	Model        string   `json:"model"`
+	Version      string   `json:"version"`
+	Adapter      string   `json:"adapter"`
+	Prompt       string   `json:"prompt"`
+	MaxTokens    int      `json:"max_tokens"`
+	Temperature  *float64 `json:"temperature"`
+	Seed         *int64   `json:"seed"`
+	Stream       bool     `json:"stream"`
+	PrefixTokens []uint32 `json:"prefix_tokens"`
+}
+
+func badField(field, format string, args ...any) error {
+	return reason.New(reason.BadRequest, format, args...).WithField(field)
+}
+
+func parseBody(data []byte, maxTokens int) (*completionBody, error) {
+	var body completionBody
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return nil, reason.New(reason.BadRequest, "the body is not a completion request: %s", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, reason.New(reason.BadRequest, "the body has data after the JSON object")
+	}
+	return &body, body.check(maxTokens)
+}
+
+func (b *completionBody) check(maxTokens int) error {
+	switch {
+	case b.Model == "" || len(b.Model) > maxNameBytes:
+		return badField("model", "model is required and has at most %d bytes", maxNameBytes)
+	case len(b.Version) > maxNameBytes:
+		return badField("version", "version has at most %d bytes", maxNameBytes)
+	case len(b.Adapter) > maxNameBytes:
+		return badField("adapter", "adapter has at most %d bytes", maxNameBytes)
+	case b.Prompt == "":
+		return badField("prompt", "prompt is required")
+	case b.MaxTokens < 1 || b.MaxTokens > maxTokens:
+		return badField("max_tokens", "max_tokens is between 1 and %d", maxTokens)
+	case b.Temperature != nil && (math.IsNaN(*b.Temperature) || *b.Temperature < 0 || *b.Temperature > maxTemperature):
+		return badField("temperature", "temperature is between 0 and %g", maxTemperature)
+	case len(b.PrefixTokens) > b.MaxTokens:
+		return badField("prefix_tokens", "prefix_tokens has at most max_tokens entries")
+	}
+	return nil
+}
+
+func (b *completionBody) canonical() canonical {
+	temperature := defaultTemperature
+	if b.Temperature != nil {
+		temperature = *b.Temperature
+	}
+	return canonical{
+		Model: b.Model, Version: b.Version, Adapter: b.Adapter, Prompt: b.Prompt,
+		MaxTokens: b.MaxTokens, Temperature: temperature, Seed: b.Seed,
+	}
+}
+
+// headers are the checked headers of a request.
+type headers struct {
+	key     string
+	timeout time.Duration
+	resume  *EventID
+}
+
+func (r *Runner) parseHeaders(h http.Header) (headers, error) {
+	parsed := headers{key: h.Get("Idempotency-Key"), timeout: r.o.RequestTimeout}
+	if len(parsed.key) > maxKeyBytes {
+		return parsed, badField("Idempotency-Key", "Idempotency-Key has at most %d bytes", maxKeyBytes)
+	}
+	if text := h.Get("Request-Timeout-Ms"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 1 || ms > r.o.MaxTimeout.Milliseconds() {
+			return parsed, badField("Request-Timeout-Ms", "Request-Timeout-Ms is between 1 and %d", r.o.MaxTimeout.Milliseconds())
+		}
+		parsed.timeout = time.Duration(ms) * time.Millisecond
+	}
+	if text := h.Get("Last-Event-ID"); text != "" {
+		id, err := ParseEventID(text)
+		if err != nil {
+			return parsed, err
+		}
+		parsed.resume = &id
+	}
+	return parsed, nil
+}
+
+// newRequest gives a checked body its identity. A Last-Event-ID of another
+// account, key or body gives another generation id and is refused.
+func (r *Runner) newRequest(account api.Account, body *completionBody, h headers) (*Request, error) {
+	c := body.canonical()
+	digest := contentDigest(c)
+	request := &Request{
+		Account:     account.ID,
+		Model:       api.ModelRef{Model: body.Model, Version: body.Version, Adapter: body.Adapter},
+		Prompt:      body.Prompt,
+		MaxTokens:   body.MaxTokens,
+		Temperature: c.Temperature,
+		Priority:    account.Priority,
+		Stream:      body.Stream,
+		Digest:      digest,
+		Deadline:    r.o.Clock() + h.timeout,
+		Resume:      h.resume,
+		Prefix:      body.PrefixTokens,
+	}
+	switch {
+	case h.key != "":
+	case h.resume != nil:
+		request.Nonce = h.resume.Nonce
+	default:
+		request.Nonce = newNonce()
+	}
+	request.Generation = generationID(account.ID, h.key, request.Nonce, digest)
+	request.Seed = derivedSeed(request.Generation)
+	if body.Seed != nil {
+		request.Seed = *body.Seed
+	}
+	request.Blocks = prefixBlocks(request.Model, request.Prompt)
+	return request, r.checkResume(request)
+}
+
+func (r *Runner) checkResume(request *Request) error {
+	resume := request.Resume
+	if resume == nil {
+		if request.Prefix != nil {
+			return badField("prefix_tokens", "prefix_tokens needs a Last-Event-ID to be checked against")
+		}
+		return nil
+	}
+	switch {
+	case !request.Stream:
+		return badField("Last-Event-ID", "only a streamed answer can be resumed")
+	case resume.Generation != request.Generation || resume.Position >= request.MaxTokens:
+		return reason.New(reason.EventIDInvalid, "the Last-Event-ID does not belong to this account, key and body").WithField("Last-Event-ID")
+	}
+	config := r.o.Config()
+	if config.MayServe(resume.Endpoint, r.o.Half, request.Account, request.Model) {
+		endpoint := config.Endpoints[resume.Endpoint]
+		request.ResumeEndpoint = &endpoint
+	}
+	return nil
+}
+
+func newNonce() string {
+	var nonce [nonceBytes]byte
+	// crypto/rand.Read never returns an error.
+	_, _ = rand.Read(nonce[:])
+	return hex.EncodeToString(nonce[:])
+}
--- /dev/null
+++ b/generation/runner_test.go
@@ -0,0 +1,92 @@
+package generation
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+func TestGeneration(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "generation")
+}
+
+const streamBody = `{"model":"m","prompt":"p","max_tokens":40,"seed":7,"stream":true}`
+
+var _ = Describe("completions over HTTP", func() {
+	var engines []*fakeEngine
+	var b *bench
+	start := func(change func(*Options), list ...*fakeEngine) {
+		engines = list
+		b = newBench(change, list...)
+		DeferCleanup(func() {
+			b.stop()
+			for _, engine := range engines {
+				engine.stop()
+			}
+			Expect(b.placer.held).To(BeEmpty(), "every grant is released")
+		})
+	}
+
+	// Guards against a broken whole path: identity, order, end of stream.
+	It("streams a whole answer with event ids", func() {
+		start(nil, newFakeEngine())
+		a := b.call(streamBody, nil)
+		Expect(a.status).To(Equal(200))
+		Expect(a.tokens).To(Equal(wantTokens("p", 7, 0, 40)))
+		Expect(a.ids).To(HaveLen(40))
+		Expect(a.finish).To(Equal("length"))
+		Expect(a.done).To(BeTrue())
+	})
+
+	It("returns an answer that is not streamed as one object", func() {
+		start(nil, newFakeEngine())
+		a := b.call(`{"model":"m","prompt":"p","max_tokens":3,"seed":7}`, nil)
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(ContainSubstring(`"text":"t0 t1 t2 "`))
+	})
+
+	for _, mode := range []string{RecoveryEager, RecoverySparing} {
+		// Guards against lost, repeated or recomputed tokens after a loss.
+		It("continues from the exact prefix when the connection closes, "+mode, func() {
+			first, second := newFakeEngine(), newFakeEngine()
+			first.closeAt = 10
+			start(func(o *Options) { o.Recovery = mode }, first, second)
+			a := b.call(streamBody, nil)
+			Expect(a.tokens).To(Equal(wantTokens("p", 7, 0, 40)))
+			Expect(a.done).To(BeTrue())
+			if mode == RecoveryEager {
+				Expect(second.opens).To(HaveLen(1))
+				Expect(second.opens[0].PrefixTokens).To(Equal(wantTokens("p", 7, 0, 10)))
+			} else {
+				Expect(first.resumes).To(Equal(1))
+				Expect(second.opens).To(BeEmpty())
+			}
+			Expect(b.runner.Streams()).To(HaveLen(1))
+		})
+
+		// Guards against waiting forever on a connection that went silent.
+		It("continues when an engine goes silent, "+mode, func() {
+			first, second := newFakeEngine(), newFakeEngine()
+			first.freezeAt, first.gap, second.gap = 10, time.Millisecond, time.Millisecond
+			start(func(o *Options) { o.Recovery = mode }, first, second)
+			a := b.call(streamBody, nil)
+			Expect(a.tokens).To(Equal(wantTokens("p", 7, 0, 40)))
+			Expect(a.done).To(BeTrue())
+		})
+	}
+
+	// Guards against an error that claims the request was not run.
+	It("refuses as not run when no engine is available", func() {
+		first := newFakeEngine()
+		first.refuse = true
+		start(nil, first)
+		a := b.call(streamBody, map[string]string{"Request-Timeout-Ms": "300"})
+		Expect(a.status).To(BeNumerically(">=", 400))
+		Expect(a.err.Run).To(Equal(reason.RunNo))
+	})
+})
--- /dev/null
+++ b/generation/trace.go
@@ -0,0 +1,153 @@
+package generation
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+const (
+	// maxTraces bounds the requests whose trace is kept.
+	maxTraces = 4096
+	// maxSteps bounds one trace; the first half and the latest half are kept.
+	maxSteps = 64
+	// maxResumedStreams bounds the list of resumed streams.
+	maxResumedStreams = 256
+)
+
+// Step is one line of a trace.
+type Step struct {
+	AtMS     int64          `json:"at_ms"` // since the first step
+	Step     string         `json:"step"`
+	Reason   reason.Reason  `json:"reason,omitempty"`
+	Attempt  uint64         `json:"attempt,omitempty"`
+	Endpoint api.EndpointID `json:"endpoint,omitempty"`
+	Position int            `json:"position"`
+}
+
+// Trace explains how a request came to its end.
+type Trace struct {
+	Generation string `json:"generation"`
+	Steps      []Step `json:"steps"`
+	Dropped    int    `json:"dropped_steps,omitempty"`
+}
+
+// ResumedStream is one continuation after a loss.
+type ResumedStream struct {
+	Generation string `json:"generation"`
+	AgoMS      int64  `json:"ago_ms"`
+	LatencyMS  int64  `json:"latency_ms"`
+	Recomputed int    `json:"recomputed_tokens"`
+}
+
+type traceRecord struct {
+	Trace
+	begun time.Duration
+}
+
+type resumedRecord struct {
+	ResumedStream
+	at time.Duration
+}
+
+type traces struct {
+	mu      sync.Mutex
+	byID    map[string]*traceRecord
+	ids     []string // oldest first
+	streams []resumedRecord
+}
+
+func newTraces() *traces { return &traces{byID: make(map[string]*traceRecord)} }
+
+func (t *traces) add(now time.Duration, n Note) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	record := t.byID[n.Generation]
+	if record == nil {
+		record = &traceRecord{Trace: Trace{Generation: n.Generation}, begun: now}
+		t.byID[n.Generation] = record
+		t.ids = append(t.ids, n.Generation)
+		if len(t.ids) > maxTraces {
+			delete(t.byID, t.ids[0])
+			t.ids = t.ids[1:]
+		}
+	}
+	step := Step{
+		AtMS: (now - record.begun).Milliseconds(), Step: n.Step, Reason: n.Reason,
+		Attempt: n.Attempt, Endpoint: n.Endpoint, Position: n.Position,
+	}
+	if len(record.Steps) == maxSteps {
+		copy(record.Steps[maxSteps/2:], record.Steps[maxSteps/2+1:])
+		record.Steps = record.Steps[:maxSteps-1]
+		record.Dropped++
+	}
+	record.Steps = append(record.Steps, step)
+}
+
+func (t *traces) refused(now time.Duration, generation string, why reason.Reason) {
+	t.add(now, Note{Generation: generation, Step: "refused", Reason: why})
+}
+
+func (t *traces) resumed(now time.Duration, a Resumed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.streams = append(t.streams, resumedRecord{at: now, ResumedStream: ResumedStream{
+		Generation: a.Generation, LatencyMS: a.Latency.Milliseconds(), Recomputed: a.Recomputed,
+	}})
+	if len(t.streams) > maxResumedStreams {
+		t.streams = t.streams[1:]
+	}
+}
+
+// Trace returns the trace of a request by its generation id.
+func (r *Runner) Trace(id string) (Trace, bool) {
+	r.traces.mu.Lock()
+	defer r.traces.mu.Unlock()
+	record := r.traces.byID[id]
+	if record == nil {
+		return Trace{}, false
+	}
+	trace := record.Trace
+	trace.Steps = append([]Step(nil), record.Steps...)
+	return trace, true
+}
+
+// Streams returns the latest resumed streams, newest first.
+func (r *Runner) Streams() []ResumedStream {
+	now := r.o.Clock()
+	r.traces.mu.Lock()
+	defer r.traces.mu.Unlock()
+	list := make([]ResumedStream, 0, len(r.traces.streams))
+	for i := len(r.traces.streams) - 1; i >= 0; i-- {
+		stream := r.traces.streams[i].ResumedStream
+		stream.AgoMS = (now - r.traces.streams[i].at).Milliseconds()
+		list = append(list, stream)
+	}
+	return list
+}
+
+// TraceHandler serves GET /v1/requests/{id}.
+func (r *Runner) TraceHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		trace, ok := r.Trace(request.PathValue("id"))
+		if !ok {
+			httpapi.WriteError(w, reason.New(reason.NotFound, "no trace of this request is kept here"))
+			return
+		}
+		httpapi.WriteJSON(w, http.StatusOK, trace)
+	})
+}
+
+// StreamsHandler serves GET /v1/streams.
+func (r *Runner) StreamsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		body := struct {
+			Resumed []ResumedStream `json:"resumed"`
+		}{r.Streams()}
+		httpapi.WriteJSON(w, http.StatusOK, body)
+	})
+}
