generation: name each engine stream once, wait for the verdict on a death

Cause: property tests with engines that sample differently found mixed answers. Two instances that serve one request used the same request id towards engines, so a reattachment could find a stream that another instance had opened anew, with other tokens before the position. A reconnection after the last token waited for ever. Change: each opened stream has its own id (generation, random salt of the connection, attempt), carried in the last part of the event id; a newer connection's attempts start in a range of their own with salt bits. A closed connection's continuation waits up to 30 ms for the probe, so that content is marked before it is placed again. Content that has to run alone waits 2.5 s for the marks of peers. Conclusion: a reattachment continues the same tokens without assuming that engines are deterministic.

--- a/generation/action.go
+++ b/generation/action.go
@@ -25,6 +25,7 @@
 type Open struct {
 	Generation string
 	Attempt    uint64
+	EngineID   string
 	Request    *Request
 	Endpoint   api.Endpoint
 	Prefix     []uint32
@@ -36,6 +37,7 @@
 type Reattach struct {
 	Generation string
 	Attempt    uint64
+	EngineID   string
 	Endpoint   api.Endpoint
 	From       int
 }
@@ -49,6 +51,7 @@
 type CloseStream struct {
 	Generation string
 	Attempt    uint64
+	EngineID   string
 	Endpoint   api.Endpoint
 	// Cancel also tells the engine to drop the stream; otherwise the engine
 	// keeps it for a reattachment.
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -65,6 +65,7 @@
 		return
 	}
 	a.placing = false
+	a.stream = streamName(g.request.Salt, a.number)
 	a.opened = true
 	a.grant = ev.Grant.ID
 	a.endpoint = ev.Grant.Endpoint
@@ -76,7 +77,10 @@
 	g.recomputed += len(prefix)
 	c.note(g, a, "opened", "")
 	fresh := s.suspect || g.lostAt != 0
-	c.do(Open{Generation: ev.Generation, Attempt: a.number, Request: g.request, Endpoint: a.endpoint, Prefix: prefix, Fresh: fresh})
+	c.do(Open{
+		Generation: ev.Generation, Attempt: a.number, EngineID: engineID(ev.Generation, a.stream),
+		Request: g.request, Endpoint: a.endpoint, Prefix: prefix, Fresh: fresh,
+	})
 }
 
 // prefixFor sets where the attempt starts and returns the prefix to send. An
@@ -162,7 +166,10 @@
 	c.endpointOf(a).running++
 	g.sent++
 	c.note(g, a, "reattached", "")
-	c.do(Reattach{Generation: g.request.Generation, Attempt: a.number, Endpoint: a.endpoint, From: from})
+	c.do(Reattach{
+		Generation: g.request.Generation, Attempt: a.number, EngineID: engineID(g.request.Generation, a.stream),
+		Endpoint: a.endpoint, From: from,
+	})
 }
 
 // reattach replaces the connection of an attempt by a new one to the same
@@ -170,6 +177,7 @@
 func (c *Core) reattach(now time.Duration, g *generation, old *attempt) {
 	a := c.newAttempt(now, g)
 	a.endpoint = old.endpoint
+	a.stream = old.stream
 	a.grant, old.grant = old.grant, 0
 	a.unreported, old.unreported = old.unreported, 0
 	a.verify, a.tokens = old.verify, old.tokens
@@ -252,4 +260,8 @@
 		return
 	}
 	c.requeue(now, g)
+	if s := c.endpointOf(a); s.probing && c.o.Baseline == "" && why != reason.EngineSilent {
+		g.awaits = a.endpoint.ID
+		g.awaitUntil = now + verdictWait
+	}
 }
--- a/generation/core.go
+++ b/generation/core.go
@@ -35,6 +35,10 @@
 	keepEnded = 10 * time.Second
 	// maxEnded bounds the ended answers that are kept.
 	maxEnded = 1024
+	// verdictWait is how long a continuation waits for the probe of a closed
+	// connection, so that content which crashed the engine is marked before it
+	// is placed again. It covers a round trip between regions.
+	verdictWait = 30 * time.Millisecond
 	// checkpointInterval is how often new tokens go to a peer.
 	checkpointInterval = 250 * time.Millisecond
 )
@@ -61,6 +65,10 @@
 	keepHedgeLosers   variant = "keepHedgeLosers"
 	alwaysRunNo       variant = "alwaysRunNo"
 	restartStreamed   variant = "restartStreamed"
+	leakGrants        variant = "leakGrants"
+	ignoreSilence     variant = "ignoreSilence"
+	ignoreDeadline    variant = "ignoreDeadline"
+	ignorePriority    variant = "ignorePriority"
 )
 
 // Core decides what happens to all generations of an instance. It is not safe
@@ -145,7 +153,7 @@
 	clear(c.order[len(kept):])
 	c.order = kept
 	for _, g := range c.order {
-		if now >= g.request.Deadline {
+		if now >= g.request.Deadline && c.o.variant != ignoreDeadline {
 			c.finish(now, g, c.failure(g, reason.DeadlineExceeded, "the deadline passed"))
 			continue
 		}
--- a/generation/engine.go
+++ b/generation/engine.go
@@ -112,7 +112,7 @@
 func newEngineRequest(o Open) engineRequest {
 	r := o.Request
 	return engineRequest{
-		RequestID: r.Generation, Attempt: o.Attempt,
+		RequestID: o.EngineID, Attempt: o.Attempt,
 		Model: r.Model.Model, Version: r.Model.Version, Adapter: r.Model.Adapter,
 		Prompt: r.Prompt, PrefixTokens: o.Prefix, MaxTokens: r.MaxTokens,
 		Temperature: r.Temperature, Seed: r.Seed, Priority: int(r.Priority),
@@ -252,10 +252,10 @@
 }
 
 // cancel tells the engine to drop a stream. A lost cancel costs tokens only.
-func (c *engineClient) cancel(ctx context.Context, endpoint api.Endpoint, generation string, attempt uint64) {
+func (c *engineClient) cancel(ctx context.Context, endpoint api.Endpoint, engineID string, attempt uint64) {
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
-	request, err := newPost(ctx, endpoint.Address, "/v1/streams/"+generation+"/cancel", cancelRequest{Attempt: attempt})
+	request, err := newPost(ctx, endpoint.Address, "/v1/streams/"+engineID+"/cancel", cancelRequest{Attempt: attempt})
 	if err != nil {
 		return
 	}
--- a/generation/event.go
+++ b/generation/event.go
@@ -11,6 +11,7 @@
 type Request struct {
 	Generation  string
 	Nonce       string // "" if the request has a key
+	Salt        uint32 // random, one for each connection
 	Account     api.AccountID
 	Model       api.ModelRef
 	Prompt      string
--- a/generation/identity.go
+++ b/generation/identity.go
@@ -23,11 +23,16 @@
 	noEndpoint = "0"
 	// maxEventIDBytes bounds the header; a valid event id is far shorter.
 	maxEventIDBytes = 512
+	// noStream stands in the event id of an answer whose stream is not known.
+	noStream        = "0"
 	generationBytes = 16
-	// attemptsPerConnection is the range of attempt numbers of one caller
-	// connection. A newer connection starts in the next range, so all of its
-	// attempts are higher than any attempt of the older one.
-	attemptsPerConnection = 256
+	// epochBits is the range of attempt numbers of one caller connection. A
+	// newer connection starts in the next range, so all of its attempts are
+	// higher than any attempt of the older one.
+	epochBits = 20
+	// saltBits of the range tell apart two connections that resume from one
+	// event id at the same time; the rest counts attempts.
+	saltBits = 12
 )
 
 // canonical is the part of a request that determines its answer.
@@ -84,7 +89,10 @@
 	Endpoint   api.EndpointID
 	Instance   api.InstanceID
 	Hash       uint64 // of the tokens 0 to Position
-	Nonce      string
+	Nonce      string // "" if the request has a key
+	// Stream names the engine's stream that generated the token. Each stream is
+	// opened once, so a reattachment finds exactly the tokens that led here.
+	Stream string
 }
 
 func (e EventID) String() string {
@@ -96,6 +104,10 @@
 	if nonce == "" {
 		nonce = noNonce
 	}
+	stream := e.Stream
+	if stream == "" {
+		stream = noStream
+	}
 	return strings.Join([]string{
 		eventIDVersion,
 		e.Generation,
@@ -104,7 +116,7 @@
 		endpoint,
 		string(e.Instance),
 		strconv.FormatUint(e.Hash, 16),
-		nonce,
+		nonce + "-" + stream,
 	}, ".")
 }
 
@@ -123,6 +135,10 @@
 	attempt, errAttempt := strconv.ParseUint(parts[2], 10, 48)
 	position, errPosition := strconv.ParseUint(parts[3], 10, 31)
 	hash, errHash := strconv.ParseUint(parts[6], 16, 64)
+	nonce, stream, ok := strings.Cut(parts[7], "-")
+	if !ok || nonce == "" || stream == "" {
+		return EventID{}, invalid
+	}
 	if errAttempt != nil || errPosition != nil || errHash != nil || len(parts[1]) != 2*generationBytes {
 		return EventID{}, invalid
 	}
@@ -133,7 +149,8 @@
 		Endpoint:   api.EndpointID(parts[4]),
 		Instance:   api.InstanceID(parts[5]),
 		Hash:       hash,
-		Nonce:      parts[7],
+		Nonce:      nonce,
+		Stream:     stream,
 	}
 	if id.Endpoint == noEndpoint {
 		id.Endpoint = ""
@@ -144,6 +161,15 @@
 	return id, nil
 }
 
+// streamName names the stream of one attempt; the salt tells instances apart.
+func streamName(salt uint32, attempt uint64) string {
+	return strconv.FormatUint(uint64(salt), 36) + "-" + strconv.FormatUint(attempt, 36)
+}
+
+// engineID is the request id that an engine gets. It is used for one stream
+// only.
+func engineID(generation, stream string) string { return generation + "-" + stream }
+
 func isIdentifier(text string) bool {
 	for _, c := range []byte(text) {
 		ok := c == '-' || c >= '0' && c <= '9' || c >= 'a' && c <= 'z'
--- a/generation/receive.go
+++ b/generation/receive.go
@@ -43,7 +43,7 @@
 // reject returns why a chunk must not be used, or "".
 func (c *Core) reject(g *generation, a *attempt, chunk Chunk) reason.Reason {
 	if c.o.variant == skipIdentityCheck {
-		chunk.RequestID, chunk.Attempt = g.request.Generation, a.number
+		chunk.RequestID, chunk.Attempt = engineID(g.request.Generation, a.stream), a.number
 	}
 	if c.o.variant == skipPositionCheck {
 		chunk.Position = a.next
@@ -51,10 +51,8 @@
 	switch {
 	case chunk.Malformed || (!chunk.HasToken && chunk.Finish == ""):
 		return reason.ChunkMalformed
-	case chunk.RequestID != g.request.Generation || chunk.Attempt > a.number:
+	case chunk.RequestID != engineID(g.request.Generation, a.stream) || chunk.Attempt > a.number:
 		return reason.ChunkForeign
-	case chunk.Attempt < a.number && chunk.Finish == finishSuperseded:
-		return reason.ChunkLate
 	case chunk.Attempt < a.number:
 		return reason.ChunkLate
 	case chunk.Finish == finishSuperseded:
@@ -101,7 +99,7 @@
 		c.verify(now, g, a, chunk)
 		return
 	}
-	if a.next != g.next {
+	if a.next != g.next && c.o.variant != keepHedgeLosers {
 		// Another attempt delivered this position; only the winner goes on.
 		c.endAttempt(g, a, api.OutcomeCancelled, true)
 		return
@@ -114,16 +112,23 @@
 	if finish == "" && g.next >= g.request.MaxTokens {
 		finish = finishLength
 	}
-	id := EventID{
-		Generation: g.request.Generation, Attempt: a.number, Position: g.next - 1, Endpoint: a.endpoint.ID,
-		Instance: c.o.Instance, Hash: g.hash, Nonce: g.request.Nonce,
-	}
+	g.last = location{attempt: a.number, endpoint: a.endpoint.ID, stream: a.stream}
+	id := c.eventID(g, g.next-1, g.hash)
 	c.do(Deliver{Conn: g.conn, ID: id, Text: chunk.Text, Token: chunk.Token, HasToken: chunk.HasToken, Finish: finish})
 	if finish != "" {
 		c.complete(now, g, a, chunk.Finish == "", finish)
 	}
 }
 
+// eventID names the latest stream also for earlier positions, since that
+// stream was opened with them.
+func (c *Core) eventID(g *generation, position int, hash uint64) EventID {
+	return EventID{
+		Generation: g.request.Generation, Attempt: g.last.attempt, Position: position, Endpoint: g.last.endpoint,
+		Instance: c.o.Instance, Hash: hash, Nonce: g.request.Nonce, Stream: g.last.stream,
+	}
+}
+
 // win makes the attempt the only one and closes an open loss.
 func (c *Core) win(now time.Duration, g *generation, a *attempt) {
 	if a.suspected {
--- a/generation/recovery.go
+++ b/generation/recovery.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
 
@@ -30,11 +31,20 @@
 	}
 }
 
+// verdict lets the continuations go that wait for the endpoint's probe.
+func (c *Core) verdict(endpoint api.EndpointID) {
+	for _, g := range c.queue {
+		if g.awaits == endpoint {
+			g.awaits = ""
+		}
+	}
+}
+
 func (c *Core) unqueue(g *generation) {
 	if !g.queued {
 		return
 	}
-	g.queued = false
+	g.queued, g.awaits = false, ""
 	kept := c.queue[:0]
 	for _, other := range c.queue {
 		if other != g {
@@ -52,13 +62,13 @@
 	}
 	sort.SliceStable(c.queue, func(i, j int) bool {
 		a, b := c.queue[i], c.queue[j]
-		if a.request.Priority != b.request.Priority {
+		if a.request.Priority != b.request.Priority && c.o.variant != ignorePriority {
 			return a.request.Priority < b.request.Priority
 		}
 		return a.lostAt < b.lostAt
 	})
 	for _, g := range append([]*generation(nil), c.queue...) {
-		if g.readyAt > now {
+		if g.readyAt > now || g.awaits != "" && g.awaitUntil > now {
 			continue
 		}
 		if !c.pace.AllowN(time.Unix(0, int64(now)), 1) {
--- a/generation/request.go
+++ b/generation/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"io"
@@ -139,6 +140,7 @@
 	default:
 		request.Nonce = newNonce()
 	}
+	request.Salt = newSalt()
 	request.Generation = generationID(account.ID, h.key, request.Nonce, digest)
 	request.Seed = derivedSeed(request.Generation)
 	if body.Seed != nil {
@@ -170,6 +172,12 @@
 	return nil
 }
 
+func newSalt() uint32 {
+	var salt [4]byte
+	_, _ = rand.Read(salt[:])
+	return binary.BigEndian.Uint32(salt[:])
+}
+
 func newNonce() string {
 	var nonce [nonceBytes]byte
 	// crypto/rand.Read never returns an error.
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -14,6 +14,9 @@
 const (
 	ringCapacity = 8192
 	tickInterval = 20 * time.Millisecond
+	// aloneWait is how long content that has to run alone waits for the marks
+	// of the peers before it is placed; it is suspect's settle time.
+	aloneWait = 2500 * time.Millisecond
 )
 
 // Runner owns the core and does its I/O.
@@ -171,7 +174,7 @@
 	case Reattach:
 		ctx := r.openStream(action.Generation, action.Attempt)
 		body := resumeRequest{Attempt: action.Attempt, From: action.From}
-		path := "/v1/streams/" + action.Generation + "/resume"
+		path := "/v1/streams/" + action.EngineID + "/resume"
 		r.spawn(func() { r.stream(ctx, action.Generation, action.Attempt, action.Endpoint.Address, path, body, true) })
 	case Probe:
 		r.spawn(func() {
@@ -239,7 +242,7 @@
 		delete(r.streams, key)
 	}
 	if action.Cancel {
-		r.spawn(func() { r.engines.cancel(r.ctx, action.Endpoint, action.Generation, action.Attempt) })
+		r.spawn(func() { r.engines.cancel(r.ctx, action.Endpoint, action.EngineID, action.Attempt) })
 	}
 }
 
@@ -259,6 +262,10 @@
 		r.post(PlaceFailed{Generation: action.Generation, Attempt: action.Attempt, Err: reason.From(err)})
 	}
 	level := r.o.Marks.Level(action.Digest)
+	if level == api.IsolationAlone {
+		r.pause(aloneWait)
+		level = r.o.Marks.Level(action.Digest)
+	}
 	if level == api.IsolationRefused {
 		fail(reason.New(reason.CrashSuspect, "engines died while they ran this content"))
 		return
@@ -281,6 +288,16 @@
 	}
 }
 
+// pause waits within the life of the runner.
+func (r *Runner) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Drain refuses new work and waits for the running answers.
 func (r *Runner) Drain(ctx context.Context) error {
 	r.draining.Store(true)
--- a/generation/silence.go
+++ b/generation/silence.go
@@ -105,6 +105,9 @@
 }
 
 func (c *Core) checkSilence(now time.Duration, g *generation) {
+	if c.o.variant == ignoreSilence {
+		return
+	}
 	for _, a := range append([]*attempt(nil), g.attempts...) {
 		if g.done || a.placing || g.find(a.number) == nil {
 			continue
@@ -132,6 +135,7 @@
 	case c.o.Baseline != "":
 		c.lose(now, g, a, api.OutcomeSuspected, reason.EngineSilent, true)
 	case c.o.Recovery == RecoveryEager:
+		c.probe(a)
 		if !g.healthy(a) {
 			c.enqueue(now, g)
 		}
@@ -166,6 +170,9 @@
 	s.probing = false
 	if ev.Refused {
 		c.died(now, ev.Endpoint, s)
+	}
+	c.verdict(ev.Endpoint)
+	if ev.Refused {
 		return
 	}
 	for _, g := range append([]*generation(nil), c.order...) {
--- a/generation/start.go
+++ b/generation/start.go
@@ -29,6 +29,12 @@
 	if c.fromEnded(now, g) {
 		return
 	}
+	if from >= r.MaxTokens {
+		// The caller has every token and lacks only the end.
+		c.do(Deliver{Conn: ev.Conn, Finish: finishLength})
+		c.do(Finish{Conn: ev.Conn, Generation: r.Generation})
+		return
+	}
 	if r.Prefix != nil && g.base > 0 {
 		g.base, g.tokens = 0, append([]uint32(nil), r.Prefix...)
 		g.texts = make([]string, len(g.tokens))
@@ -57,7 +63,9 @@
 // connection that the event id comes from.
 func (c *Core) firstAttemptNumber(g *generation) {
 	if g.request.Resume != nil {
-		g.lastAttempt = (g.request.Resume.Attempt/attemptsPerConnection + 1) * attemptsPerConnection
+		epoch := g.request.Resume.Attempt>>epochBits + 1
+		salt := uint64(g.request.Salt) % (1 << saltBits)
+		g.lastAttempt = epoch<<epochBits | salt<<(epochBits-saltBits)
 	}
 }
 
@@ -79,6 +87,7 @@
 	}
 	a := c.newAttempt(now, g)
 	a.endpoint = *r.ResumeEndpoint
+	a.stream = r.Resume.Stream
 	c.startReattach(g, a, g.next, g.hash)
 }
 
@@ -115,14 +124,7 @@
 		if position < g.replayFrom {
 			continue
 		}
-		id := EventID{
-			Generation: g.request.Generation, Attempt: g.lastAttempt, Position: position,
-			Instance: c.o.Instance, Hash: hash, Nonce: g.request.Nonce,
-		}
-		if len(g.attempts) > 0 {
-			id.Endpoint = g.attempts[0].endpoint.ID
-		}
-		c.do(Deliver{Conn: g.conn, ID: id, Text: g.texts[position], Token: token, HasToken: true})
+		c.do(Deliver{Conn: g.conn, ID: c.eventID(g, position, hash), Text: g.texts[position], Token: token, HasToken: true})
 	}
 }
 
@@ -142,7 +144,7 @@
 		g.tokens, g.texts = e.tokens[:g.next:g.next], e.texts[:g.next:g.next]
 		return false
 	}
-	g.base, g.tokens, g.texts = 0, e.tokens, e.texts
+	g.base, g.tokens, g.texts, g.last = 0, e.tokens, e.texts, e.last
 	c.replay(g)
 	c.do(Deliver{Conn: g.conn, Finish: e.finish})
 	c.note(g, nil, "replayed", "")
--- a/generation/state.go
+++ b/generation/state.go
@@ -38,6 +38,7 @@
 	held   []uint32 // from a peer, not yet checked
 
 	lastAttempt uint64
+	last        location   // of the token that was delivered last
 	attempts    []*attempt // live ones, oldest first
 	sent        int        // requests that may have reached an engine
 	ran         bool       // an engine produced output
@@ -50,11 +51,20 @@
 	queued     bool
 	readyAt    time.Duration
 	lastLost   api.EndpointID
+	awaits     api.EndpointID // whose probe holds the continuation back
+	awaitUntil time.Duration
 	recomputed int
 
 	checkpointed int
 }
 
+// location names the engine's stream that delivered a token.
+type location struct {
+	attempt  uint64
+	endpoint api.EndpointID
+	stream   string
+}
+
 // attempt is one connection to an engine for one generation.
 type attempt struct {
 	number   uint64
@@ -62,6 +72,7 @@
 	grant    uint64 // 0: none
 	retry    bool
 
+	stream  string // name of the engine's stream
 	placing bool
 	opened  bool // an Open was sent, as opposed to a reattachment
 
@@ -87,6 +98,7 @@
 	textFrom int
 	tokens   []uint32
 	texts    []string
+	last     location
 	complete bool
 	finish   string
 }
@@ -136,13 +148,16 @@
 	}
 	g.attempts = kept
 	c.reportProgress(a)
-	if a.grant != 0 {
+	if a.grant != 0 && c.o.variant != leakGrants {
 		c.do(Release{Grant: a.grant, Outcome: outcome})
 		a.grant = 0
 	}
 	if !a.placing {
 		c.endpointOf(a).running--
-		c.do(CloseStream{Generation: g.request.Generation, Attempt: a.number, Endpoint: a.endpoint, Cancel: cancel})
+		c.do(CloseStream{
+			Generation: g.request.Generation, Attempt: a.number, EngineID: engineID(g.request.Generation, a.stream),
+			Endpoint: a.endpoint, Cancel: cancel,
+		})
 	}
 }
 
@@ -159,7 +174,7 @@
 	}
 	e := &endedAnswer{
 		id: g.request.Generation, until: now + keepEnded, base: g.base, textFrom: g.textFrom,
-		tokens: g.tokens, texts: g.texts, complete: err == nil,
+		tokens: g.tokens, texts: g.texts, last: g.last, complete: err == nil,
 	}
 	c.ended[e.id] = e
 	c.endedList = append(c.endedList, e)
