--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -33,7 +33,7 @@
 		Recovery:     g.lostAt != 0,
 	}
 	request.Exclude = c.excluded(g)
-	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && now-g.lostAt < regionPatience && g.fruitless < 2
+	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && now-g.lostAt < regionPatience
 	c.do(Place{Generation: r.Generation, Attempt: a.number, Digest: r.Digest, Request: request, Retry: retry, Deadline: r.Deadline})
 }
 
@@ -46,9 +46,8 @@
 			list = append(list, a.endpoint.ID)
 		}
 	}
-	// After several fruitless attempts the endpoint that was lost last may be
-	// the only one left, so it is allowed again.
-	if g.lastLost != "" && g.fruitless < maxFruitless/2 {
+	// The endpoint that was lost last is allowed again when there is no other.
+	if g.lastLost != "" && g.retryWaits == 0 {
 		list = append(list, g.lastLost)
 	}
 	return list
@@ -243,7 +242,7 @@
 // deliver.
 func (c *Core) lose(now time.Duration, g *generation, a *attempt, outcome api.Outcome, why reason.Reason, cancel bool) {
 	c.note(g, a, "lost", why)
-	if why == reason.EngineClosed {
+	if why == reason.EngineClosed && outcome == api.OutcomeDied {
 		c.rememberLost(now, g, a)
 	}
 	if g.lostAt == 0 {
--- a/generation/checkpoint.go
+++ b/generation/checkpoint.go
@@ -49,17 +49,22 @@
 	var list []PeerInfo
 	seen := make(map[api.InstanceID]bool)
 	places := make(map[api.Place]bool)
-	for _, p := range live {
-		if places[p.Place] {
-			continue
+	add := func(place api.Place) {
+		if places[place] {
+			return
 		}
-		places[p.Place] = true
-		holder, ok := prefixPeer(live, p.Place, generation)
+		places[place] = true
+		holder, ok := prefixPeer(live, place, generation)
 		if ok && !seen[holder.ID] {
 			seen[holder.ID] = true
 			list = append(list, holder)
 		}
 	}
+	for _, p := range live {
+		add(p.Place)
+		// No instance may be left of the origin's failure domain.
+		add(api.Place{Region: p.Place.Region})
+	}
 	return list
 }
 
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -69,6 +69,14 @@
 	e.Close()
 }
 
+// forget drops all streams, as a restart does.
+func (e *fakeEngine) forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.requests)
+	e.refuse = true
+}
+
 func (e *fakeEngine) open(w http.ResponseWriter, r *http.Request) {
 	var request engineRequest
 	_ = json.NewDecoder(r.Body).Decode(&request)
@@ -204,6 +212,16 @@
 	stop   func()
 }
 
+func testOptions(b *bench, config *api.Config, clock bootclock.Func) Options {
+	return Options{
+		Instance: "i1", Half: "h1", Config: func() *api.Config { return config },
+		Placer: b.placer, Admitter: fakeAdmitter{}, Marks: b.marks, Recovery: RecoveryEager,
+		RequestTimeout: 20 * time.Second, MaxTimeout: time.Minute, SlowCallerBound: 5 * time.Second,
+		MaxBodyBytes: 1 << 16, MaxTokens: 1000,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope, Clock: clock,
+	}
+}
+
 func newBench(change func(*Options), engines ...*fakeEngine) *bench {
 	b := &bench{placer: &fakePlacer{held: make(map[uint64]bool)}, marks: &fakeMarks{}}
 	config := &api.Config{Endpoints: make(map[api.EndpointID]api.Endpoint), Accounts: map[api.AccountID]api.Account{
@@ -217,13 +235,7 @@
 		config.Endpoints[endpoint.ID] = endpoint
 		b.placer.endpoints = append(b.placer.endpoints, endpoint)
 	}
-	o := Options{
-		Instance: "i1", Half: "h1", Config: func() *api.Config { return config },
-		Placer: b.placer, Admitter: fakeAdmitter{}, Marks: b.marks, Recovery: RecoveryEager,
-		RequestTimeout: 20 * time.Second, MaxTimeout: time.Minute, SlowCallerBound: 5 * time.Second,
-		MaxBodyBytes: 1 << 16, MaxTokens: 1000,
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope, Clock: bootclock.Now,
-	}
+	o := testOptions(b, config, bootclock.Now)
 	if change != nil {
 		change(&o)
 	}
@@ -336,3 +348,31 @@
 	}
 	return tokens
 }
+
+func jsonText(tokens []uint32) string {
+	data, _ := json.Marshal(tokens)
+	return string(data)
+}
+
+func (b *bench) generationOf(eventID string) string {
+	id, err := ParseEventID(eventID)
+	if err != nil {
+		panic(err)
+	}
+	return id.Generation
+}
+
+// lastEventID returns the location of the latest token of the only answer.
+func (b *bench) lastEventID() (id EventID) {
+	done := make(chan struct{})
+	b.runner.post(call(func(c *Core) {
+		for _, g := range c.order {
+			id = c.eventID(g, g.next-1, g.hash)
+		}
+		close(done)
+	}))
+	<-done
+	return id
+}
+
+func (r *Runner) active64() int { return int(r.active.Load()) }
--- /dev/null
+++ b/generation/limits_test.go
@@ -0,0 +1,277 @@
+package generation
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// closingEngine answers the first request of each connection and closes the
+// connection after reading the second, which is when net/http resends requests
+// that it considers idempotent.
+type closingEngine struct {
+	net.Listener
+	mu       sync.Mutex
+	seen     map[string]int
+	reused   int
+	headers  []http.Header
+	sessions sync.WaitGroup
+}
+
+func newClosingEngine() *closingEngine {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	e := &closingEngine{Listener: listener, seen: make(map[string]int)}
+	e.sessions.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.sessions.Go(func() { e.session(conn) })
+		}
+	})
+	return e
+}
+
+func (e *closingEngine) session(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if request.Method == http.MethodGet {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		var body engineRequest
+		_ = json.NewDecoder(request.Body).Decode(&body)
+		e.mu.Lock()
+		if strings.HasSuffix(request.URL.Path, "/completions") {
+			e.seen[body.RequestID]++
+			e.headers = append(e.headers, request.Header)
+			if !first {
+				e.reused++
+			}
+		}
+		e.mu.Unlock()
+		if !first {
+			return
+		}
+		chunk := fmt.Sprintf("data: {\"request_id\":%q,\"attempt\":%d,\"position\":%d,\"token\":1,\"text\":\"x\",\"finish_reason\":\"stop\"}\n\n",
+			body.RequestID, body.Attempt, len(body.PrefixTokens))
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(chunk), chunk)
+	}
+}
+
+var _ = Describe("limits of the caller interface", func() {
+	var b *bench
+	BeforeEach(func() {
+		e := newFakeEngine()
+		b = newBench(nil, e)
+		DeferCleanup(func() {
+			b.stop()
+			e.stop()
+		})
+	})
+
+	refused := func(a *answer, why reason.Reason, field string) {
+		GinkgoHelper()
+		Expect(a.err.Reason).To(Equal(why), a.body)
+		Expect(a.err.Run).To(Equal(reason.RunNo))
+		Expect(a.err.Field).To(Equal(field))
+	}
+
+	// Guards against malformed requests that reach an engine.
+	DescribeTable("refuses as not run", func(body string, header map[string]string, why reason.Reason, field string) {
+		refused(b.call(body, header), why, field)
+	},
+		Entry("no JSON", `{`, nil, reason.BadRequest, ""),
+		Entry("unknown field", `{"model":"m","prompt":"p","max_tokens":1,"n":2}`, nil, reason.BadRequest, ""),
+		Entry("two objects", `{"model":"m","prompt":"p","max_tokens":1}{}`, nil, reason.BadRequest, ""),
+		Entry("no prompt", `{"model":"m","max_tokens":1}`, nil, reason.BadRequest, "prompt"),
+		Entry("too many tokens", `{"model":"m","prompt":"p","max_tokens":1001}`, nil, reason.BadRequest, "max_tokens"),
+		Entry("no tokens", `{"model":"m","prompt":"p"}`, nil, reason.BadRequest, "max_tokens"),
+		Entry("temperature", `{"model":"m","prompt":"p","max_tokens":1,"temperature":3}`, nil, reason.BadRequest, "temperature"),
+		Entry("prefix without event id", `{"model":"m","prompt":"p","max_tokens":1,"prefix_tokens":[1]}`, nil, reason.BadRequest, "prefix_tokens"),
+		Entry("large body", `{"model":"m","prompt":"`+strings.Repeat("p", 1<<16)+`","max_tokens":1}`, nil, reason.TooLarge, ""),
+		Entry("unknown model", `{"model":"x","prompt":"p","max_tokens":1}`, nil, reason.ModelUnknown, "model"),
+		Entry("timeout", streamBody, map[string]string{"Request-Timeout-Ms": "0"}, reason.BadRequest, "Request-Timeout-Ms"),
+		Entry("event id", streamBody, map[string]string{"Last-Event-ID": "v1.x"}, reason.EventIDInvalid, "Last-Event-ID"),
+		Entry("credential", streamBody, map[string]string{"Authorization": "Bearer other"}, reason.Unauthenticated, ""),
+	)
+
+	// Guards against running content that crashes engines.
+	It("refuses content that crashed engines", func() {
+		b.marks.level = api.IsolationRefused
+		refused(b.call(streamBody, nil), reason.CrashSuspect, "")
+	})
+
+	// Guards against a refusal that leaves no trace for operators.
+	It("explains a request by its id", func() {
+		a := b.call(streamBody, nil)
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodGet, "/", nil)
+		request.SetPathValue("id", a.header.Get(generationHeader))
+		b.runner.TraceHandler().ServeHTTP(recorder, request)
+		Expect(recorder.Body.String()).To(ContainSubstring(`"finished"`))
+		recorder = httptest.NewRecorder()
+		b.runner.StreamsHandler().ServeHTTP(recorder, request)
+		Expect(recorder.Body.String()).To(ContainSubstring(`"resumed":[]`))
+	})
+})
+
+var _ = Describe("requests to engines", func() {
+	// Guards against net/http sending a request again after a reused connection
+	// was closed, and against a header that makes it think it may.
+	It("are never sent twice by the library", func() {
+		e := newClosingEngine()
+		b := newBench(nil)
+		endpoint := api.Endpoint{ID: "e1", Kind: api.KindEngine, Address: e.Addr().String(), Half: "h1", Models: []api.ModelRef{{Model: "m"}}}
+		b.runner.o.Config().Endpoints["e1"] = endpoint
+		b.placer.endpoints = []api.Endpoint{endpoint}
+		for i := range 6 {
+			a := b.call(streamBody, map[string]string{"Idempotency-Key": fmt.Sprint("k", i), "Request-Timeout-Ms": "5000"})
+			Expect(a.done).To(BeTrue(), a.body)
+		}
+		b.stop()
+		e.Close()
+		e.sessions.Wait()
+		Expect(e.reused).To(BeNumerically(">", 0), "connections are reused")
+		for id, count := range e.seen {
+			Expect(count).To(Equal(1), id)
+		}
+		for _, header := range e.headers {
+			Expect(header).NotTo(HaveKey("Idempotency-Key"))
+		}
+	})
+})
+
+// blockedWriter is a caller that does not read.
+type blockedWriter struct{ *httptest.ResponseRecorder }
+
+func (blockedWriter) Write([]byte) (int, error)          { return 0, os.ErrDeadlineExceeded }
+func (blockedWriter) SetWriteDeadline(_ time.Time) error { return nil }
+
+var _ = Describe("slow callers", func() {
+	// Guards against memory that grows with the tokens of a caller that does
+	// not read, and against a goroutine that waits for it for ever.
+	It("are disconnected", func() {
+		e := newFakeEngine()
+		e.gap = 10 * time.Millisecond
+		b := newBench(nil, e)
+		DeferCleanup(func() {
+			b.stop()
+			e.stop()
+		})
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(streamBody))
+		request.Header.Set("Authorization", "Bearer "+testToken)
+		b.runner.Handler().ServeHTTP(blockedWriter{httptest.NewRecorder()}, request)
+		Eventually(func() string {
+			trace, _ := b.runner.Trace(b.runner.traces.ids[0])
+			return string(trace.Steps[len(trace.Steps)-1].Reason)
+		}).Should(Equal(string(reason.SlowCaller)))
+	})
+
+	It("have a bounded buffer", func() {
+		c := newConnection(1, true)
+		for range maxUnsent + 5 {
+			c.deliver(Deliver{HasToken: true})
+		}
+		batch, _, overflow, _ := c.take()
+		Expect(batch).To(HaveLen(maxUnsent))
+		Expect(overflow).To(BeTrue())
+	})
+})
+
+// TestKeepAlive guards against callers that give up because nothing arrives
+// while a continuation is being looked for.
+func TestKeepAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := &bench{placer: &fakePlacer{held: make(map[uint64]bool)}, marks: &fakeMarks{}}
+		began := time.Now()
+		o := testOptions(b, &api.Config{}, func() time.Duration { return time.Since(began) })
+		r, err := New(o)
+		g.Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { _ = r.Run(ctx); close(ended) }()
+		synctest.Wait()
+		recorder := httptest.NewRecorder()
+		checked := &Request{Generation: "g", Stream: true}
+		conn := newConnection(1, true)
+		done := make(chan struct{})
+		go func() {
+			newSender(r, recorder, httptest.NewRequest(http.MethodPost, "/", nil), checked, conn).run()
+			close(done)
+		}()
+		time.Sleep(2*keepAlive + time.Millisecond)
+		conn.finish(reason.New(reason.DeadlineExceeded, "late"))
+		<-done
+		cancel()
+		<-ended
+		g.Expect(strings.Count(recorder.Body.String(), ": waiting\n\n")).To(Equal(2))
+		g.Expect(recorder.Body.String()).To(ContainSubstring("event: error\ndata: {"))
+	})
+}
+
+// TestHolder guards against held prefixes that grow without bound, that never
+// expire, or that join parts which do not belong together.
+func TestHolder(t *testing.T) {
+	g := NewWithT(t)
+	h := newHolder()
+	h.store(0, &peerpb.Prefix{Generation: "late", From: 5, Tokens: []uint32{1}})
+	_, found := h.get("late")
+	g.Expect(found).To(BeFalse())
+	h.store(0, &peerpb.Prefix{Generation: "a", Tokens: []uint32{1, 2, 3}})
+	h.store(time.Second, &peerpb.Prefix{Generation: "a", From: 2, Tokens: []uint32{3, 4}})
+	h.store(time.Second, &peerpb.Prefix{Generation: "a", From: 9, Tokens: []uint32{9}})
+	tokens, _ := h.get("a")
+	g.Expect(tokens).To(Equal([]uint32{1, 2, 3, 4}))
+	for i := range 20 {
+		h.store(time.Second, &peerpb.Prefix{Generation: fmt.Sprint(i), Tokens: make([]uint32, maxHeldTokens/10)})
+	}
+	g.Expect(h.tokens).To(BeNumerically("<=", maxHeldTokens))
+	h.expire(time.Second + holdTime)
+	g.Expect(h.byID).To(BeEmpty())
+	g.Expect(h.tokens).To(BeZero())
+}
+
+// TestNoGoroutineIsLeft guards against goroutines that outlive Run.
+func TestNoGoroutineIsLeft(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	first, second := newFakeEngine(), newFakeEngine()
+	first.freezeAt = 5
+	b := newBench(nil, first, second)
+	if a := b.call(streamBody, nil); !a.done {
+		t.Errorf("the answer did not end: %s", a.body)
+	}
+	b.stop()
+	first.stop()
+	second.stop()
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	goleak.VerifyNone(t, ignore)
+}
--- a/generation/options.go
+++ b/generation/options.go
@@ -94,8 +94,9 @@
 	MaxBodyBytes    int64
 	MaxTokens       int
 	Log             *slog.Logger
-	Scope           tally.Scope
-	Clock           bootclock.Func
+	// Scope is the sub-scope of this slice.
+	Scope tally.Scope
+	Clock bootclock.Func
 }
 
 func (o Options) check() error {
--- a/generation/receive.go
+++ b/generation/receive.go
@@ -12,6 +12,8 @@
 	finishSuperseded = "superseded"
 	// finishLength is the end of an answer at max_tokens.
 	finishLength = "length"
+	// finishStop is the end of an answer by the model's choice.
+	finishStop = "stop"
 )
 
 // onReceived checks a chunk against the identity of the attempt whose
@@ -36,6 +38,11 @@
 		c.finish(now, g, c.failure(g, reason.Superseded, "a newer connection serves this request"))
 		return
 	}
+	if !ev.Chunk.HasToken && ev.Chunk.Finish != finishStop && ev.Chunk.Finish != finishLength {
+		// The engine gave the stream up, for example "cancelled".
+		c.lose(now, g, a, api.OutcomeCancelled, reason.EngineClosed, false)
+		return
+	}
 	c.alive(now, a)
 	c.accept(now, g, a, ev.Chunk)
 }
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -53,7 +53,6 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	scope := o.Scope.SubScope("generation")
 	r := &Runner{
 		o:      o,
 		events: ring.New[Event](ringCapacity),
@@ -62,7 +61,7 @@
 		}),
 		engines: newEngineClient(),
 		traces:  newTraces(),
-		metrics: newMetrics(scope),
+		metrics: newMetrics(o.Scope),
 		holder:  newHolder(),
 		conns:   make(map[uint64]*connection),
 		streams: make(map[streamKey]context.CancelFunc),
@@ -98,17 +97,14 @@
 	}
 }
 
-// takeoverQuery is TakenOver with an answer for the peer.
-type takeoverQuery struct {
-	TakenOver
-	ended chan<- bool
-}
+// call is an event that runs in the loop, for callers that need an answer.
+type call func(core *Core)
+
+func (call) event() {}
 
 func (r *Runner) handle(ev Event) {
-	if query, ok := ev.(takeoverQuery); ok {
-		before := r.core.Live()
-		r.apply(r.core.Step(r.o.Clock(), query.TakenOver))
-		query.ended <- r.core.Live() < before
+	if run, ok := ev.(call); ok {
+		run(r.core)
 		return
 	}
 	r.apply(r.core.Step(r.o.Clock(), ev))
@@ -123,7 +119,12 @@
 		return false
 	}
 	answer := make(chan bool, 1)
-	if !r.post(takeoverQuery{TakenOver{Generation: generation, Attempt: attempt}, answer}) {
+	takeover := call(func(core *Core) {
+		before := core.Live()
+		r.apply(core.Step(r.o.Clock(), TakenOver{Generation: generation, Attempt: attempt}))
+		answer <- core.Live() < before
+	})
+	if !r.post(takeover) {
 		return false
 	}
 	select {
--- a/suspect/runner.go
+++ b/suspect/runner.go
@@ -74,7 +74,7 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	scope := o.Scope.SubScope("suspect")
+	scope := o.Scope
 	return &Runner{
 		o: o, core: NewCore(Options{}), writes: ring.New[Persist](ringCapacity),
 		deaths: scope.Counter("deaths"), cleared: scope.Counter("cleared"), dropped: scope.Counter("writes_dropped"),
