Add the operators' command

Cause: tickets need a command that works against any instance. Change: hibiscusctl with apply, validate, status, history, show, diff, wait, instances, expel, endpoints, streams, trace and reasons; text and JSON output; an exit code for each kind of failure; the next instance is asked when one cannot answer, which is safe because a repeated apply is a success.

--- /dev/null
+++ b/cmd/hibiscusctl/exit.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"errors"
+
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// Exit codes, by kind of failure.
+const (
+	exitFailed      = 1 // any other failure
+	exitUsage       = 2 // wrong arguments or an unreadable file
+	exitUnreachable = 3 // no instance answered
+	exitRefused     = 4 // credential refused
+	exitInvalid     = 5 // the ticket has errors
+	exitSuperseded  = 6 // another ticket has this or a higher number
+	exitPending     = 7 // not in force within the wait
+	exitStore       = 8 // the platform's store does not answer
+)
+
+const exitCodesHelp = `Exit codes:
+   0 success           4 credential refused
+   1 other failure     5 the ticket has errors
+   2 wrong arguments   6 the number is taken or superseded
+   3 unreachable       7 not in force within the wait
+                       8 the platform's store does not answer`
+
+// errNotInForce says that the wait ended before the ticket was accepted.
+var errNotInForce = errors.New("the ticket is not in force yet")
+
+// usageError is a mistake in the arguments.
+type usageError struct{ message string }
+
+func (e usageError) Error() string { return e.message }
+
+func exitCode(err error) int {
+	var usage usageError
+	var refused *refusalError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.Is(err, errNotInForce), errors.Is(err, context.DeadlineExceeded):
+		return exitPending
+	case errors.Is(err, errUnreachable):
+		return exitUnreachable
+	case errors.As(err, &refused):
+		return exitCodeOf(refused.detail.Reason)
+	default:
+		return exitFailed
+	}
+}
+
+func exitCodeOf(r reason.Reason) int {
+	switch r {
+	case reason.Unauthenticated:
+		return exitRefused
+	case reason.TicketInvalid, reason.BadRequest, reason.TooLarge:
+		return exitInvalid
+	case reason.TicketSuperseded, reason.TicketConflict:
+		return exitSuperseded
+	case reason.StoreUnavailable, reason.StoreRateLimited:
+		return exitStore
+	case reason.NotReady, reason.ShuttingDown, reason.Fenced:
+		return exitUnreachable
+	default:
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/cmd/hibiscusctl/main_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+func TestCommand(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hibiscusctl")
+}
+
+func run(args ...string) (string, error) {
+	command := root()
+	var out bytes.Buffer
+	command.Writer = &out
+	command.ErrWriter = &out
+	err := command.Run(context.Background(), append([]string{"hibiscusctl"}, args...))
+	return out.String(), err
+}
+
+func serverAddress(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+var _ = Describe("the operators' command", func() {
+	var ticketFile string
+
+	BeforeEach(func() {
+		ticketFile = filepath.Join(GinkgoT().TempDir(), "ticket.json")
+		Expect(os.WriteFile(ticketFile, []byte(`{"number": 7}`), 0o600)).To(Succeed())
+	})
+
+	// Guards against a ticket that is lost because the first instance that the
+	// operator names is draining or dead.
+	It("asks the next instance when one cannot answer", func() {
+		draining := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			httpapi.WriteError(w, reason.New(reason.ShuttingDown, "the instance is draining"))
+		}))
+		defer draining.Close()
+		var path atomic.Value
+		healthy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			path.Store(r.Method + " " + r.URL.Path + " " + httpapi.BearerToken(r))
+			httpapi.WriteJSON(w, http.StatusOK, map[string]any{"accepted": 6})
+		}))
+		defer healthy.Close()
+		_, err := run("--server", "127.0.0.1:1", "--server", serverAddress(draining), "--server", serverAddress(healthy),
+			"--token", "secret", "apply", ticketFile)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(path.Load()).To(Equal("PUT /v1/tickets/7 secret"))
+	})
+
+	// Guards against trying a refused ticket on every instance and hiding the
+	// refusal behind the last one's answer.
+	It("stops at a definite refusal", func() {
+		var calls atomic.Int32
+		refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			calls.Add(1)
+			httpapi.WriteError(w, reason.New(reason.TicketSuperseded, "ticket 9 exists"))
+		}))
+		defer refusing.Close()
+		_, err := run("--server", serverAddress(refusing), "--server", serverAddress(refusing), "apply", ticketFile)
+		Expect(exitCode(err)).To(Equal(exitSuperseded))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("gives each kind of failure its exit code", func() {
+		pending := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			httpapi.WriteJSON(w, http.StatusOK, map[string]any{"accepted": 6})
+		}))
+		defer pending.Close()
+		_, err := run("--server", "127.0.0.1:1", "status")
+		Expect(exitCode(err)).To(Equal(exitUnreachable))
+		_, err = run("apply", filepath.Join(GinkgoT().TempDir(), "missing.json"))
+		Expect(exitCode(err)).To(Equal(exitUsage))
+		_, err = run("diff", "1")
+		Expect(exitCode(err)).To(Equal(exitUsage))
+		_, err = run("--server", serverAddress(pending), "wait", "7", "--timeout", "1ms")
+		Expect(exitCode(err)).To(Equal(exitPending))
+	})
+
+	It("prints lists of objects as tables and everything as JSON on request", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			httpapi.WriteJSON(w, http.StatusOK, map[string]any{
+				"accepted": 7, "pending": []any{map[string]any{"number": 8, "blocked_by": []string{"i2"}}},
+			})
+		}))
+		defer server.Close()
+		text, err := run("--server", serverAddress(server), "status")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(MatchRegexp(`accepted +7`))
+		Expect(text).To(MatchRegexp(`\["i2"\] +8`))
+		text, err = run("--server", serverAddress(server), "--output", "json", "status")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(MatchJSON(`{"accepted": 7, "pending": [{"number": 8, "blocked_by": ["i2"]}]}`))
+	})
+})
