--- /dev/null
+++ b/reason/reason_test.go
@@ -0,0 +1,40 @@
+package reason_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+func TestReason(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reason")
+}
+
+var _ = Describe("reasons", func() {
+	// Guards against a refusal that an operator cannot look up.
+	It("have a line in the operators' page, a status and a description each", func() {
+		page, err := os.ReadFile("../docs/operations.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, r := range reason.All() {
+			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("| `%s` |", r)), string(r))
+			Expect(r.HTTPStatus()).To(BeNumerically(">=", 400), string(r))
+			Expect(r.Help()).NotTo(BeEmpty(), string(r))
+		}
+	})
+
+	// Guards against "not run" for an error that nobody classified.
+	It("are internal with run status unknown for an untyped error", func() {
+		typed := reason.From(errors.New("broken"))
+		Expect(typed.Reason).To(Equal(reason.Internal))
+		Expect(typed.Run).To(Equal(reason.RunUnknown))
+		wrapped := fmt.Errorf("call: %w", reason.New(reason.NoSlot, "full"))
+		Expect(reason.From(wrapped).Run).To(Equal(reason.RunNo))
+	})
+})
