Serve orders and lookups with a claim and one send

Orders need a claim that is created conditionally before the order is sent, so that two instances with the same key cannot both send it. The package now serves POST /v1/orders, GET /v1/orders/{key} and GET /v1/lookups/{id}.

--- /dev/null
+++ b/order/http.go
@@ -0,0 +1,109 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// keyPattern limits keys and lookup ids to characters that need no escaping in
+// a path or a log line, and to 128 of them.
+var keyPattern = regexp.MustCompile(`^[A-Za-z0-9._~:-]{1,128}$`)
+
+// StateBody is the answer to an order and to a question for its state.
+type StateBody struct {
+	Key     string          `json:"key"`
+	State   State           `json:"state"`
+	Run     reason.Run      `json:"run"`
+	Reason  string          `json:"reason,omitempty"`
+	Receipt json.RawMessage `json:"receipt,omitempty"`
+}
+
+// Register adds the routes to the callers' mux.
+func (r *Runner) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/orders", r.handle(r.postOrder))
+	mux.HandleFunc("GET /v1/orders/{key}", r.handle(r.getOrder))
+	mux.HandleFunc("GET /v1/lookups/{id}", r.handle(r.getLookup))
+}
+
+// call is one authenticated request.
+type call struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	account  api.Account
+	deadline time.Duration // boot clock
+}
+
+type handler func(ctx context.Context, c *call) error
+
+func (r *Runner) handle(next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, request *http.Request) {
+		if err := r.serve(w, request, next); err != nil {
+			httpapi.WriteError(w, err)
+		}
+	}
+}
+
+func (r *Runner) serve(w http.ResponseWriter, request *http.Request, next handler) error {
+	if r.options.Config() == nil {
+		return reason.New(reason.NotReady, "the instance has no configuration yet").WithRetryAfter(time.Second)
+	}
+	account, ok := r.account(httpapi.CredentialSHA256(httpapi.BearerToken(request)))
+	if !ok || account.Half != r.options.Half {
+		return reason.New(reason.Unauthenticated, "no account of this half has the credential")
+	}
+	timeout, err := r.timeout(request)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), timeout)
+	defer cancel()
+	return next(ctx, &call{w: w, r: request, account: account, deadline: r.options.Clock() + timeout})
+}
+
+func (r *Runner) timeout(request *http.Request) (time.Duration, error) {
+	text := request.Header.Get("Request-Timeout-Ms")
+	if text == "" {
+		return r.options.RequestTimeout, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || ms > r.options.MaxTimeout.Milliseconds() {
+		return 0, reason.New(reason.BadRequest, "Request-Timeout-Ms has to be a whole number from 1 to %d",
+			r.options.MaxTimeout.Milliseconds()).WithField("Request-Timeout-Ms")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func checkKey(key, field string) error {
+	if keyPattern.MatchString(key) {
+		return nil
+	}
+	return reason.New(reason.BadRequest, "%s has to match %s", field, keyPattern).WithField(field)
+}
+
+func writeStored(c *call, key string, claim Claim) error {
+	body := StateBody{Key: key, State: claim.State, Run: runOf(claim.State), Reason: claim.Reason, Receipt: claim.Receipt}
+	if !claim.State.Final() {
+		body.State = "in_progress"
+	}
+	httpapi.WriteJSON(c.w, http.StatusOK, body)
+	return nil
+}
+
+func runOf(s State) reason.Run {
+	switch s {
+	case StateDone:
+		return reason.RunYes
+	case StateNotRun, StateRejected:
+		return reason.RunNo
+	default:
+		return reason.RunUnknown
+	}
+}
--- /dev/null
+++ b/order/options.go
@@ -0,0 +1,92 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/store"
+)
+
+// Placer reserves an endpoint for a call. Every grant is released once.
+type Placer interface {
+	Place(ctx context.Context, request api.PlacementRequest) (api.Grant, error)
+	Progress(grant uint64, tokens int)
+	Release(grant uint64, outcome api.Outcome)
+}
+
+// Admitter admits requests by priority and account.
+type Admitter interface {
+	Admit(ctx context.Context, request api.AdmissionRequest) (api.Admission, error)
+	Release(admission api.Admission)
+	AllowRetry(priority api.Priority) bool
+}
+
+// Options configures a Runner.
+type Options struct {
+	Instance    api.InstanceID
+	Incarnation uint64
+	Half        api.Half
+	Place       api.Place
+	// Config returns the configuration as this instance sees it.
+	Config func() *api.Config
+	// Gate returns nil if the instance may start new work.
+	Gate     func() error
+	Store    store.API
+	Placer   Placer
+	Admitter Admitter
+	// RequestTimeout applies to requests without Request-Timeout-Ms, which can
+	// ask for at most MaxTimeout.
+	RequestTimeout time.Duration
+	MaxTimeout     time.Duration
+	MaxBodyBytes   int64
+	// Batch keeps many claims in one object per shard. All instances on one
+	// store have to use the same value.
+	Batch bool
+	Log   *slog.Logger
+	Scope tally.Scope
+	Clock bootclock.Func
+}
+
+// Defaults of options that are left zero.
+const (
+	defaultRequestTimeout = 10 * time.Second
+	defaultMaxTimeout     = time.Minute
+	defaultMaxBodyBytes   = 256 << 10
+)
+
+func (o *Options) complete() error {
+	if o.Config == nil || o.Store == nil || o.Placer == nil || o.Admitter == nil {
+		return errors.New("order: Config, Store, Placer and Admitter are required")
+	}
+	if o.Instance == "" {
+		return errors.New("order: Instance is required")
+	}
+	if o.Gate == nil {
+		o.Gate = func() error { return nil }
+	}
+	if o.RequestTimeout <= 0 {
+		o.RequestTimeout = defaultRequestTimeout
+	}
+	if o.MaxTimeout <= 0 {
+		o.MaxTimeout = defaultMaxTimeout
+	}
+	if o.MaxBodyBytes <= 0 {
+		o.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Clock == nil {
+		o.Clock = bootclock.Now
+	}
+	return nil
+}
