Prepare the wiring of the slices

Cause: the slices need one place that connects them. Change: the peer server, readiness and operator handlers in package instance, not compiled into the binary's path yet. Measured: nothing.

--- /dev/null
+++ b/instance/operator.go
@@ -0,0 +1,74 @@
+package instance
+
+import (
+	"crypto/subtle"
+	"net/http"
+
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// readiness is the body of /readyz.
+type readiness struct {
+	Ready  bool          `json:"ready"`
+	Reason reason.Reason `json:"reason,omitempty"`
+	Ticket uint64        `json:"ticket"`
+}
+
+func (i *Instance) readyz(w http.ResponseWriter, _ *http.Request) {
+	config := i.ticket.Config()
+	state := readiness{Ready: true}
+	if config != nil {
+		state.Ticket = config.Ticket
+	}
+	if err := i.gate(); err != nil {
+		state.Ready = false
+		state.Reason = reason.From(err).Reason
+		httpapi.WriteJSON(w, http.StatusServiceUnavailable, state)
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, state)
+}
+
+// gate says whether new work may start: the instance is not draining, is
+// confirmed by the store or a peer, and knows a configuration.
+func (i *Instance) gate() error {
+	if i.draining.Load() {
+		return reason.New(reason.ShuttingDown, "the instance is draining")
+	}
+	if err := i.fleet.Gate(); err != nil {
+		return err
+	}
+	if i.ticket.Config() == nil {
+		return reason.New(reason.NotReady, "no configuration from the store or a peer yet")
+	}
+	return nil
+}
+
+// operatorOnly lets a request through if it has the operators' token.
+func (i *Instance) operatorOnly(next http.HandlerFunc) http.HandlerFunc {
+	want := []byte(i.settings.OperatorTokenSHA256)
+	return func(w http.ResponseWriter, r *http.Request) {
+		have := []byte(httpapi.CredentialSHA256(httpapi.BearerToken(r)))
+		if subtle.ConstantTimeCompare(want, have) != 1 {
+			httpapi.WriteError(w, reason.New(reason.Unauthenticated, "the operators' bearer token is needed"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (i *Instance) endpoints(w http.ResponseWriter, _ *http.Request) {
+	httpapi.WriteJSON(w, http.StatusOK, i.placement.Endpoints())
+}
+
+func (i *Instance) registerOperator() {
+	mux := i.operatorMux
+	mux.Handle("GET /metrics", i.metrics.Handler())
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", i.readyz)
+	mux.HandleFunc("GET /v1/endpoints", i.operatorOnly(i.endpoints))
+	mux.HandleFunc("GET /v1/streams", i.operatorOnly(i.generation.ServeStreams))
+	mux.HandleFunc("GET /v1/requests/{id}", i.operatorOnly(i.generation.ServeTrace))
+	i.ticket.Register(mux)
+}
--- /dev/null
+++ b/instance/peerserver.go
@@ -0,0 +1,39 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+)
+
+// peerServer answers the calls of other instances by handing each to the
+// slice that owns the state.
+type peerServer struct{ *Instance }
+
+var _ peerpb.Peer = peerServer{}
+
+func (s peerServer) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	return s.fleet.Exchange(ctx, r)
+}
+
+func (s peerServer) Probe(ctx context.Context, r *peerpb.ProbeRequest) (*peerpb.ProbeResponse, error) {
+	return s.fleet.Probe(ctx, r)
+}
+
+func (s peerServer) FetchTickets(ctx context.Context, r *peerpb.FetchTicketsRequest) (*peerpb.FetchTicketsResponse, error) {
+	return s.ticket.FetchTickets(ctx, r)
+}
+
+func (s peerServer) Takeover(_ context.Context, r *peerpb.TakeoverRequest) (*peerpb.TakeoverResponse, error) {
+	return &peerpb.TakeoverResponse{Ended: s.generation.Takeover(r.Generation, r.Attempt)}, nil
+}
+
+func (s peerServer) Checkpoint(_ context.Context, r *peerpb.CheckpointRequest) (*peerpb.CheckpointResponse, error) {
+	s.generation.StoreCheckpoint(r)
+	return &peerpb.CheckpointResponse{}, nil
+}
+
+func (s peerServer) FetchPrefix(_ context.Context, r *peerpb.FetchPrefixRequest) (*peerpb.FetchPrefixResponse, error) {
+	tokens, found := s.generation.HeldPrefix(r.Generation)
+	return &peerpb.FetchPrefixResponse{Found: found, Tokens: tokens}, nil
+}
