--- /dev/null
+++ b/standins/cmd/cutproxy/main.go
@@ -0,0 +1,38 @@
+// Command cutproxy runs a TCP proxy that can cut, freeze, delay and narrow
+// connections.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/cutproxy"
+	"github.com/hibiscusstair/hibiscusstair/standins/process"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "cutproxy",
+		Usage: "TCP proxy with network faults on demand",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7300", Usage: "address for clients"},
+			&cli.StringFlag{Name: "target", Required: true, Usage: "address to forward to"},
+			&cli.StringFlag{Name: "admin-listen", Value: "127.0.0.1:7301", Usage: "address for admin calls"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			proxy, err := cutproxy.New(cmd.String("listen"), cmd.String("target"), cutproxy.NewSources())
+			if err != nil {
+				return err
+			}
+			go func() { _ = proxy.Serve() }()
+			return process.Serve(ctx, cmd.String("admin-listen"), proxy.Handler(), func() { _ = proxy.Close() })
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standins/cmd/service/main.go
@@ -0,0 +1,45 @@
+// Command service runs the stand-in of a plain service for orders and lookups.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/process"
+	"github.com/hibiscusstair/hibiscusstair/standins/service"
+)
+
+// crashStatus is the exit code of a crash on demand.
+const crashStatus = 3
+
+func main() {
+	command := &cli.Command{
+		Name:  "service",
+		Usage: "stand-in of a service that books orders and answers lookups",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7200", Usage: "address"},
+			&cli.BoolFlag{Name: "checks-fence", Usage: "refuse orders with an old fencing number"},
+			&cli.BoolFlag{Name: "offers-lookup", Usage: "answer lookups of orders"},
+			&cli.StringFlag{Name: "book", Usage: "file that keeps the bookings over a crash"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			server, err := service.New(service.Options{
+				ChecksFence:  cmd.Bool("checks-fence"),
+				OffersLookup: cmd.Bool("offers-lookup"),
+				Book:         cmd.String("book"),
+				Exit:         func() { os.Exit(crashStatus) },
+			})
+			if err != nil {
+				return err
+			}
+			return process.Serve(ctx, cmd.String("listen"), server, nil)
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standins/engine/sample.go
@@ -0,0 +1,113 @@
+package engine
+
+import (
+	"encoding/binary"
+	"math"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// vocabulary is the number of different tokens.
+	vocabulary = 50_000
+	// bytesPerToken converts the length of a prompt into tokens.
+	bytesPerToken = 4
+	// BlockBytes is the size of a prompt block in the prefix cache.
+	BlockBytes = 256
+)
+
+// Request is the body of POST /v1/completions.
+type Request struct {
+	RequestID    string  `json:"request_id"`
+	Attempt      uint64  `json:"attempt"`
+	Model        string  `json:"model"`
+	Version      string  `json:"version"`
+	Adapter      string  `json:"adapter"`
+	Prompt       string  `json:"prompt"`
+	PrefixTokens []int   `json:"prefix_tokens"`
+	MaxTokens    int     `json:"max_tokens"`
+	Temperature  float64 `json:"temperature"`
+	Seed         uint64  `json:"seed"`
+	Priority     int     `json:"priority"`
+}
+
+// Chunk is one event of a stream.
+type Chunk struct {
+	RequestID    string `json:"request_id"`
+	Attempt      uint64 `json:"attempt"`
+	Position     int    `json:"position"`
+	Token        int    `json:"token"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// sampler draws the tokens of one answer. Each token depends on the sampling
+// inputs and on all tokens before it, so that a wrong prefix changes the rest.
+type sampler struct {
+	history uint64
+}
+
+// newSampler returns a sampler that stands after the prefix.
+func newSampler(r Request) sampler {
+	digest := xxhash.New()
+	for _, part := range []string{r.Model, r.Version, r.Adapter, r.Prompt} {
+		_, _ = digest.WriteString(strconv.Itoa(len(part)) + ":" + part)
+	}
+	var numbers [16]byte
+	binary.LittleEndian.PutUint64(numbers[:8], math.Float64bits(r.Temperature))
+	binary.LittleEndian.PutUint64(numbers[8:], r.Seed)
+	_, _ = digest.Write(numbers[:])
+	s := sampler{history: digest.Sum64()}
+	for position, token := range r.PrefixTokens {
+		s.accept(position, token)
+	}
+	return s
+}
+
+func (s *sampler) next(position int) int {
+	token := int(mix(s.history, uint64(position), 1) % vocabulary)
+	s.accept(position, token)
+	return token
+}
+
+func (s *sampler) accept(position, token int) {
+	s.history = mix(s.history, uint64(position), uint64(token)<<1)
+}
+
+func mix(values ...uint64) uint64 {
+	var buffer [24]byte
+	for i, value := range values {
+		binary.LittleEndian.PutUint64(buffer[8*i:], value)
+	}
+	return xxhash.Sum64(buffer[:8*len(values)])
+}
+
+// Text returns the text of a token.
+func Text(token int) string { return " w" + strconv.Itoa(token) }
+
+// Unbroken returns the whole answer that an engine gives to the request when
+// nothing fails.
+func Unbroken(r Request) []int {
+	tokens := append([]int(nil), r.PrefixTokens...)
+	s := newSampler(r)
+	for position := len(tokens); position < r.MaxTokens; position++ {
+		tokens = append(tokens, s.next(position))
+	}
+	return tokens
+}
+
+// promptTokens returns the length of a prompt in tokens.
+func promptTokens(prompt string) int { return (len(prompt) + bytesPerToken - 1) / bytesPerToken }
+
+// Blocks returns the hash of each whole leading block of a prompt: block i
+// covers the bytes from 0 to (i+1)*BlockBytes.
+func Blocks(prompt string) []uint64 {
+	digest := xxhash.New()
+	blocks := make([]uint64, 0, len(prompt)/BlockBytes)
+	for end := BlockBytes; end <= len(prompt); end += BlockBytes {
+		_, _ = digest.WriteString(prompt[end-BlockBytes : end])
+		blocks = append(blocks, digest.Sum64())
+	}
+	return blocks
+}
--- /dev/null
+++ b/standins/store/server.go
@@ -0,0 +1,252 @@
+// Package store is a stand-in of the platform's object store and of its
+// lagging list of instances, with faults on demand.
+package store
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/process"
+)
+
+const (
+	maxValueBytes = 1 << 20
+	maxWatchWait  = time.Minute
+)
+
+// Options configures a Server.
+type Options struct {
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// ListLag is how long the list of instances lags.
+	ListLag time.Duration
+}
+
+// Faults is the body of POST /admin/faults. Each call replaces the whole.
+type Faults struct {
+	// Outage refuses every call with 503.
+	Outage bool `json:"outage"`
+	// Silent leaves every call without an answer until its client gives up.
+	Silent bool `json:"silent"`
+	// LatencyMS is added before each call takes effect.
+	LatencyMS int `json:"latency_ms"`
+	// LoseWriteAnswer is the probability that a write takes effect while its
+	// connection closes without an answer.
+	LoseWriteAnswer float64 `json:"lose_write_answer"`
+	Seed            uint64  `json:"seed"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	state     *state
+	directory *directory
+	reads     *rate.Limiter
+	writes    *rate.Limiter
+	mux       *http.ServeMux
+
+	mu     sync.Mutex
+	faults Faults
+	random *rand.Rand
+	calls  map[string]uint64
+}
+
+// New returns a server without objects.
+func New(o Options) *Server {
+	s := &Server{
+		state:     newState(),
+		directory: newDirectory(o.ListLag),
+		reads:     rate.NewLimiter(rate.Limit(o.ReadsPerSecond), int(o.ReadsPerSecond)),
+		writes:    rate.NewLimiter(rate.Limit(o.WritesPerSecond), int(o.WritesPerSecond)),
+		mux:       http.NewServeMux(),
+		random:    rand.New(rand.NewPCG(0, 0)),
+		calls:     make(map[string]uint64),
+	}
+	s.mux.HandleFunc("GET /v1/objects/{key...}", s.limited("get", s.reads, s.get))
+	s.mux.HandleFunc("PUT /v1/objects/{key...}", s.limited("put", s.writes, s.put))
+	s.mux.HandleFunc("DELETE /v1/objects/{key...}", s.limited("delete", s.writes, s.remove))
+	s.mux.HandleFunc("GET /v1/objects", s.limited("list", s.reads, s.list))
+	s.mux.HandleFunc("GET /v1/watch", s.limited("watch", s.reads, s.watch))
+	s.mux.HandleFunc("GET /v1/instances", s.limited("instances", s.reads, s.instances))
+	s.mux.HandleFunc("POST /admin/instances", s.putInstances)
+	s.mux.HandleFunc("POST /admin/faults", s.setFaults)
+	s.mux.HandleFunc("GET /admin/calls", s.showCalls)
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return s
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// limited counts a call and applies the faults and the rate limit before it.
+func (s *Server) limited(name string, limiter *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls[name]++
+		faults := s.faults
+		s.mu.Unlock()
+		if faults.Silent {
+			// The server notices a client that gives up only after the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		if faults.LatencyMS > 0 {
+			time.Sleep(time.Duration(faults.LatencyMS) * time.Millisecond)
+		}
+		if faults.Outage {
+			process.WriteError(w, http.StatusServiceUnavailable, "outage")
+			return
+		}
+		if !limiter.Allow() {
+			w.Header().Set("Retry-After", "1")
+			process.WriteError(w, http.StatusTooManyRequests, "rate limit")
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	item, ok := s.state.get(r.PathValue("key"))
+	if !ok {
+		process.WriteError(w, http.StatusNotFound, "no such object")
+		return
+	}
+	setVersion(w, item.Version)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(item.Value)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	if err != nil {
+		process.WriteError(w, http.StatusRequestEntityTooLarge, "values have at most 1 MiB")
+		return
+	}
+	s.write(w, r, value, false)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) { s.write(w, r, nil, true) }
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, value []byte, remove bool) {
+	holds, ok := condition(r.Header)
+	if !ok {
+		process.WriteError(w, http.StatusBadRequest, "If-Match is not a version")
+		return
+	}
+	version, ok := s.state.update(r.PathValue("key"), value, remove, holds)
+	if s.loses() {
+		process.LoseAnswer(w)
+		return
+	}
+	setVersion(w, version)
+	if !ok {
+		process.WriteError(w, http.StatusPreconditionFailed, "the object has another version")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// condition returns the check of the current version; 0 means no object.
+func condition(header http.Header) (holds func(uint64) bool, ok bool) {
+	if header.Get("If-None-Match") == "*" {
+		return func(current uint64) bool { return current == 0 }, true
+	}
+	match := strings.Trim(header.Get("If-Match"), `"`)
+	if match == "" {
+		return func(uint64) bool { return true }, true
+	}
+	want, err := strconv.ParseUint(match, 10, 64)
+	if err != nil {
+		return nil, false
+	}
+	return func(current uint64) bool { return current == want && want != 0 }, true
+}
+
+func (s *Server) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.LoseWriteAnswer > 0 && s.random.Float64() < s.faults.LoseWriteAnswer
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	items, revision := s.state.list(r.URL.Query().Get("prefix"))
+	process.WriteJSON(w, http.StatusOK, map[string]any{"revision": revision, "objects": items})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		process.WriteError(w, http.StatusBadRequest, "after is not a revision")
+		return
+	}
+	waitMS, _ := strconv.ParseInt(query.Get("timeout_ms"), 10, 64)
+	wait := min(time.Duration(waitMS)*time.Millisecond, maxWatchWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, revision, next, ok := s.state.since(query.Get("prefix"), after)
+		if !ok {
+			process.WriteError(w, http.StatusGone, "the revision is compacted")
+			return
+		}
+		if len(changes) > 0 {
+			process.WriteJSON(w, http.StatusOK, map[string]any{"revision": revision, "changes": changes})
+			return
+		}
+		select {
+		case <-next:
+		case <-timer.C:
+			process.WriteJSON(w, http.StatusOK, map[string]any{"revision": revision, "changes": changes})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
+	process.WriteJSON(w, http.StatusOK, map[string]any{"instances": s.directory.visible(time.Now())})
+}
+
+func (s *Server) putInstances(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Instances []Instance `json:"instances"`
+		Remove    []string   `json:"remove"`
+	}
+	if !process.ReadJSON(w, r, &body) {
+		return
+	}
+	s.directory.change(time.Now(), body.Instances, body.Remove)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !process.ReadJSON(w, r, &faults) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.random = rand.New(rand.NewPCG(faults.Seed, 0))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) showCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	process.WriteJSON(w, http.StatusOK, s.calls)
+}
+
+func setVersion(w http.ResponseWriter, version uint64) {
+	w.Header().Set("ETag", `"`+strconv.FormatUint(version, 10)+`"`)
+}
