Test the stand-ins against the instance's store client and their protocols

A stand-in with a fault of its own would make the failure tests on processes pass or fail for the wrong reason. The engine's seed is signed and its closing events have no token, as the instance's request and chunk types need.

--- a/standins/engine/engine.go
+++ b/standins/engine/engine.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// noToken is the token of an event that carries none.
-	noToken = -1
 	// idlePoll is how often an engine without running streams looks for work.
 	idlePoll = 2 * time.Millisecond
 	// loadInterval is how often the load report is taken.
--- /dev/null
+++ b/standins/engine/engine_test.go
@@ -0,0 +1,167 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/hibiscusstair/hibiscusstair/internal/testseed"
+)
+
+func TestEngine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine stand-in")
+}
+
+// Guards against a stand-in that hides a wrong prefix: the continuation after
+// the exact prefix gives the unbroken answer, any other prefix doesn't.
+func TestContinuation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		request := Request{
+			Model:     rapid.String().Draw(t, "model"),
+			Prompt:    rapid.String().Draw(t, "prompt"),
+			Seed:      rapid.Int64().Draw(t, "seed"),
+			MaxTokens: rapid.IntRange(20, 60).Draw(t, "tokens"),
+		}
+		whole := Unbroken(request)
+		cut := rapid.IntRange(1, 19).Draw(t, "cut")
+		request.PrefixTokens = append([]int(nil), whole[:cut]...)
+		if !equal(Unbroken(request), whole) {
+			t.Fatalf("the continuation at %d differs", cut)
+		}
+		request.PrefixTokens[rapid.IntRange(0, cut-1).Draw(t, "wrong")]++
+		if equal(Unbroken(request)[cut:], whole[cut:]) {
+			t.Fatalf("a wrong prefix gives the same continuation")
+		}
+	})
+}
+
+func equal(a, b []int) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
+
+func testOptions() Options {
+	return Options{
+		Slots: 1, MaxWaiting: 1, TokenInterval: time.Millisecond, KeepBroken: 10 * time.Second,
+		CacheBlocks: 4, ChecksFence: true, Models: []Model{{Model: "m"}}, Exit: func() {},
+	}
+}
+
+// open posts and returns the events as they come.
+func open(ctx context.Context, url string, body any) (*http.Response, <-chan Chunk) {
+	GinkgoHelper()
+	text, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(string(text)))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	events := make(chan Chunk, 1000)
+	go func() {
+		defer close(events)
+		defer response.Body.Close()
+		lines := bufio.NewScanner(response.Body)
+		for lines.Scan() {
+			var chunk Chunk
+			if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok && json.Unmarshal([]byte(data), &chunk) == nil {
+				events <- chunk
+			}
+		}
+	}()
+	return response, events
+}
+
+func collect(events <-chan Chunk) (tokens []int, last Chunk) {
+	for event := range events {
+		last = event
+		if event.FinishReason == "" || event.FinishReason == "length" {
+			tokens = append(tokens, event.Token)
+		}
+	}
+	return tokens, last
+}
+
+var _ = Describe("Engine", func() {
+	var (
+		engine *Engine
+		server *httptest.Server
+		ctx    = context.Background()
+	)
+
+	BeforeEach(func() {
+		engine = New(testOptions())
+		go engine.Run()
+		server = httptest.NewServer(engine.Handler())
+		DeferCleanup(func() { server.Close(); engine.Stop() })
+	})
+
+	// Guards against a resume that repeats or loses tokens.
+	It("resumes a stream on a new connection and ends the older one", func() {
+		request := Request{RequestID: "r", Attempt: 1, Model: "m", Prompt: "p", MaxTokens: 300}
+		_, first := open(ctx, server.URL+"/v1/completions", request)
+		Expect((<-first).Position).To(Equal(0))
+		_, second := open(ctx, server.URL+"/v1/streams/r/resume", map[string]int{"attempt": 2, "from": 1})
+		_, last := collect(first)
+		Expect(last.FinishReason).To(Equal("superseded"))
+		tokens, last := collect(second)
+		Expect(tokens).To(Equal(Unbroken(request)[1:]))
+		Expect(last.FinishReason).To(Equal("length"))
+		Expect(last.Attempt).To(BeEquivalentTo(2))
+	})
+
+	// Guards against a stream that ends with its connection.
+	It("keeps a stream whose connection broke", func() {
+		request := Request{RequestID: "r", Attempt: 1, Model: "m", Prompt: "p", MaxTokens: 200}
+		broken, stop := context.WithCancel(ctx)
+		_, first := open(broken, server.URL+"/v1/completions", request)
+		<-first
+		stop()
+		Eventually(engine.idle).WithTimeout(10 * time.Second).Should(BeTrue())
+		_, second := open(ctx, server.URL+"/v1/streams/r/resume", map[string]int{"attempt": 1, "from": 0})
+		tokens, _ := collect(second)
+		Expect(tokens).To(Equal(Unbroken(request)))
+	})
+
+	// Guards against refusals that a caller can't tell from a started request.
+	It("marks a refusal as not started", func() {
+		response, _ := open(ctx, server.URL+"/v1/completions", Request{RequestID: "r", Model: "other", MaxTokens: 1})
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get(notStarted)).To(Equal("true"))
+	})
+
+	// Guards against an old holder of the lease that undoes a newer command.
+	It("refuses an old fencing number where it checks", func() {
+		command := Command{Fence: 5, Model: Model{Model: "n"}}
+		response, _ := open(ctx, server.URL+"/v1/control/load", command)
+		Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+		command.Fence = 4
+		response, _ = open(ctx, server.URL+"/v1/control/unload", command)
+		Expect(response.StatusCode).To(Equal(http.StatusConflict))
+	})
+})
+
+// Guards against events that name more blocks than the memory holds.
+var _ = Describe("Prefix cache", func() {
+	It("evicts the block used longest ago", func() {
+		cache := newPrefixCache(Options{CacheBlocks: 2})
+		now := time.Now()
+		Expect(cache.use(now, []uint64{1, 2})).To(Equal(0))
+		Expect(cache.use(now, []uint64{1, 3})).To(Equal(1))
+		Expect(cache.use(now, []uint64{1, 2})).To(Equal(1))
+		Expect(cache.blocks).To(HaveLen(2))
+	})
+})
--- a/standins/engine/http.go
+++ b/standins/engine/http.go
@@ -124,19 +124,22 @@
 		return
 	}
 	for {
-		chunks, done, changed := e.pending(s, number, position, attempt)
+		chunks, closing, done, changed := e.pending(s, number, position, attempt)
 		for _, chunk := range chunks {
 			if writeEvent(w, chunk) != nil {
 				return
 			}
 		}
+		if closing != nil {
+			_ = writeEvent(w, closing)
+		}
 		if len(chunks) > 0 && flusher.Flush() != nil {
 			return
 		}
-		position += len(chunks)
 		if done {
 			return
 		}
+		position += len(chunks)
 		if len(chunks) > 0 {
 			continue
 		}
@@ -149,19 +152,19 @@
 }
 
 // pending returns the events that are due on a connection.
-func (e *Engine) pending(s *stream, number uint64, position int, attempt uint64) (chunks []Chunk, done bool, changed <-chan struct{}) {
+func (e *Engine) pending(s *stream, number uint64, position int, attempt uint64) (chunks []Chunk, closing *Closing, done bool, changed <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s.attached != number {
-		return []Chunk{s.closing(position, attempt, "superseded")}, true, nil
+		return nil, s.closing(position, attempt, "superseded"), true, nil
 	}
 	for ; position < s.position(); position++ {
 		chunks = append(chunks, s.chunk(position, attempt))
 	}
 	if s.ended && s.finish != "length" {
-		chunks = append(chunks, s.closing(position, attempt, s.finish))
+		closing = s.closing(position, attempt, s.finish)
 	}
-	return chunks, s.ended, s.changed
+	return chunks, closing, s.ended, s.changed
 }
 
 func (e *Engine) detach(s *stream, number uint64) {
@@ -170,8 +173,8 @@
 	s.detach(time.Now(), number)
 }
 
-func writeEvent(w http.ResponseWriter, chunk Chunk) error {
-	text, err := json.Marshal(chunk)
+func writeEvent(w http.ResponseWriter, event any) error {
+	text, err := json.Marshal(event)
 	if err != nil {
 		return err
 	}
--- a/standins/engine/sample.go
+++ b/standins/engine/sample.go
@@ -28,7 +28,7 @@
 	PrefixTokens []int   `json:"prefix_tokens"`
 	MaxTokens    int     `json:"max_tokens"`
 	Temperature  float64 `json:"temperature"`
-	Seed         uint64  `json:"seed"`
+	Seed         int64   `json:"seed"`
 	Priority     int     `json:"priority"`
 }
 
@@ -42,6 +42,15 @@
 	FinishReason string `json:"finish_reason,omitempty"`
 }
 
+// Closing is the last event of a connection that ends before the answer. It
+// has no token.
+type Closing struct {
+	RequestID    string `json:"request_id"`
+	Attempt      uint64 `json:"attempt"`
+	Position     int    `json:"position"`
+	FinishReason string `json:"finish_reason"`
+}
+
 // sampler draws the tokens of one answer. Each token depends on the sampling
 // inputs and on all tokens before it, so that a wrong prefix changes the rest.
 type sampler struct {
@@ -56,7 +65,7 @@
 	}
 	var numbers [16]byte
 	binary.LittleEndian.PutUint64(numbers[:8], math.Float64bits(r.Temperature))
-	binary.LittleEndian.PutUint64(numbers[8:], r.Seed)
+	binary.LittleEndian.PutUint64(numbers[8:], uint64(r.Seed))
 	_, _ = digest.Write(numbers[:])
 	s := sampler{history: digest.Sum64()}
 	for position, token := range r.PrefixTokens {
--- a/standins/engine/stream.go
+++ b/standins/engine/stream.go
@@ -79,7 +79,7 @@
 	return chunk
 }
 
-// closing returns the event without a token that ends a connection early.
-func (s *stream) closing(position int, attempt uint64, finish string) Chunk {
-	return Chunk{RequestID: s.request.RequestID, Attempt: attempt, Position: position, Token: noToken, FinishReason: finish}
+// closing returns the event that ends a connection before the answer.
+func (s *stream) closing(position int, attempt uint64, finish string) *Closing {
+	return &Closing{RequestID: s.request.RequestID, Attempt: attempt, Position: position, FinishReason: finish}
 }
--- /dev/null
+++ b/standins/store/store_test.go
@@ -0,0 +1,105 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	client "github.com/hibiscusstair/hibiscusstair/store"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/store"
+)
+
+func TestStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store stand-in")
+}
+
+// The specs use the instance's own client, so that a difference between the two
+// shows here and not in a test on processes.
+var _ = Describe("Store", func() {
+	var (
+		server *httptest.Server
+		api    *client.Client
+		ctx    = context.Background()
+	)
+
+	BeforeEach(func() {
+		server = httptest.NewServer(store.New(store.Options{ReadsPerSecond: 1000, WritesPerSecond: 1000, ListLag: time.Hour}))
+		var err error
+		api, err = client.New(client.Options{URL: server.URL, Timeout: time.Second, Scope: tally.NoopScope})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+	})
+
+	admin := func(path, body string) {
+		response, err := http.Post(server.URL+path, "application/json", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+		Expect(response.Body.Close()).To(Succeed())
+	}
+
+	// Guards against lost updates: of two writers with one version, one fails.
+	It("updates conditionally", func() {
+		first, err := api.Put(ctx, "a/b", []byte("1"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = api.Put(ctx, "a/b", []byte("x"), 0)
+		Expect(errors.Is(err, client.ErrConflict)).To(BeTrue())
+		second, err := api.Put(ctx, "a/b", []byte("2"), first)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(errors.Is(api.Delete(ctx, "a/b", first), client.ErrConflict)).To(BeTrue())
+		Expect(api.Delete(ctx, "a/b", second)).To(Succeed())
+		_, err = api.Get(ctx, "a/b")
+		Expect(errors.Is(err, client.ErrNotFound)).To(BeTrue())
+	})
+
+	// Guards against changes that fall between a list and the watch after it.
+	It("watches from the revision of a list", func() {
+		_, err := api.Put(ctx, "a/1", []byte("1"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		objects, revision, err := api.List(ctx, "a/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(objects).To(HaveLen(1))
+		_, err = api.Put(ctx, "b/1", []byte("1"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = api.Put(ctx, "a/2", []byte("2"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		changes, _, err := api.Watch(ctx, "a/", revision, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes).To(HaveLen(1))
+		Expect(changes[0].Key).To(Equal("a/2"))
+	})
+
+	// Guards against a lost answer that also loses the write.
+	It("applies a write whose answer is lost", func() {
+		admin("/admin/faults", `{"lose_write_answer":1}`)
+		_, err := api.Put(ctx, "k", []byte("v"), 0)
+		Expect(errors.Is(err, client.ErrUnknown)).To(BeTrue())
+		admin("/admin/faults", `{}`)
+		object, err := api.Get(ctx, "k")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(object.Value).To(Equal([]byte("v")))
+	})
+
+	// Guards against an outage that looks like an unknown outcome.
+	It("refuses in an outage", func() {
+		admin("/admin/faults", `{"outage":true}`)
+		_, err := api.Put(ctx, "k", []byte("v"), 0)
+		Expect(errors.Is(err, client.ErrUnavailable)).To(BeTrue())
+	})
+
+	// Guards against a list without lag, which no platform gives.
+	It("shows a change of the list late", func() {
+		admin("/admin/instances", `{"instances":[{"id":"i1"}]}`)
+		admin("/admin/instances", `{"remove":["i1"]}`)
+		Expect(api.Instances(ctx)).To(HaveLen(1))
+	})
+})
