Classify store errors by effect and share the store's call rates

A call counts as unavailable only if it never had a connection or the store answered 503; a timeout while connected stays unknown. Definite 4xx answers become ErrRefused. An answer above its bound was cut silently and is an error now.

Calls are counted by method and result.

--- a/store/client.go
+++ b/store/client.go
@@ -4,14 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -33,14 +33,23 @@
 	// Timeout bounds every call but a watch.
 	Timeout time.Duration
 	Scope   tally.Scope
+	// FleetWrites and FleetReads are the calls a second of all instances
+	// together; 0 is DefaultFleetWrites and DefaultFleetReads.
+	FleetWrites float64
+	FleetReads  float64
+	// FleetSize is the number of instances until the platform's list is read.
+	FleetSize int
 }
 
-// Client calls the store over HTTP.
+// Client calls the store over HTTP. It counts calls by method and result and
+// keeps the instance within its share of the store's rates, which follows the
+// length of the platform's list.
 type Client struct {
 	base    string
 	timeout time.Duration
 	http    *http.Client
-	calls   map[string]tally.Counter
+	budget  *budget
+	counts  *callCounts
 }
 
 // New returns a client.
@@ -49,49 +58,56 @@
 	if err != nil || base.Host == "" {
 		return nil, fmt.Errorf("store: %q is not an address", o.URL)
 	}
-	c := &Client{
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return &Client{
 		base:    strings.TrimSuffix(o.URL, "/"),
 		timeout: o.Timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}},
-		calls:   make(map[string]tally.Counter),
-	}
-	for _, method := range []string{"get", "put", "delete", "list", "watch", "instances"} {
-		c.calls[method] = o.Scope.Tagged(map[string]string{"method": method}).Counter("calls")
-	}
-	return c, nil
+		http: &http.Client{
+			Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second},
+			// A followed redirect would send a write a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		budget: newBudget(o.FleetWrites, o.FleetReads, o.FleetSize),
+		counts: newCallCounts(o.Scope),
+	}, nil
 }
 
 // Get reads an object.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	c.calls["get"].Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	body, header, err := c.do(ctx, http.MethodGet, objectPath(key), nil, nil, maxValueBytes)
+	answer, err := c.call(ctx, callSpec{name: "get", method: http.MethodGet, path: objectPath(key), limit: maxValueBytes})
 	if err != nil {
 		return Object{}, err
 	}
-	version, err := parseVersion(header)
-	return Object{Key: key, Version: version, Value: body}, err
+	version, err := parseVersion(answer.header)
+	return Object{Key: key, Version: version, Value: answer.body}, err
 }
 
 // Put writes an object conditionally.
 func (c *Client) Put(ctx context.Context, key string, value []byte, expect Version) (Version, error) {
-	c.calls["put"].Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	_, header, err := c.do(ctx, http.MethodPut, objectPath(key), value, condition(expect), maxValueBytes)
+	if len(value) > maxValueBytes {
+		return 0, fmt.Errorf("%w: the value has %d bytes, the limit is %d", ErrRefused, len(value), maxValueBytes)
+	}
+	answer, err := c.call(ctx, callSpec{
+		name: "put", method: http.MethodPut, path: objectPath(key),
+		value: value, header: condition(expect), limit: maxValueBytes,
+	})
 	if err != nil {
 		return 0, err
 	}
-	return parseVersion(header)
+	return parseVersion(answer.header)
 }
 
 // Delete removes an object conditionally.
 func (c *Client) Delete(ctx context.Context, key string, expect Version) error {
-	c.calls["delete"].Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	_, _, err := c.do(ctx, http.MethodDelete, objectPath(key), nil, condition(expect), maxValueBytes)
+	if expect == 0 {
+		return fmt.Errorf("%w: a delete needs the expected version", ErrRefused)
+	}
+	_, err := c.call(ctx, callSpec{
+		name: "delete", method: http.MethodDelete, path: objectPath(key),
+		header: condition(expect), limit: maxValueBytes,
+	})
 	return err
 }
 
@@ -110,11 +126,8 @@
 
 // List returns the objects whose key starts with the prefix.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
-	c.calls["list"].Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	var list listBody
-	if err := c.getJSON(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), &list); err != nil {
+	if err := c.getJSON(ctx, "list", "/v1/objects?prefix="+url.QueryEscape(prefix), 0, &list); err != nil {
 		return nil, 0, err
 	}
 	objects := make([]Object, 0, len(list.Objects))
@@ -126,16 +139,13 @@
 
 // Watch waits for changes after the revision.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error) {
-	c.calls["watch"].Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
 	query := url.Values{
 		"prefix":     {prefix},
 		"after":      {strconv.FormatUint(after, 10)},
 		"timeout_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var list listBody
-	if err := c.getJSON(ctx, "/v1/watch?"+query.Encode(), &list); err != nil {
+	if err := c.getJSON(ctx, "watch", "/v1/watch?"+query.Encode(), wait+watchSlack, &list); err != nil {
 		return nil, 0, err
 	}
 	changes := make([]Change, 0, len(list.Changes))
@@ -148,61 +158,109 @@
 
 // Instances returns the platform's list.
 func (c *Client) Instances(ctx context.Context) ([]PlatformInstance, error) {
-	c.calls["instances"].Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	var body struct {
 		Instances []PlatformInstance `json:"instances"`
 	}
-	if err := c.getJSON(ctx, "/v1/instances", &body); err != nil {
+	if err := c.getJSON(ctx, "instances", "/v1/instances", 0, &body); err != nil {
 		return nil, err
 	}
+	c.budget.resize(len(body.Instances))
 	return body.Instances, nil
 }
 
-func (c *Client) getJSON(ctx context.Context, path string, into any) error {
-	body, _, err := c.do(ctx, http.MethodGet, path, nil, nil, maxResponseBytes)
+func (c *Client) getJSON(ctx context.Context, name, path string, timeout time.Duration, into any) error {
+	answer, err := c.call(ctx, callSpec{
+		name: name, method: http.MethodGet, path: path, timeout: timeout, limit: maxResponseBytes,
+	})
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(body, into); err != nil {
+	if err := json.Unmarshal(answer.body, into); err != nil {
 		return fmt.Errorf("%w: malformed answer: %v", ErrUnknown, err)
 	}
 	return nil
 }
 
-func (c *Client) do(ctx context.Context, method, path string, value []byte, header http.Header, limit int64) ([]byte, http.Header, error) {
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(value))
-	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
+// callSpec describes one call.
+type callSpec struct {
+	name    string // for the counter
+	method  string
+	path    string
+	value   []byte
+	header  http.Header
+	timeout time.Duration // 0: the client's
+	limit   int64         // of the answer's body
+}
+
+type answer struct {
+	header http.Header
+	body   []byte
+}
+
+func (c *Client) call(ctx context.Context, spec callSpec) (answer, error) {
+	result, err := c.attempt(ctx, spec)
+	c.counts.count(spec.name, err)
+	return result, err
+}
+
+func (c *Client) attempt(ctx context.Context, spec callSpec) (answer, error) {
+	if err := c.budget.take(ctx, spec.method != http.MethodGet); err != nil {
+		return answer{}, err
 	}
-	if method != http.MethodGet {
-		// Without GetBody the transport cannot send a write a second time.
-		request.GetBody = nil
+	if spec.timeout == 0 {
+		spec.timeout = c.timeout
 	}
-	for name, values := range header {
-		request.Header[name] = values
+	ctx, cancel := context.WithTimeout(ctx, spec.timeout)
+	defer cancel()
+	return c.do(ctx, spec)
+}
+
+func (c *Client) do(ctx context.Context, spec callSpec) (answer, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := newRequest(ctx, c.base, spec)
+	if err != nil {
+		return answer{}, fmt.Errorf("%w: %v", ErrRefused, err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, nil, classify(err)
+		return answer{}, classify(err, connected.Load())
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err := statusError(response.StatusCode); err != nil {
+		return answer{}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, spec.limit+1))
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+		return answer{}, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
-	if err := statusError(response.StatusCode); err != nil {
-		return nil, nil, err
+	if int64(len(body)) > spec.limit {
+		return answer{}, fmt.Errorf("%w: the answer is larger than %d bytes", ErrUnknown, spec.limit)
+	}
+	return answer{header: response.Header, body: body}, nil
+}
+
+func newRequest(ctx context.Context, base string, spec callSpec) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, spec.method, base+spec.path, bytes.NewReader(spec.value))
+	if err != nil {
+		return nil, err
+	}
+	if spec.method != http.MethodGet {
+		// Without GetBody the transport cannot send a write a second time.
+		request.GetBody = nil
 	}
-	return body, response.Header, nil
+	for name, values := range spec.header {
+		request.Header[name] = values
+	}
+	return request, nil
 }
 
-// classify tells a call that cannot have reached the store from one whose
-// outcome is open.
-func classify(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+// classify tells a call that never had a connection, and so cannot have
+// reached the store, from one whose outcome is open.
+func classify(err error, connected bool) error {
+	if !connected {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	return fmt.Errorf("%w: %v", ErrUnknown, err)
@@ -222,9 +280,11 @@
 		return ErrUnavailable
 	case http.StatusGone:
 		return ErrCompacted
-	default:
-		return fmt.Errorf("%w: status %d", ErrUnknown, status)
 	}
+	if status >= 400 && status < 500 && status != http.StatusRequestTimeout {
+		return fmt.Errorf("%w: status %d", ErrRefused, status)
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, status)
 }
 
 func objectPath(key string) string {
--- a/store/store.go
+++ b/store/store.go
@@ -48,6 +48,9 @@
 	// ErrUnknown says that the answer was lost: a write may have taken effect.
 	// The caller reads back to find out.
 	ErrUnknown = errors.New("store: outcome unknown")
+	// ErrRefused says that the store does not accept the call as it is, for
+	// example for a value above its limit. The call had no effect.
+	ErrRefused = errors.New("store: call refused")
 	// ErrCompacted says that a watch's revision is too old; list again.
 	ErrCompacted = errors.New("store: watch revision compacted")
 )
