--- a/standins/cmd/engine/main.go
+++ b/standins/cmd/engine/main.go
@@ -28,7 +28,7 @@
 			&cli.DurationFlag{Name: "prefill-per-token", Value: 50 * time.Microsecond, Usage: "time for each prompt token that is not cached"},
 			&cli.DurationFlag{Name: "token-interval", Value: 20 * time.Millisecond, Usage: "time between tokens of a batch of one"},
 			&cli.FloatFlag{Name: "batch-slowdown", Value: 0.02, Usage: "part of the interval that each further stream adds"},
-			&cli.IntFlag{Name: "cache-blocks", Value: 4096, Usage: "prompt blocks of 256 bytes in the prefix cache"},
+			&cli.IntFlag{Name: "cache-blocks", Value: 1024, Usage: "prompt blocks of 1024 bytes in the prefix cache"},
 			&cli.DurationFlag{Name: "cache-event-delay", Value: 500 * time.Millisecond, Usage: "delay of cache events"},
 			&cli.FloatFlag{Name: "cache-event-loss", Value: 0.05, Usage: "part of the cache events that is lost"},
 			&cli.DurationFlag{Name: "load-lag", Value: 500 * time.Millisecond, Usage: "lag of the load report"},
--- a/standins/engine/engine.go
+++ b/standins/engine/engine.go
@@ -206,8 +206,9 @@
 	if e.options.Poison != "" && strings.Contains(s.request.Prompt, e.options.Poison) {
 		e.options.Exit()
 	}
-	cached := e.cache.use(now, Blocks(s.request.Prompt)) * BlockBytes / bytesPerToken
-	prefill := promptTokens(s.request.Prompt) - cached + s.first
+	prompt := len(s.request.Prompt)
+	cached := min(prompt, e.cache.use(now, Blocks(s.request))*BlockBytes)
+	prefill := promptTokens(prompt-cached) + s.first
 	e.stats.PrefillTokens += uint64(prefill)
 	e.stats.StreamsStarted++
 	e.stats.LastStartUnixMS = now.UnixMilli()
--- a/standins/engine/sample.go
+++ b/standins/engine/sample.go
@@ -14,7 +14,7 @@
 	// bytesPerToken converts the length of a prompt into tokens.
 	bytesPerToken = 4
 	// BlockBytes is the size of a prompt block in the prefix cache.
-	BlockBytes = 256
+	BlockBytes = 1024
 )
 
 // Request is the body of POST /v1/completions.
@@ -106,17 +106,20 @@
 	return tokens
 }
 
-// promptTokens returns the length of a prompt in tokens.
-func promptTokens(prompt string) int { return (len(prompt) + bytesPerToken - 1) / bytesPerToken }
+// promptTokens returns how many tokens the bytes of a prompt are.
+func promptTokens(bytes int) int { return (bytes + bytesPerToken - 1) / bytesPerToken }
 
-// Blocks returns the hash of each whole leading block of a prompt: block i
-// covers the bytes from 0 to (i+1)*BlockBytes.
-func Blocks(prompt string) []uint64 {
+// Blocks returns the hash of each leading block of the prompt. Block i covers
+// the model and the prompt up to byte (i+1)*BlockBytes; the last may be shorter.
+func Blocks(r Request) []uint64 {
 	digest := xxhash.New()
-	blocks := make([]uint64, 0, len(prompt)/BlockBytes)
-	for end := BlockBytes; end <= len(prompt); end += BlockBytes {
-		_, _ = digest.WriteString(prompt[end-BlockBytes : end])
+	_, _ = digest.WriteString(r.Model + "\x00" + r.Version + "\x00" + r.Adapter + "\x00")
+	var blocks []uint64
+	for rest := r.Prompt; len(rest) > 0; {
+		size := min(BlockBytes, len(rest))
+		_, _ = digest.WriteString(rest[:size])
 		blocks = append(blocks, digest.Sum64())
+		rest = rest[size:]
 	}
 	return blocks
 }
