--- /dev/null
+++ b/standins/harness/caller.go
@@ -0,0 +1,373 @@
+package harness
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/standins/engine"
+)
+
+const (
+	// callerIdle is how long a caller waits for the next token before it
+	// reconnects to another instance.
+	callerIdle = 4 * time.Second
+	// callerRetry is the pause after a refusal that may be retried.
+	callerRetry = 50 * time.Millisecond
+	// idHeader names the event id in a stream.
+	idHeader = "Last-Event-ID"
+)
+
+// Generation is a caller's request for a generation.
+type Generation struct {
+	Key          string  `json:"-"`
+	Model        string  `json:"model"`
+	Version      string  `json:"version,omitempty"`
+	Adapter      string  `json:"adapter,omitempty"`
+	Prompt       string  `json:"prompt"`
+	MaxTokens    int     `json:"max_tokens"`
+	Temperature  float64 `json:"temperature,omitempty"`
+	Seed         int64   `json:"seed"`
+	Stream       bool    `json:"stream"`
+	PrefixTokens []int   `json:"prefix_tokens,omitempty"`
+}
+
+// Unbroken returns the answer of an engine that doesn't fail.
+func (g Generation) Unbroken() []int {
+	return engine.Unbroken(engine.Request{
+		Model: g.Model, Version: g.Version, Adapter: g.Adapter, Prompt: g.Prompt,
+		MaxTokens: g.MaxTokens, Temperature: g.Temperature, Seed: g.Seed,
+	})
+}
+
+// Caller is a client of the system.
+type Caller struct {
+	Token string
+	// Instances are the addresses that the caller tries in turn.
+	Instances []string
+	// CarryPrefix sends the received tokens with a reconnect.
+	CarryPrefix bool
+	// StartOver sends no event id with a reconnect and drops what it has.
+	StartOver bool
+	// NoReconnect ends a stream at its first break.
+	NoReconnect bool
+	// Idle is how long the caller waits for the next token; 0 is the default.
+	Idle time.Duration
+}
+
+// Event is one token as the caller received it.
+type Event struct {
+	ID       string
+	Position int
+	Token    int
+	At       time.Time
+}
+
+// Stream is a generation as its caller sees it.
+type Stream struct {
+	Request Generation
+
+	mu         sync.Mutex
+	events     []Event
+	finish     string
+	failure    *httpapi.ErrorDetail
+	reconnects int
+	discarded  int
+	grown      chan struct{}
+	done       chan struct{}
+}
+
+// Open starts a streamed generation at the caller's first instance. It returns
+// at once.
+func (c *Caller) Open(ctx context.Context, g Generation) *Stream {
+	g.Stream = true
+	s := &Stream{Request: g, grown: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		c.follow(ctx, s)
+	}()
+	return s
+}
+
+// errBroken says that a connection ended before the answer did.
+var errBroken = errors.New("harness: the connection broke")
+
+// follow reads the stream, reconnecting as often as needed.
+func (c *Caller) follow(ctx context.Context, s *Stream) {
+	for try := 0; ctx.Err() == nil; try++ {
+		err := c.connect(ctx, s, c.Instances[try%len(c.Instances)])
+		if err == nil || c.NoReconnect {
+			return
+		}
+		s.mu.Lock()
+		s.reconnects++
+		if c.StartOver {
+			s.discarded += len(s.events)
+			s.events = nil
+		}
+		s.mu.Unlock()
+		if errors.Is(err, errBroken) {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(callerRetry):
+		}
+	}
+}
+
+// connect sends the request to one instance and reads events until the answer
+// ends (nil) or the connection fails.
+func (c *Caller) connect(ctx context.Context, s *Stream, instance string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request, err := c.request(ctx, s, instance)
+	if err != nil {
+		return err
+	}
+	// A new connection for each try: a pooled one may lead to a dead instance.
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	idle := time.AfterFunc(c.idle(), cancel)
+	defer idle.Stop()
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return s.refused(response)
+	}
+	return s.read(response.Body, func() { idle.Reset(c.idle()) })
+}
+
+func (c *Caller) idle() time.Duration {
+	if c.Idle > 0 {
+		return c.Idle
+	}
+	return callerIdle
+}
+
+func (c *Caller) request(ctx context.Context, s *Stream, instance string) (*http.Request, error) {
+	body := s.Request
+	events := s.Events()
+	if c.CarryPrefix {
+		body.PrefixTokens = tokens(events)
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+instance+"/v1/completions", bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil // the transport sends nothing twice
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	request.Header.Set("Request-Timeout-Ms", strconv.Itoa(60_000))
+	if body.Key != "" {
+		request.Header.Set("Idempotency-Key", body.Key)
+	}
+	if len(events) > 0 {
+		request.Header.Set(idHeader, events[len(events)-1].ID)
+	}
+	return request, nil
+}
+
+// refused keeps a refusal as the end of the stream, unless the caller may try
+// again because nothing was run.
+func (s *Stream) refused(response *http.Response) error {
+	var body httpapi.ErrorBody
+	text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<16))
+	_ = json.Unmarshal(text, &body)
+	retry := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failure = &body.Error
+	if retry && body.Error.Run == reason.RunNo {
+		return fmt.Errorf("harness: refused: %s", body.Error.Reason)
+	}
+	return nil
+}
+
+// read parses server-sent events.
+func (s *Stream) read(body io.Reader, alive func()) error {
+	var kind, id string
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		field, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "event":
+			kind = value
+		case "id":
+			id = value
+		case "data":
+			alive()
+			if end := s.data(kind, id, value); end {
+				return nil
+			}
+		case "":
+			kind = ""
+		}
+	}
+	return errBroken
+}
+
+// data handles one event and reports whether the stream ended.
+func (s *Stream) data(kind, id, text string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if text == "[DONE]" {
+		s.failure = nil
+		return true
+	}
+	if kind == "error" {
+		var body httpapi.ErrorBody
+		_ = json.Unmarshal([]byte(text), &body)
+		s.failure = &body.Error
+		return true
+	}
+	var body struct {
+		Choices []struct {
+			Token        int    `json:"token"`
+			Position     int    `json:"position"`
+			FinishReason string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(text), &body) != nil || len(body.Choices) != 1 {
+		s.failure = &httpapi.ErrorDetail{Reason: reason.ChunkMalformed, Message: text}
+		return true
+	}
+	choice := body.Choices[0]
+	s.finish = choice.FinishReason
+	s.events = append(s.events, Event{ID: id, Position: choice.Position, Token: choice.Token, At: time.Now()})
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return false
+}
+
+// Events returns what was received so far.
+func (s *Stream) Events() []Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Event(nil), s.events...)
+}
+
+// Done is closed when the stream has ended.
+func (s *Stream) Done() <-chan struct{} { return s.done }
+
+// Reconnects returns how often the caller connected again.
+func (s *Stream) Reconnects() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reconnects
+}
+
+// Failure returns the refusal or typed end, nil after a whole answer.
+func (s *Stream) Failure() *httpapi.ErrorDetail {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failure
+}
+
+// WaitFor waits until the stream has n tokens and returns its last event.
+func (s *Stream) WaitFor(ctx context.Context, n int) (Event, error) {
+	for {
+		s.mu.Lock()
+		have, grown := len(s.events), s.grown
+		var last Event
+		if have > 0 {
+			last = s.events[have-1]
+		}
+		s.mu.Unlock()
+		if have >= n {
+			return last, nil
+		}
+		select {
+		case <-grown:
+		case <-s.done:
+			return last, fmt.Errorf("harness: the stream ended at %d of %d tokens: %+v", have, n, s.Failure())
+		case <-ctx.Done():
+			return last, fmt.Errorf("harness: %d of %d tokens: %w", have, n, ctx.Err())
+		}
+	}
+}
+
+// Check waits for the end and returns an error unless the answer equals that of
+// an unbroken engine, token for token.
+func (s *Stream) Check(ctx context.Context) error {
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+		return fmt.Errorf("harness: no end of the stream after %d tokens: %w", len(s.Events()), ctx.Err())
+	}
+	if failure := s.Failure(); failure != nil {
+		return fmt.Errorf("harness: the stream ended with %s (run: %s) after %d tokens: %s", failure.Reason, failure.Run, len(s.Events()), failure.Message)
+	}
+	return s.compare()
+}
+
+// compare reports the first difference from the unbroken answer.
+func (s *Stream) compare() error {
+	events, want := s.Events(), s.Request.Unbroken()
+	for i, event := range events {
+		if event.Position != i {
+			return fmt.Errorf("harness: event %d has position %d", i, event.Position)
+		}
+		if i >= len(want) || event.Token != want[i] {
+			return fmt.Errorf("harness: another token than the unbroken answer at %d", i)
+		}
+	}
+	if len(events) != len(want) {
+		return fmt.Errorf("harness: %d of %d tokens", len(events), len(want))
+	}
+	return nil
+}
+
+// ResumeLatency returns the time from a fault until the first token after the
+// longest gap that lasted beyond the fault. Tokens that were on their way at
+// the fault don't count.
+func (s *Stream) ResumeLatency(fault time.Time) time.Duration {
+	var longest, latency time.Duration
+	events := s.Events()
+	for i := 1; i < len(events); i++ {
+		gap := events[i].At.Sub(events[i-1].At)
+		if events[i].At.After(fault) && gap > longest {
+			longest, latency = gap, events[i].At.Sub(fault)
+		}
+	}
+	return latency
+}
+
+// ServedBy returns the endpoint and the instance that an event id names.
+func ServedBy(id string) (endpoint, instance string) {
+	parts := strings.Split(id, ".")
+	if len(parts) < 6 {
+		return "", ""
+	}
+	return parts[4], parts[5]
+}
+
+func tokens(events []Event) []int {
+	all := make([]int, 0, len(events))
+	for _, event := range events {
+		all = append(all, event.Token)
+	}
+	return all
+}
--- /dev/null
+++ b/standins/harness/orders.go
@@ -0,0 +1,86 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// OrderAnswer is what a caller was told about an order. A connection that broke
+// is reported as run unknown.
+type OrderAnswer struct {
+	Status int
+	State  string        `json:"state"`
+	Run    reason.Run    `json:"run"`
+	Reason reason.Reason `json:"reason"`
+}
+
+// OrderBody returns a body that names the order in the service's book.
+func OrderBody(name string) string { return fmt.Sprintf(`{"order":%q}`, name) }
+
+// Order sends an order to one instance.
+func (c *Caller) Order(ctx context.Context, instance, key, body string) OrderAnswer {
+	return c.orderCall(ctx, http.MethodPost, instance, "/v1/orders", key, body)
+}
+
+// OrderState asks one instance for the outcome of an order.
+func (c *Caller) OrderState(ctx context.Context, instance, key string) OrderAnswer {
+	return c.orderCall(ctx, http.MethodGet, instance, "/v1/orders/"+key, "", "")
+}
+
+// Lookup sends a status lookup and returns status and body.
+func (c *Caller) Lookup(ctx context.Context, instance, id string) (int, string, error) {
+	status, text, err := c.send(ctx, http.MethodGet, instance, "/v1/lookups/"+id, "", "")
+	return status, string(text), err
+}
+
+func (c *Caller) orderCall(ctx context.Context, method, instance, path, key, body string) OrderAnswer {
+	status, text, err := c.send(ctx, method, instance, path, key, body)
+	if err != nil {
+		return OrderAnswer{Run: reason.RunUnknown}
+	}
+	answer := OrderAnswer{Status: status}
+	if status == http.StatusOK || status == http.StatusCreated {
+		if json.Unmarshal(text, &answer) != nil {
+			answer.Run = reason.RunUnknown
+		}
+		return answer
+	}
+	var refusal httpapi.ErrorBody
+	answer.Run = reason.RunUnknown
+	if json.Unmarshal(text, &refusal) == nil {
+		answer.Run, answer.Reason = refusal.Error.Run, refusal.Error.Reason
+	}
+	return answer
+}
+
+func (c *Caller) send(ctx context.Context, method, instance, path, key, body string) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+instance+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, nil, err
+	}
+	request.GetBody = nil // the transport sends nothing twice
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, text, err
+}
--- /dev/null
+++ b/standins/harness/process.go
@@ -0,0 +1,141 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	pollInterval = 10 * time.Millisecond
+	// readyBound is hang protection for the start of a process.
+	readyBound = 15 * time.Second
+)
+
+// Process is one started program.
+type Process struct {
+	Name string
+	Log  string // file with standard output and error
+
+	command *exec.Cmd
+	exited  chan struct{}
+	mu      sync.Mutex
+	status  error
+}
+
+// start runs a binary and collects its output in directory/name.log.
+func start(directory, name, binary string, arguments []string) (*Process, error) {
+	p := &Process{Name: name, Log: filepath.Join(directory, name+".log"), exited: make(chan struct{})}
+	file, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	p.command = exec.Command(binary, arguments...)
+	p.command.Stdout, p.command.Stderr = file, file
+	p.command.Env = cleanEnvironment()
+	// The kernel ends the process if the harness dies.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		return nil, fmt.Errorf("harness: start %s: %w", name, err)
+	}
+	go func() {
+		err := p.command.Wait()
+		p.mu.Lock()
+		p.status = err
+		p.mu.Unlock()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// cleanEnvironment leaves out variables that would change an instance's
+// settings.
+func cleanEnvironment() []string {
+	var kept []string
+	for _, entry := range os.Environ() {
+		if !strings.HasPrefix(entry, "HIBISCUSSTAIR_") {
+			kept = append(kept, entry)
+		}
+	}
+	return kept
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
+// Alive reports whether the process has not exited.
+func (p *Process) Alive() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Exited is closed when the process has exited.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Status returns the error of the exit, nil for code 0.
+func (p *Process) Status() error {
+	<-p.exited
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status
+}
+
+// Kill sends SIGKILL and waits for the exit.
+func (p *Process) Kill() {
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
+// Freeze sends SIGSTOP.
+func (p *Process) Freeze() { _ = p.command.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw sends SIGCONT.
+func (p *Process) Thaw() { _ = p.command.Process.Signal(syscall.SIGCONT) }
+
+// Terminate sends SIGTERM and doesn't wait.
+func (p *Process) Terminate() { _ = p.command.Process.Signal(syscall.SIGTERM) }
+
+// waitOK waits until a GET answers 200.
+func (p *Process) waitOK(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	for {
+		if ok(ctx, url) {
+			return nil
+		}
+		select {
+		case <-p.exited:
+			return fmt.Errorf("harness: %s exited: %v; see %s", p.Name, p.Status(), p.Log)
+		case <-ctx.Done():
+			return fmt.Errorf("harness: %s does not answer %s; see %s", p.Name, url, p.Log)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func ok(ctx context.Context, url string) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
