Add the demo

It starts a store, engines, a service and three instances in two regions, kills an engine and an instance in mid-output and compares the answers with an unbroken engine's.

--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,16 @@
 
 generate:
 	$(GO) generate ./...
+
+# Starts a small fleet on loopback, kills an engine and an instance in
+# mid-output, and compares the answers with an unbroken engine's.
+demo: build
+	out/demo
+
+# Full bench, at most 10 minutes; results in out/bench.json and out/*.svg.
+bench: build
+	out/bench run --out out
+
+# Shortened bench, at most one minute.
+bench-quick: build
+	out/bench run --quick --out out
