--- a/standins/harness/caller.go
+++ b/standins/harness/caller.go
@@ -81,7 +81,7 @@
 
 	mu         sync.Mutex
 	events     []Event
-	finish     string
+	whole      bool // the end mark was received
 	failure    *httpapi.ErrorDetail
 	reconnects int
 	discarded  int
@@ -92,8 +92,13 @@
 // Open starts a streamed generation at the caller's first instance. It returns
 // at once.
 func (c *Caller) Open(ctx context.Context, g Generation) *Stream {
+	return c.Resume(ctx, g, nil)
+}
+
+// Resume continues a generation of which the caller has the events.
+func (c *Caller) Resume(ctx context.Context, g Generation, have []Event) *Stream {
 	g.Stream = true
-	s := &Stream{Request: g, grown: make(chan struct{}), done: make(chan struct{})}
+	s := &Stream{Request: g, events: have, grown: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		c.follow(ctx, s)
@@ -210,20 +215,19 @@
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
+		// Comments come during a recovery and show that the instance is alive.
+		alive()
 		field, value, _ := strings.Cut(lines.Text(), ":")
 		value = strings.TrimPrefix(value, " ")
-		switch field {
-		case "event":
+		switch {
+		case lines.Text() == "":
+			kind = ""
+		case field == "event":
 			kind = value
-		case "id":
+		case field == "id":
 			id = value
-		case "data":
-			alive()
-			if end := s.data(kind, id, value); end {
-				return nil
-			}
-		case "":
-			kind = ""
+		case field == "data" && s.data(kind, id, value):
+			return nil
 		}
 	}
 	return errBroken
@@ -234,7 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if text == "[DONE]" {
-		s.failure = nil
+		s.failure, s.whole = nil, true
 		return true
 	}
 	if kind == "error" {
@@ -245,9 +249,8 @@
 	}
 	var body struct {
 		Choices []struct {
-			Token        int    `json:"token"`
-			Position     int    `json:"position"`
-			FinishReason string `json:"finish_reason"`
+			Token    *int `json:"token"`
+			Position int  `json:"position"`
 		} `json:"choices"`
 	}
 	if json.Unmarshal([]byte(text), &body) != nil || len(body.Choices) != 1 {
@@ -255,8 +258,10 @@
 		return true
 	}
 	choice := body.Choices[0]
-	s.finish = choice.FinishReason
-	s.events = append(s.events, Event{ID: id, Position: choice.Position, Token: choice.Token, At: time.Now()})
+	if choice.Token == nil {
+		return false
+	}
+	s.events = append(s.events, Event{ID: id, Position: choice.Position, Token: *choice.Token, At: time.Now()})
 	close(s.grown)
 	s.grown = make(chan struct{})
 	return false
@@ -320,11 +325,21 @@
 	if failure := s.Failure(); failure != nil {
 		return fmt.Errorf("harness: the stream ended with %s (run: %s) after %d tokens: %s", failure.Reason, failure.Run, len(s.Events()), failure.Message)
 	}
-	return s.compare()
+	if !s.Whole() {
+		return fmt.Errorf("harness: the stream broke after %d tokens", len(s.Events()))
+	}
+	return s.Compare()
 }
 
-// compare reports the first difference from the unbroken answer.
-func (s *Stream) compare() error {
+// Whole reports whether the end mark was received.
+func (s *Stream) Whole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole
+}
+
+// CheckPrefix reports the first token that differs from the unbroken answer.
+func (s *Stream) CheckPrefix() error {
 	events, want := s.Events(), s.Request.Unbroken()
 	for i, event := range events {
 		if event.Position != i {
@@ -334,8 +349,16 @@
 			return fmt.Errorf("harness: another token than the unbroken answer at %d", i)
 		}
 	}
-	if len(events) != len(want) {
-		return fmt.Errorf("harness: %d of %d tokens", len(events), len(want))
+	return nil
+}
+
+// Compare reports the first difference from the unbroken answer.
+func (s *Stream) Compare() error {
+	if err := s.CheckPrefix(); err != nil {
+		return err
+	}
+	if have, want := len(s.Events()), s.Request.MaxTokens; have != want {
+		return fmt.Errorf("harness: %d of %d tokens", have, want)
 	}
 	return nil
 }
