--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -118,7 +118,8 @@
 		Key: fmt.Sprintf("page-%d", len(d.rows)), Model: harness.Model.Model, Version: harness.Model.Version,
 		Prompt: "I walked up a stair of hibiscus", MaxTokens: maxTokens, Seed: int64(len(d.rows)),
 	}
-	o := d.fleet.Observe(ctx, d.caller, g, faultAt, fault)
+	open := func() []*harness.Stream { return []*harness.Stream{d.caller.Open(ctx, g)} }
+	o := d.fleet.Observe(ctx, open, faultAt, fault)
 	seen := fmt.Sprintf("%d tokens, all equal", o.Delivered)
 	if o.Reconnects > 0 {
 		seen += fmt.Sprintf(", %d reconnect", o.Reconnects)
@@ -127,8 +128,8 @@
 		seen = text
 	}
 	resume := "-"
-	if fault != nil {
-		resume = o.Resume.Round(time.Millisecond).String()
+	if len(o.Resumes) > 0 {
+		resume = o.Resumes[0].Round(time.Millisecond).String()
 	}
 	d.rows = append(d.rows, row{
 		name, fmt.Sprintf("one whole answer of %d tokens", maxTokens), seen,
--- a/standins/harness/observe.go
+++ b/standins/harness/observe.go
@@ -8,51 +8,52 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 )
 
-// Fault strikes while a generation runs. last is the caller's newest event. The
-// returned function ends the fault; it may be nil.
-type Fault func(ctx context.Context, f *Fleet, last Event) (undo func(context.Context) error, err error)
+// Fault strikes while generations run. last is the newest event of the first.
+// It returns the id of the engine or instance that it struck and a function
+// that ends the fault.
+type Fault func(ctx context.Context, f *Fleet, last Event) (victim string, undo func(context.Context) error, err error)
 
-// Observed is what one generation cost and how it went.
+// Observed is what some generations cost and how they went.
 type Observed struct {
-	Err        error // nil: equal to the unbroken answer
-	Resume     time.Duration
-	Again      int    // tokens that engines computed beyond those delivered
-	LinkBytes  uint64 // between regions
+	Err        error           // nil: all equal to the unbroken answer
+	Resumes    []time.Duration // of the generations that the victim served
+	Again      int             // tokens that engines computed beyond those delivered
+	LinkBytes  uint64          // between regions
 	Delivered  int
 	Reconnects int
 }
 
 // KillEngine kills the engine that serves the generation and starts it again
 // afterwards.
-func KillEngine(_ context.Context, f *Fleet, last Event) (func(context.Context) error, error) {
+func KillEngine(_ context.Context, f *Fleet, last Event) (string, func(context.Context) error, error) {
 	id, _ := ServedBy(last.ID)
 	e := f.Endpoint(id)
 	if e == nil {
-		return nil, fmt.Errorf("harness: event id %q names no endpoint", last.ID)
+		return "", nil, fmt.Errorf("harness: event id %q names no endpoint", last.ID)
 	}
 	e.Kill()
-	return func(ctx context.Context) error { return f.StartEndpoint(ctx, e.Spec) }, nil
+	return id, func(ctx context.Context) error { return f.StartEndpoint(ctx, e.Spec) }, nil
 }
 
 // FreezeEngine stops the engine that serves the generation and continues it
 // afterwards.
-func FreezeEngine(_ context.Context, f *Fleet, last Event) (func(context.Context) error, error) {
+func FreezeEngine(_ context.Context, f *Fleet, last Event) (string, func(context.Context) error, error) {
 	id, _ := ServedBy(last.ID)
 	e := f.Endpoint(id)
 	if e == nil {
-		return nil, fmt.Errorf("harness: event id %q names no endpoint", last.ID)
+		return "", nil, fmt.Errorf("harness: event id %q names no endpoint", last.ID)
 	}
 	e.Freeze()
-	return func(context.Context) error { e.Thaw(); return nil }, nil
+	return id, func(context.Context) error { e.Thaw(); return nil }, nil
 }
 
 // KillInstance kills the instance that serves the generation and starts it
 // again afterwards.
-func KillInstance(ctx context.Context, f *Fleet, last Event) (func(context.Context) error, error) {
+func KillInstance(ctx context.Context, f *Fleet, last Event) (string, func(context.Context) error, error) {
 	_, id := ServedBy(last.ID)
 	i := f.Instance(id)
 	if i == nil {
-		return nil, fmt.Errorf("harness: event id %q names no instance", last.ID)
+		return "", nil, fmt.Errorf("harness: event id %q names no instance", last.ID)
 	}
 	restart := func(ctx context.Context) error {
 		if err := f.StartInstance(ctx, i.Spec); err != nil {
@@ -60,7 +61,7 @@
 		}
 		return f.WaitReady(ctx)
 	}
-	return restart, f.KillInstance(ctx, id)
+	return id, restart, f.KillInstance(ctx, id)
 }
 
 // computed returns the tokens that each engine has computed. Only engines that
@@ -81,64 +82,111 @@
 	return counts, nil
 }
 
-// Observe runs one generation alone on the fleet, lets the fault strike when
-// the caller has the given number of tokens, and counts. fault may be nil.
-func (f *Fleet) Observe(ctx context.Context, c *Caller, g Generation, at int, fault Fault) (o Observed) {
+// quiet waits until no engine has work.
+func (f *Fleet) quiet(ctx context.Context) error {
+	for _, spec := range f.Options.Endpoints {
+		e := f.Endpoint(string(spec.ID))
+		for spec.Kind == api.KindEngine && e.Alive() {
+			stats, err := f.EngineStats(ctx, e.Name)
+			if err != nil {
+				return err
+			}
+			if stats.Running+stats.Waiting == 0 {
+				break
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
+// strike is a fault that struck.
+type strike struct {
+	at       time.Time
+	victim   string
+	undo     func(context.Context) error
+	computed map[string]uint64 // just before the fault
+	affected []*Stream
+}
+
+// Observe runs generations alone on the fleet, lets the fault strike when each
+// caller has the given number of tokens, and counts. fault may be nil.
+func (f *Fleet) Observe(ctx context.Context, open func() []*Stream, at int, fault Fault) (o Observed) {
 	before, err := f.computed(ctx)
 	if err != nil {
 		return Observed{Err: err}
 	}
 	linkBefore := f.CrossRegionBytes()
-	s := c.Open(ctx, g)
-	struck, undo, atFault, err := f.strike(ctx, s, at, fault)
+	streams := open()
+	struck, err := f.strike(ctx, streams, at, fault)
 	if err != nil {
 		return Observed{Err: err}
 	}
-	o.Err = s.Check(ctx)
-	if !struck.IsZero() {
-		o.Resume = s.ResumeLatency(struck)
+	for _, s := range streams {
+		if err := s.Check(ctx); err != nil && o.Err == nil {
+			o.Err = err
+		}
+		o.Reconnects += s.Reconnects()
+		o.Delivered += len(s.Events())
+	}
+	for _, s := range struck.affected {
+		o.Resumes = append(o.Resumes, s.ResumeLatency(struck.at))
 	}
 	o.LinkBytes = f.CrossRegionBytes() - linkBefore
-	o.Reconnects = s.Reconnects()
-	o.Delivered = len(s.Events())
-	o.Again, err = f.again(ctx, before, atFault, undo, o.Delivered)
+	o.Again, err = f.again(ctx, before, struck, o.Delivered)
 	if o.Err == nil {
 		o.Err = err
 	}
 	return o
 }
 
-func (f *Fleet) strike(ctx context.Context, s *Stream, at int, fault Fault) (struck time.Time, undo func(context.Context) error, atFault map[string]uint64, err error) {
+func (f *Fleet) strike(ctx context.Context, streams []*Stream, at int, fault Fault) (struck strike, err error) {
 	if fault == nil {
-		return struck, nil, nil, nil
+		return struck, nil
 	}
-	last, err := s.WaitFor(ctx, at)
-	if err != nil {
-		return struck, nil, nil, err
+	lasts := make([]Event, len(streams))
+	for _, s := range streams {
+		if _, err := s.WaitFor(ctx, at); err != nil {
+			return struck, err
+		}
 	}
 	// A killed engine can't be asked for its count any more.
-	if atFault, err = f.computed(ctx); err != nil {
-		return struck, nil, nil, err
+	if struck.computed, err = f.computed(ctx); err != nil {
+		return struck, err
+	}
+	for i, s := range streams {
+		events := s.Events()
+		lasts[i] = events[len(events)-1]
+	}
+	struck.at = time.Now()
+	struck.victim, struck.undo, err = fault(ctx, f, lasts[0])
+	for i, s := range streams {
+		endpoint, instance := ServedBy(lasts[i].ID)
+		unfinished := len(s.Events()) < s.Request.MaxTokens
+		if unfinished && (endpoint == struck.victim || instance == struck.victim) {
+			struck.affected = append(struck.affected, s)
+		}
 	}
-	struck = time.Now()
-	undo, err = fault(ctx, f, last)
-	return struck, undo, atFault, err
+	return struck, err
 }
 
 // again returns the tokens computed beyond those delivered.
-func (f *Fleet) again(ctx context.Context, before, atFault map[string]uint64, undo func(context.Context) error, delivered int) (int, error) {
+func (f *Fleet) again(ctx context.Context, before map[string]uint64, struck strike, delivered int) (int, error) {
 	var total uint64
-	for name, count := range atFault {
-		if !f.Endpoint(name).Alive() {
-			total += count - before[name]
-			delete(before, name)
-		}
+	if e := f.Endpoint(struck.victim); e != nil && !e.Alive() {
+		total += struck.computed[struck.victim] - before[struck.victim]
+		delete(before, struck.victim)
 	}
-	if undo != nil {
-		if err := undo(ctx); err != nil {
+	if struck.undo != nil {
+		if err := struck.undo(ctx); err != nil {
 			return 0, err
 		}
 	}
+	// An engine goes on with streams that were left behind until they are
+	// cancelled or expire.
+	if err := f.quiet(ctx); err != nil {
+		return 0, err
+	}
 	after, err := f.computed(ctx)
 	if err != nil {
 		return 0, err
