Add membership and tickets: exchange, acknowledgement, acceptance

Instances had no way to learn of each other or of change tickets. fleet keeps the member table by exchanges with ring neighbours and gates new work by the age of the last confirmation. ticket writes tickets by conditional update, passes them on to peers, collects acknowledgements at the instances that watch the store and advances the head. A registration in the store, made before the head is read, lets acceptance know every instance that may dispatch.

--- /dev/null
+++ b/api/member.go
@@ -0,0 +1,56 @@
+package api
+
+import "time"
+
+// MemberState is the state of an instance as its peers see it.
+type MemberState uint8
+
+// Member states. Of two entries with the same incarnation and version the one
+// with the higher state wins.
+const (
+	MemberUnknown MemberState = iota
+	MemberAlive
+	MemberLeaving
+	MemberSuspect
+	MemberDead
+	// MemberLeft is a graceful end.
+	MemberLeft
+	// MemberExpelled says that the incarnation can no longer dispatch work.
+	MemberExpelled
+)
+
+var memberStateNames = [...]string{"unknown", "alive", "leaving", "suspect", "dead", "left", "expelled"}
+
+func (s MemberState) String() string {
+	if int(s) < len(memberStateNames) {
+		return memberStateNames[s]
+	}
+	return memberStateNames[MemberUnknown]
+}
+
+// Gone reports whether the incarnation has ended for good.
+func (s MemberState) Gone() bool { return s >= MemberLeft }
+
+// Reachable reports whether the instance is expected to answer.
+func (s MemberState) Reachable() bool {
+	return s == MemberAlive || s == MemberLeaving || s == MemberSuspect
+}
+
+// Member is the entry of one instance in the member table.
+type Member struct {
+	ID InstanceID
+	// Incarnation is the life of the process; it only grows for an id.
+	Incarnation uint64
+	// Version orders the states of one incarnation.
+	Version uint64
+	State   MemberState
+	Address string // of the peer listener
+	Place
+	Half Half
+	// Acknowledged is the highest ticket whose restrictions the instance is
+	// known to apply.
+	Acknowledged uint64
+	// StoreContactAge is the age of the instance's last contact with the store
+	// when it was last heard.
+	StoreContactAge time.Duration
+}
--- /dev/null
+++ b/fleet/detect.go
@@ -0,0 +1,275 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+)
+
+func (c *Core) exchangeIn(now time.Duration, r *peerpb.ExchangeRequest) []Action {
+	from := api.InstanceID(r.GetFrom())
+	var actions []Action
+	if from == c.self.ID {
+		actions = append(actions, c.mergeSelf(now, fromProto(r.GetSelf()))...)
+	} else {
+		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSelf()})...)
+		c.heard(now, from, r.GetIncarnation(), r.GetSelf())
+	}
+	actions = append(actions, c.merge(now, r.GetDeltas().GetMembers())...)
+	if r.GetHeadVersion() > c.tickets.HeadVersion {
+		actions = append(actions, NewerTickets{Address: r.GetSelf().GetAddress(), HeadVersion: r.GetHeadVersion()})
+	}
+	return append(actions, Respond{Response: c.response(now, r)})
+}
+
+func (c *Core) response(now time.Duration, r *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
+	response := &peerpb.ExchangeResponse{
+		LatestTicket:   c.tickets.Latest,
+		AcceptedTicket: c.tickets.Accepted,
+		HeadVersion:    c.tickets.HeadVersion,
+		Self:           c.selfProto(now),
+		Deltas:         &peerpb.Deltas{},
+		TableHash:      c.hash,
+	}
+	if r.GetFull() {
+		response.Deltas.Members = c.allEntries()
+	} else {
+		response.Deltas.Members = c.changedEntries()
+	}
+	sender := fromProto(r.GetSelf())
+	if api.InstanceID(r.GetFrom()) == c.self.ID {
+		response.Sender = toProto(c.self.Member)
+	} else if have, known := c.members[sender.ID]; known && newer(have.Member, sender) {
+		response.Sender = toProto(have.Member)
+	}
+	return response
+}
+
+// heard notes direct contact with a member.
+func (c *Core) heard(now time.Duration, id api.InstanceID, incarnation uint64, self *peerpb.Member) {
+	m, known := c.members[id]
+	if !known || incarnation < m.Incarnation {
+		return
+	}
+	m.heardAt = now
+	m.StoreContactAge = time.Duration(self.GetStoreContactAgeMs()) * time.Millisecond
+}
+
+func (c *Core) exchangeDone(now time.Duration, e ExchangeDone) []Action {
+	if e.Response == nil {
+		return nil
+	}
+	r := e.Response
+	self := fromProto(r.GetSelf())
+	var actions []Action
+	if r.GetSender() != nil {
+		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSender()})...)
+	}
+	if self.ID != c.self.ID {
+		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSelf()})...)
+		c.heard(now, self.ID, self.Incarnation, r.GetSelf())
+	}
+	actions = append(actions, c.merge(now, r.GetDeltas().GetMembers())...)
+	// Until then every request asks for the whole table.
+	c.joined = c.joined || self.ID != c.self.ID
+	if r.GetHeadVersion() > c.tickets.HeadVersion {
+		actions = append(actions, NewerTickets{Address: self.Address, HeadVersion: r.GetHeadVersion()})
+	}
+	if !expelledIn(actions) && self.ID != c.self.ID {
+		c.confirm(now, e.SentAt, r.GetHeadVersion())
+	}
+	return append(actions, c.compareTables(now, self, r.GetTableHash())...)
+}
+
+func expelledIn(actions []Action) bool {
+	for _, a := range actions {
+		switch a.(type) {
+		case Reset, Duplicate:
+			return true
+		}
+	}
+	return false
+}
+
+// confirm notes an answer of a peer. It is dated when the question was sent,
+// so that an answer that waited during a pause does not count as fresh, and it
+// counts only once the tickets that the peer knows are applied here.
+func (c *Core) confirm(now, sentAt time.Duration, headVersion uint64) {
+	if c.options.confirmAtReceipt {
+		sentAt = now
+	}
+	if headVersion <= c.tickets.HeadVersion {
+		c.confirmed = max(c.confirmed, sentAt)
+		return
+	}
+	if len(c.waiting) < ringNeighbours*4 {
+		c.waiting = append(c.waiting, confirmation{sentAt: sentAt, headVersion: headVersion})
+	}
+}
+
+func (c *Core) ticketProgress(p TicketProgress) {
+	c.tickets = p
+	rest := c.waiting[:0]
+	for _, w := range c.waiting {
+		if w.headVersion <= p.HeadVersion {
+			c.confirmed = max(c.confirmed, w.sentAt)
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	c.waiting = rest
+}
+
+// compareTables asks for the peer's whole table when the hashes still differ
+// although no entry has changed for a while.
+func (c *Core) compareTables(now time.Duration, from api.Member, hash uint64) []Action {
+	if hash == c.hash || now-c.lastChange < quietBound || now-c.lastFull < fullInterval {
+		return nil
+	}
+	c.lastFull = now
+	// The peer may lack entries of ours: spread all of them once more.
+	for _, m := range c.members {
+		m.sends = max(m.sends, 1)
+	}
+	return []Action{SendExchange{To: from.ID, Address: from.Address, Request: c.request(now, true)}}
+}
+
+// probes checks silent neighbours over a new connection.
+func (c *Core) probes(now time.Duration) []Action {
+	var actions []Action
+	for _, id := range append(c.neighbours(), c.watchersBefore()...) {
+		m := c.members[id]
+		if m.probing || m.State == api.MemberSuspect || now-m.heardAt < silenceBound || m.sentAt == 0 {
+			continue
+		}
+		m.probing = true
+		actions = append(actions, SendProbe{To: id, Incarnation: m.Incarnation, Address: m.Address})
+	}
+	return actions
+}
+
+func (c *Core) probeDone(now time.Duration, e ProbeDone) []Action {
+	m, known := c.members[e.To]
+	if !known {
+		return nil
+	}
+	m.probing = false
+	if m.Incarnation != e.Incarnation {
+		return nil
+	}
+	if e.OK {
+		m.heardAt = now
+		return nil
+	}
+	// A pause of this instance makes all neighbours look silent; an answer
+	// that arrived meanwhile has moved heardAt.
+	if now-m.heardAt < silenceBound || m.State != api.MemberAlive && m.State != api.MemberLeaving {
+		return nil
+	}
+	next := m.Member
+	next.State = api.MemberSuspect
+	next.Version++
+	return c.set(now, next)
+}
+
+// ageStates moves suspects to dead, expels and forgets.
+func (c *Core) ageStates(now time.Duration) []Action {
+	var actions []Action
+	for id, m := range c.members {
+		switch {
+		case m.State == api.MemberSuspect && now-m.since >= suspectBound:
+			next := m.Member
+			next.State = api.MemberDead
+			next.Version++
+			actions = append(actions, c.set(now, next)...)
+		case m.State.Gone() && now-m.since >= forgetAfter:
+			c.hash ^= entryHash(m.Member)
+			delete(c.members, id)
+			c.changed(now)
+		}
+	}
+	return actions
+}
+
+// listDone uses the platform's list: unknown addresses become contacts, and
+// dead members that are not on it are expelled. The list must have been read
+// after the member was declared dead, which takes 5 s of silence at least.
+func (c *Core) listDone(now time.Duration, e ListDone) []Action {
+	if !e.OK {
+		return nil
+	}
+	c.listAt = e.At
+	c.listed = make(map[api.InstanceID]bool, len(e.Instances))
+	for _, i := range e.Instances {
+		c.listed[i.ID] = true
+		if i.ID != c.self.ID {
+			c.addContact(i.Address)
+		}
+	}
+	c.dropContacts(e.Instances)
+	if !c.options.AutoExpel || c.domainRank() != 0 || c.isolated(now) {
+		return nil
+	}
+	var actions []Action
+	for id, m := range c.members {
+		if m.State == api.MemberDead && !c.listed[id] && c.listAt > m.since {
+			actions = append(actions, Expel{ID: id, Incarnation: m.Incarnation})
+		}
+	}
+	return actions
+}
+
+// dropContacts forgets listed addresses that are no longer on the list.
+func (c *Core) dropContacts(listed []ListedInstance) {
+	keep := make(map[string]bool, len(listed)+len(c.options.Seeds))
+	for _, i := range listed {
+		keep[i.Address] = true
+	}
+	for _, address := range c.options.Seeds {
+		keep[address] = true
+	}
+	for address := range c.contacts {
+		if !keep[address] {
+			delete(c.contacts, address)
+		}
+	}
+}
+
+func (c *Core) expelDone(now time.Duration, e ExpelDone) []Action {
+	m, known := c.members[e.ID]
+	if !e.OK || !known || m.Incarnation != e.Incarnation || m.State.Gone() {
+		return nil
+	}
+	next := m.Member
+	next.State = api.MemberExpelled
+	next.Version++
+	return c.set(now, next)
+}
+
+func (c *Core) registerDone(now time.Duration, e RegisterDone) []Action {
+	if e.Incarnation != c.self.Incarnation {
+		return nil
+	}
+	if e.Seen >= c.self.Incarnation {
+		c.raise(now, e.Seen+1)
+		return nil
+	}
+	if !e.OK || c.registered {
+		return nil
+	}
+	c.registered = true
+	if !c.ready() {
+		c.countFrom = now
+	}
+	return nil
+}
+
+// farewell tells the neighbours that the instance has left.
+func (c *Core) farewell(now time.Duration) []Action {
+	var actions []Action
+	for _, id := range c.neighbours() {
+		actions = append(actions, c.exchangeWith(now, c.members[id]))
+	}
+	return actions
+}
--- /dev/null
+++ b/fleet/event.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+)
+
+// Event is an input of the core.
+type Event interface{ event() }
+
+// Tick drives the timers.
+type Tick struct{}
+
+// ExchangeIn is an exchange that a peer sent; the core answers with Respond.
+type ExchangeIn struct{ Request *peerpb.ExchangeRequest }
+
+// ExchangeDone is the end of an exchange that the core sent.
+type ExchangeDone struct {
+	To       api.InstanceID // empty for a contact whose id was not known
+	Address  string
+	SentAt   time.Duration
+	Response *peerpb.ExchangeResponse // nil after an error
+}
+
+// ProbeDone is the end of a probe.
+type ProbeDone struct {
+	To          api.InstanceID
+	Incarnation uint64
+	SentAt      time.Duration
+	OK          bool
+}
+
+// ListDone is the platform's list of instances, or a failed attempt to read it.
+type ListDone struct {
+	At        time.Duration // when the call was sent
+	Instances []ListedInstance
+	OK        bool
+}
+
+// ListedInstance is an entry of the platform's list.
+type ListedInstance struct {
+	ID      api.InstanceID
+	Address string
+}
+
+// RegisterDone is the end of an attempt to register in the store.
+type RegisterDone struct {
+	Incarnation uint64
+	OK          bool
+	// Seen is an incarnation in the store that is at least as high as ours.
+	Seen uint64
+}
+
+// ExpelDone says that the registration of an incarnation was removed.
+type ExpelDone struct {
+	ID          api.InstanceID
+	Incarnation uint64
+	OK          bool
+}
+
+// TicketProgress tells the core how far the ticket slice is.
+type TicketProgress struct {
+	HeadVersion  uint64
+	Latest       uint64
+	Accepted     uint64
+	Acknowledged uint64
+	StoreContact time.Duration // boot clock; negative: none yet
+}
+
+// LeaveStart announces a graceful end; the instance takes no new work.
+type LeaveStart struct{}
+
+// LeaveEnd says that nothing runs any more.
+type LeaveEnd struct{}
+
+func (Tick) event()           {}
+func (ExchangeIn) event()     {}
+func (ExchangeDone) event()   {}
+func (ProbeDone) event()      {}
+func (ListDone) event()       {}
+func (RegisterDone) event()   {}
+func (ExpelDone) event()      {}
+func (TicketProgress) event() {}
+func (LeaveStart) event()     {}
+func (LeaveEnd) event()       {}
+
+// Action is an output of the core.
+type Action interface{ action() }
+
+// SendExchange asks for an exchange with a peer.
+type SendExchange struct {
+	To      api.InstanceID
+	Address string
+	Request *peerpb.ExchangeRequest
+}
+
+// Respond is the answer to ExchangeIn.
+type Respond struct{ Response *peerpb.ExchangeResponse }
+
+// SendProbe asks for a probe over a new connection.
+type SendProbe struct {
+	To          api.InstanceID
+	Incarnation uint64
+	Address     string
+}
+
+// ReadList asks for the platform's list.
+type ReadList struct{}
+
+// Register asks to register the incarnation in the store.
+type Register struct{ Incarnation uint64 }
+
+// Expel asks to remove the registration of an incarnation.
+type Expel struct {
+	ID          api.InstanceID
+	Incarnation uint64
+}
+
+// NewerTickets says that the peer applies a newer ticket head.
+type NewerTickets struct {
+	Address     string
+	HeadVersion uint64
+}
+
+// Changed is a change of a member's state, for the log and the counters.
+type Changed struct {
+	Member api.Member
+	From   api.MemberState
+}
+
+// Duplicate says that another process uses this instance's id.
+type Duplicate struct{ Address string }
+
+// Reset says that the incarnation was expelled: the instance starts over as a
+// higher one and fetches tickets before it serves.
+type Reset struct{ Incarnation uint64 }
+
+func (SendExchange) action() {}
+func (Respond) action()      {}
+func (SendProbe) action()    {}
+func (ReadList) action()     {}
+func (Register) action()     {}
+func (Expel) action()        {}
+func (NewerTickets) action() {}
+func (Changed) action()      {}
+func (Duplicate) action()    {}
+func (Reset) action()        {}
--- /dev/null
+++ b/fleet/io.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/store"
+)
+
+// MemberPrefix is the store prefix of the registrations. A ticket is accepted
+// only when every registered instance has acknowledged it.
+const MemberPrefix = "members/"
+
+// Registration is the stored value. An instance is registered from before it
+// serves until it left or was expelled.
+type Registration struct {
+	Instance    api.InstanceID `json:"instance"`
+	Incarnation uint64         `json:"incarnation"`
+	Address     string         `json:"address"`
+	Half        api.Half       `json:"half"`
+}
+
+func (r *Runner) exchange(a SendExchange) {
+	sentAt := r.options.Clock()
+	r.deltas.attach(a.Request.GetDeltas())
+	r.metrics.exchanges.Inc(1)
+	r.metrics.exchangeBytes.Inc(int64(proto.Size(a.Request)))
+	response, err := r.options.Clients.Client(a.Address).Exchange(r.ctx, a.Request)
+	if err != nil {
+		response = nil
+		r.metrics.refused.Inc(reason.PeerUnreachable)
+	}
+	r.deltas.merge(response.GetDeltas())
+	r.post(ExchangeDone{To: a.To, Address: a.Address, SentAt: sentAt, Response: response})
+}
+
+func (r *Runner) probe(a SendProbe) {
+	sentAt := r.options.Clock()
+	r.metrics.probes.Inc(1)
+	response, err := r.options.Clients.Client(a.Address).Probe(r.ctx, &peerpb.ProbeRequest{From: string(r.options.Instance)})
+	ok := err == nil && response.GetInstance() == string(a.To)
+	r.post(ProbeDone{To: a.To, Incarnation: a.Incarnation, SentAt: sentAt, OK: ok})
+}
+
+func (r *Runner) readList() {
+	at := r.options.Clock()
+	list, err := r.options.Store.Instances(r.ctx)
+	done := ListDone{At: at, OK: err == nil}
+	for _, i := range list {
+		done.Instances = append(done.Instances, ListedInstance{ID: api.InstanceID(i.ID), Address: i.Address})
+	}
+	r.post(done)
+}
+
+// register writes the registration unless the store has one that is as new. An
+// earlier attempt whose answer was lost is recognised by its value.
+func (r *Runner) register(incarnation uint64) {
+	own := Registration{Instance: r.options.Instance, Incarnation: incarnation, Address: r.options.Address, Half: r.options.Half}
+	done := RegisterDone{Incarnation: incarnation}
+	have, version, err := r.registration(r.ctx, r.options.Instance)
+	switch {
+	case err != nil:
+	case have == own:
+		done.OK = true
+	case version != 0 && have.Incarnation >= incarnation:
+		done.Seen = have.Incarnation
+	default:
+		value, _ := json.Marshal(own)
+		_, err = r.options.Store.Put(r.ctx, MemberPrefix+string(own.Instance), value, version)
+		done.OK = err == nil
+	}
+	if err != nil {
+		r.metrics.refused.Inc(reason.StoreUnavailable)
+	}
+	r.post(done)
+}
+
+// registration reads the registration of an instance; version 0 is none.
+func (r *Runner) registration(ctx context.Context, id api.InstanceID) (Registration, store.Version, error) {
+	object, err := r.options.Store.Get(ctx, MemberPrefix+string(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return Registration{}, 0, nil
+	}
+	if err != nil {
+		return Registration{}, 0, err
+	}
+	var have Registration
+	if err := json.Unmarshal(object.Value, &have); err != nil {
+		return Registration{}, 0, Error.Wrap(err)
+	}
+	return have, object.Version, nil
+}
+
+// deregister removes the registration unless a higher incarnation holds it. It
+// reports whether no registration of the incarnation is left.
+func (r *Runner) deregister(ctx context.Context, id api.InstanceID, incarnation uint64) bool {
+	have, version, err := r.registration(ctx, id)
+	if err != nil {
+		return false
+	}
+	if version == 0 {
+		return true
+	}
+	if have.Incarnation > incarnation {
+		return false
+	}
+	return r.options.Store.Delete(ctx, MemberPrefix+string(id), version) == nil
+}
+
+func (r *Runner) expel(ctx context.Context, a Expel) bool {
+	ok := r.deregister(ctx, a.ID, a.Incarnation)
+	if ok {
+		r.metrics.expelled.Inc(1)
+		r.options.Log.Warn("expelled an instance", "instance", string(a.ID), "incarnation", a.Incarnation)
+	}
+	r.post(ExpelDone{ID: a.ID, Incarnation: a.Incarnation, OK: ok})
+	return ok
+}
+
+// Expel removes an instance on an operator's command. The operator vouches
+// that the instance no longer dispatches work.
+func (r *Runner) Expel(ctx context.Context, id api.InstanceID) error {
+	if id == r.options.Instance {
+		return reason.New(reason.BadRequest, "an instance does not expel itself; stop it instead").WithField("id")
+	}
+	for _, m := range r.Members() {
+		if m.ID != id {
+			continue
+		}
+		if m.State.Gone() {
+			return nil
+		}
+		if !r.expel(ctx, Expel{ID: id, Incarnation: m.Incarnation}) {
+			return reason.New(reason.StoreUnavailable, "the registration of %q could not be removed", id)
+		}
+		return nil
+	}
+	return reason.New(reason.NotFound, "no member %q", id).WithField("id")
+}
--- /dev/null
+++ b/fleetsim/http_test.go
@@ -0,0 +1,166 @@
+package fleetsim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
+	"github.com/hibiscusstair/hibiscusstair/peer"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/store"
+	"github.com/hibiscusstair/hibiscusstair/ticket"
+)
+
+func TestFleetsim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleetsim")
+}
+
+const operatorToken = "operator-token"
+
+// process is one instance over real HTTP, as package instance connects it.
+type process struct {
+	peerpb.Peer // the calls of other slices are not served
+	fleet       *fleet.Runner
+	tickets     *ticket.Runner
+	operator    *httptest.Server
+	peers       *httptest.Server
+	stop        func()
+}
+
+func (p *process) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	return p.fleet.Exchange(ctx, r)
+}
+
+func (p *process) Probe(ctx context.Context, r *peerpb.ProbeRequest) (*peerpb.ProbeResponse, error) {
+	return p.fleet.Probe(ctx, r)
+}
+
+func (p *process) FetchTickets(ctx context.Context, r *peerpb.FetchTicketsRequest) (*peerpb.FetchTicketsResponse, error) {
+	return p.tickets.FetchTickets(ctx, r)
+}
+
+func (p *process) Offer(ctx context.Context, r *peerpb.OfferRequest) (*peerpb.OfferResponse, error) {
+	return p.tickets.OfferTickets(ctx, r)
+}
+
+func (p *process) Acknowledge(ctx context.Context, r *peerpb.AcknowledgeRequest) (*peerpb.AcknowledgeResponse, error) {
+	return p.tickets.Acknowledge(ctx, r)
+}
+
+func startProcess(id string, half api.Half, domain string, s store.API, seeds []string, busy func(api.EndpointID) int) *process {
+	const secret = "a secret of instances"
+	p := &process{}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	clients := peer.NewClients(secret, tally.NoopScope)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	place := api.Place{Region: api.Region(domain[:1]), FailureDomain: api.FailureDomain(domain)}
+	p.tickets, err = ticket.New(ticket.Options{
+		Instance: api.InstanceID(id), Half: half, Place: place, Address: address, Store: s,
+		Members:     func() []api.Member { return p.fleet.Members() },
+		Incarnation: func() uint64 { return p.fleet.Incarnation() },
+		Watch:       func() bool { return p.fleet.Watch() },
+		Expel:       func(ctx context.Context, id api.InstanceID) error { return p.fleet.Expel(ctx, id) },
+		Clients:     clients, Busy: busy, OperatorTokenSHA256: httpapi.CredentialSHA256(operatorToken),
+		Log: log, Scope: tally.NoopScope, Clock: bootclock.Now, Seed: 1,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	p.fleet, err = fleet.New(fleet.Options{
+		Instance: api.InstanceID(id), Incarnation: uint64(time.Now().UnixMilli()), Half: half, Place: place,
+		Address: address, Seeds: seeds, Store: s, Clients: clients, Tickets: p.tickets, Expel: "auto",
+		Log: log, Scope: tally.NoopScope, Clock: bootclock.Now, Seed: 1,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	p.peers = httptest.NewUnstartedServer(peer.NewHandler(p, secret, tally.NoopScope))
+	p.peers.Listener.Close()
+	p.peers.Listener = listener
+	p.peers.Start()
+	mux := http.NewServeMux()
+	p.tickets.Register(mux)
+	p.operator = httptest.NewServer(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = p.fleet.Run(ctx) }()
+	go func() { _ = p.tickets.Run(ctx) }()
+	p.stop = func() {
+		cancel()
+		p.peers.CloseClientConnections()
+		p.peers.Close()
+		p.operator.Close()
+		clients.Close()
+	}
+	return p
+}
+
+func (p *process) call(method, path string, body any) (int, map[string]any) {
+	var reader io.Reader
+	if body != nil {
+		value, err := json.Marshal(body)
+		Expect(err).NotTo(HaveOccurred())
+		reader = bytes.NewReader(value)
+	}
+	request, err := http.NewRequest(method, p.operator.URL+path, reader)
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var answer map[string]any
+	Expect(json.NewDecoder(response.Body).Decode(&answer)).To(Succeed())
+	return response.StatusCode, answer
+}
+
+func engine(id string, half api.Half) api.Endpoint {
+	port := 1000
+	for _, b := range []byte(id) {
+		port += int(b) * 7 % 97
+	}
+	return api.Endpoint{
+		ID: api.EndpointID(id), Kind: api.KindEngine, Address: fmt.Sprintf("10.0.0.%d:%d", len(id), port),
+		Place: api.Place{Region: "f", FailureDomain: "f1"}, Half: half,
+		Models: []api.ModelRef{{Model: "m"}}, Slots: 4,
+	}
+}
+
+var _ = Describe("three instances over HTTP", func() {
+	It("bring a ticket from the operator into force everywhere", func() {
+		s := newMemStore()
+		idle := func(api.EndpointID) int { return 0 }
+		a := startProcess("a", "north", "f1", s, nil, idle)
+		defer a.stop()
+		seeds := []string{a.peers.Listener.Addr().String()}
+		b := startProcess("b", "north", "f2", s, seeds, idle)
+		defer b.stop()
+		c := startProcess("c", "south", "k1", s, seeds, idle)
+		defer c.stop()
+		all := []*process{a, b, c}
+		for _, p := range all {
+			Eventually(p.fleet.Gate).WithTimeout(20 * time.Second).Should(Succeed())
+			Eventually(func() int { return len(p.fleet.Members()) }).WithTimeout(20 * time.Second).Should(Equal(3))
+		}
+		status, answer := a.call("PUT", "/v1/tickets/1", ticket.Ticket{Number: 1, Endpoints: []api.Endpoint{engine("e1", "north")}})
+		Expect(status).To(BeElementOf(http.StatusOK, http.StatusAccepted), "%v", answer)
+		for _, p := range all {
+			Eventually(func() uint64 { return p.tickets.Config().Ticket }).WithTimeout(20 * time.Second).Should(Equal(uint64(1)))
+		}
+		Expect(a.tickets.Config().MayDispatch("e1", "north")).To(BeTrue())
+		Expect(c.tickets.Config().MayDispatch("e1", "south")).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/ticket/event.go
@@ -0,0 +1,188 @@
+package ticket
+
+import (
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/store"
+)
+
+// Event is an input of the core.
+type Event interface{ event() }
+
+// Tick drives the timers.
+type Tick struct {
+	// Incarnation is this instance's current one.
+	Incarnation uint64
+	// Watch says that this instance watches the store for its failure domain.
+	Watch bool
+	// Busy are those of the published leaving endpoints on which this instance
+	// still runs work.
+	Busy []api.EndpointID
+}
+
+// MembersChanged brings the member table, sorted by id, this instance included.
+type MembersChanged struct{ Members []api.Member }
+
+// Apply is an operator's ticket.
+type Apply struct {
+	ID   uint64 // of the reply
+	Raw  []byte
+	Body *Ticket
+}
+
+// Offered is a newer head from a peer, or only its version when Head is nil.
+type Offered struct {
+	Address     string
+	HeadVersion uint64
+	Request     *peerpb.OfferRequest
+}
+
+// FetchIn is a peer's request for tickets; the core answers with Respond.
+type FetchIn struct{ Above uint64 }
+
+// AckIn is a peer's report; the core answers with Respond.
+type AckIn struct{ Request *peerpb.AcknowledgeRequest }
+
+// StoreDone is the result of a StoreCall.
+type StoreDone struct {
+	ID       uint64
+	SentAt   time.Duration
+	Object   store.Object
+	Objects  []store.Object // of a list
+	Changes  []store.Change // of a watch
+	Revision uint64
+	Err      error
+}
+
+// FetchDone is the result of a PeerFetch; Response is nil after an error.
+type FetchDone struct {
+	Address  string
+	Response *peerpb.FetchTicketsResponse
+}
+
+// OfferDone is the result of a PeerOffer.
+type OfferDone struct {
+	To          api.InstanceID
+	HeadVersion uint64 // that was offered
+	OK          bool
+}
+
+// AckDone is the result of a PeerAck; Response is nil after an error.
+type AckDone struct {
+	To       api.InstanceID
+	Key      ackKey
+	Response *peerpb.AcknowledgeResponse
+}
+
+func (Tick) event()           {}
+func (MembersChanged) event() {}
+func (Apply) event()          {}
+func (Offered) event()        {}
+func (FetchIn) event()        {}
+func (AckIn) event()          {}
+func (StoreDone) event()      {}
+func (FetchDone) event()      {}
+func (OfferDone) event()      {}
+func (AckDone) event()        {}
+
+// Action is an output of the core.
+type Action interface{ action() }
+
+// StoreOp names a call to the store.
+type StoreOp int
+
+// Calls to the store.
+const (
+	StoreGet StoreOp = iota
+	StorePut
+	StoreList
+	StoreWatch
+)
+
+// StoreCall asks for a call to the store. The result carries the same ID.
+type StoreCall struct {
+	ID     uint64
+	Op     StoreOp
+	Key    string // or the prefix of a list or watch
+	Value  []byte
+	Expect store.Version
+	After  uint64
+	Wait   time.Duration
+}
+
+// PeerFetch asks a peer for the tickets above a number.
+type PeerFetch struct {
+	Address string
+	Above   uint64
+}
+
+// PeerOffer passes the head on.
+type PeerOffer struct {
+	To      api.InstanceID
+	Address string
+	Request *peerpb.OfferRequest
+}
+
+// PeerAck reports acknowledgements to a collector.
+type PeerAck struct {
+	To      api.InstanceID
+	Address string
+	Key     ackKey
+	Request *peerpb.AcknowledgeRequest
+}
+
+// Respond answers FetchIn or AckIn; one of the fields is set.
+type Respond struct {
+	Fetch *peerpb.FetchTicketsResponse
+	Ack   *peerpb.AcknowledgeResponse
+	Err   error
+}
+
+// Reply ends an Apply.
+type Reply struct {
+	ID       uint64
+	Err      error
+	Findings []Finding
+	Head     Head
+}
+
+// Publish replaces the configuration that other slices read.
+type Publish struct{ View *View }
+
+// Note is something for the log and the counters.
+type Note struct {
+	Kind   NoteKind
+	Ticket uint64
+	After  time.Duration
+	Err    error
+}
+
+// NoteKind is the kind of a Note.
+type NoteKind int
+
+// Kinds of notes.
+const (
+	// NotePending: a ticket's restrictions apply here.
+	NotePending NoteKind = iota
+	// NoteAccepted: a ticket is in force here.
+	NoteAccepted
+	// NoteReverted: a head that would revert an accepted ticket was refused.
+	NoteReverted
+	// NoteBroken: a stored or passed value cannot be read.
+	NoteBroken
+	// NoteConflict: another instance updated the head first.
+	NoteConflict
+	// NoteLostAnswer: a write's answer was lost and is read back.
+	NoteLostAnswer
+)
+
+func (StoreCall) action() {}
+func (PeerFetch) action() {}
+func (PeerOffer) action() {}
+func (PeerAck) action()   {}
+func (Respond) action()   {}
+func (Reply) action()     {}
+func (Publish) action()   {}
+func (Note) action()      {}
--- /dev/null
+++ b/ticket/state.go
@@ -0,0 +1,169 @@
+package ticket
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+)
+
+// EndpointItem is the state of one endpoint and the ticket that gave it.
+type EndpointItem struct {
+	Ticket   uint64        `json:"ticket"`
+	Endpoint *api.Endpoint `json:"endpoint"` // nil: removed
+}
+
+// AccountItem is the state of one account and the ticket that gave it.
+type AccountItem struct {
+	Ticket  uint64       `json:"ticket"`
+	Account *api.Account `json:"account"` // nil: removed
+}
+
+// State is the fold of tickets by item. For each item the ticket with the
+// highest number counts, so that the order of arrival does not matter.
+type State struct {
+	Endpoints map[api.EndpointID]EndpointItem
+	Accounts  map[api.AccountID]AccountItem
+	// foldByArrival is a wrong variant for the test of the fold.
+	foldByArrival bool
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{Endpoints: make(map[api.EndpointID]EndpointItem), Accounts: make(map[api.AccountID]AccountItem)}
+}
+
+func (s *State) clone() *State {
+	return &State{Endpoints: maps.Clone(s.Endpoints), Accounts: maps.Clone(s.Accounts), foldByArrival: s.foldByArrival}
+}
+
+func (s *State) replaces(number, have uint64) bool { return number >= have || s.foldByArrival }
+
+// apply folds a ticket in.
+func (s *State) apply(t *Ticket) {
+	for i := range t.Endpoints {
+		s.setEndpoint(t.Endpoints[i].ID, EndpointItem{Ticket: t.Number, Endpoint: &t.Endpoints[i]})
+	}
+	for _, id := range t.RemoveEndpoints {
+		s.setEndpoint(id, EndpointItem{Ticket: t.Number})
+	}
+	for i := range t.Accounts {
+		s.setAccount(t.Accounts[i].ID, AccountItem{Ticket: t.Number, Account: &t.Accounts[i]})
+	}
+	for _, id := range t.RemoveAccounts {
+		s.setAccount(id, AccountItem{Ticket: t.Number})
+	}
+}
+
+func (s *State) setEndpoint(id api.EndpointID, item EndpointItem) {
+	if s.replaces(item.Ticket, s.Endpoints[id].Ticket) {
+		s.Endpoints[id] = item
+	}
+}
+
+func (s *State) setAccount(id api.AccountID, item AccountItem) {
+	if s.replaces(item.Ticket, s.Accounts[id].Ticket) {
+		s.Accounts[id] = item
+	}
+}
+
+func (s *State) endpointMap() map[api.EndpointID]api.Endpoint {
+	m := make(map[api.EndpointID]api.Endpoint, len(s.Endpoints))
+	for id, item := range s.Endpoints {
+		if item.Endpoint != nil {
+			m[id] = *item.Endpoint
+		}
+	}
+	return m
+}
+
+func (s *State) accountMap() map[api.AccountID]api.Account {
+	m := make(map[api.AccountID]api.Account, len(s.Accounts))
+	for id, item := range s.Accounts {
+		if item.Account != nil {
+			m[id] = *item.Account
+		}
+	}
+	return m
+}
+
+// snapshotPart is one stored object of a snapshot. Removed items are left out:
+// no ticket below the snapshot's number can arrive any more.
+type snapshotPart struct {
+	Number    uint64         `json:"number"`
+	Endpoints []EndpointItem `json:"endpoints,omitempty"`
+	Accounts  []AccountItem  `json:"accounts,omitempty"`
+}
+
+const (
+	// maxPartItemsBytes keeps a part below the store's limit of 1 MB with room
+	// for the JSON around the items.
+	maxPartItemsBytes = 800 << 10
+)
+
+// encodeSnapshot divides the state into parts below the store's limit on a
+// value.
+func (s *State) encodeSnapshot(number uint64) [][]byte {
+	var parts [][]byte
+	part, size := snapshotPart{Number: number}, 0
+	flush := func() {
+		value, err := json.Marshal(part)
+		if err != nil {
+			panic("ticket: " + err.Error()) // the items were parsed from JSON
+		}
+		parts = append(parts, value)
+		part, size = snapshotPart{Number: number}, 0
+	}
+	grow := func(item any) {
+		value, _ := json.Marshal(item)
+		if size > 0 && size+len(value) > maxPartItemsBytes {
+			flush()
+		}
+		size += len(value) + 1
+	}
+	for _, id := range sortedKeys(s.Endpoints) {
+		if item := s.Endpoints[id]; item.Endpoint != nil {
+			grow(item)
+			part.Endpoints = append(part.Endpoints, item)
+		}
+	}
+	for _, id := range sortedKeys(s.Accounts) {
+		if item := s.Accounts[id]; item.Account != nil {
+			grow(item)
+			part.Accounts = append(part.Accounts, item)
+		}
+	}
+	flush()
+	return parts
+}
+
+// decodeSnapshot joins the parts of a snapshot.
+func decodeSnapshot(number uint64, parts [][]byte) (*State, error) {
+	s := NewState()
+	for _, value := range parts {
+		var part snapshotPart
+		if err := json.Unmarshal(value, &part); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if part.Number != number {
+			return nil, Error.New("a part of snapshot %d belongs to snapshot %d", number, part.Number)
+		}
+		for _, item := range part.Endpoints {
+			if item.Endpoint != nil {
+				s.setEndpoint(item.Endpoint.ID, item)
+			}
+		}
+		for _, item := range part.Accounts {
+			if item.Account != nil {
+				s.setAccount(item.Account.ID, item)
+			}
+		}
+	}
+	return s, nil
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
