Place by load, prefix affinity, health, slots and the link budget

Placement chose the endpoint with the fewest own outstanding tokens and refused when no slot was free.

The core now scores by own outstanding tokens plus the part of the lagging report that is not ours, follows prompt prefixes by rendezvous hashing within 1.25 times the mean load, keeps slots for lookups and continuations, queues by priority with deadlines, paces continuations per endpoint, charges the billed link with a reserve for recovery, and uses a failed endpoint again only after a probe over a new connection. Engines are polled by two instances a round on average, independent of the size of the fleet; the rest comes from peers.

A property with ten wrong variants checks the promises against an own account. It found that a lookup waited for the next tick after a successful probe; the core now serves waiting requests at the end of the step that made room.

--- a/placement/core.go
+++ b/placement/core.go
@@ -1,8 +1,11 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
@@ -11,13 +14,8 @@
 type grant struct {
 	endpoint *endpoint
 	tokens   int
-}
-
-// endpoint is the state of one endpoint.
-type endpoint struct {
-	id          api.EndpointID
-	running     int
-	outstanding int
+	bytes    int
+	marked   bool
 }
 
 // Core decides. It has no I/O, clock, goroutine or global randomness.
@@ -25,16 +23,49 @@
 	options   CoreOptions
 	config    *api.Config
 	endpoints map[api.EndpointID]*endpoint
+	ordered   []*endpoint
+	byModel   map[api.ModelRef]*candidates
+	services  candidates
 	grants    map[uint64]grant
 	actions   []Action
+	random    *rand.Rand
+	self      uint64
+
+	waiting map[uint64]*waiter
+	queues  [queueCount][]*waiter
+	// recheck says that something other than a release may have made room, so
+	// that all waiting requests are tried at the end of the step.
+	recheck bool
+	drained time.Duration
+
+	link       bucket
+	hints      hints
+	aloneGrant uint64
+	meanTokens float64
+	instances  int
+
+	usable     []*endpoint
+	pass       uint64
+	sampleAt   time.Duration
+	sampleNext int
+	probes     uint64
+	polls      pollBudget
 }
 
 // NewCore returns a core without a configuration.
 func NewCore(o CoreOptions) *Core {
+	self := xxhash.Sum64String(string(o.Instance))
 	return &Core{
 		options:   o,
 		endpoints: make(map[api.EndpointID]*endpoint),
+		byModel:   make(map[api.ModelRef]*candidates),
 		grants:    make(map[uint64]grant),
+		waiting:   make(map[uint64]*waiter),
+		random:    rand.New(rand.NewPCG(o.Seed, self)),
+		self:      self,
+		link:      newBucket(o.LinkBytesPerSecond),
+		hints:     newHints(),
+		instances: 1,
 	}
 }
 
@@ -42,92 +73,153 @@
 func (c *Core) Step(now time.Duration, event Event) []Action {
 	c.actions = c.actions[:0]
 	switch e := event.(type) {
+	case Tick:
+		c.tick(now)
 	case ConfigChanged:
-		c.config = e.Config
+		c.configure(e.Config)
+		c.recheck = true
 	case PlaceRequested:
-		c.place(e)
+		c.place(now, e)
 	case PlaceCancelled:
-		c.release(e.ID)
+		c.cancel(now, e.ID)
 	case Progressed:
 		c.progress(e)
 	case Released:
-		c.release(e.ID)
+		c.release(now, e)
+	case WentSilent:
+		c.silent(now, e.Endpoint)
+	case ProbeEnded:
+		c.probeEnded(now, e)
+	default:
+		c.report(now, event)
+	}
+	if c.recheck {
+		c.drain(now)
 	}
 	return c.actions
 }
 
-func (c *Core) place(e PlaceRequested) {
-	if c.config == nil {
-		c.refuse(e.ID, reason.New(reason.NotReady, "no configuration yet"))
+// report handles the events about load.
+func (c *Core) report(now time.Duration, event Event) {
+	switch e := event.(type) {
+	case LoadReported:
+		c.loadReported(now, e)
+	case PollFailed:
+		c.silent(now, e.Endpoint)
+	case CacheReported:
+		c.cacheReported(e)
+	case LoadsMerged:
+		c.mergeLoads(now, e.Loads)
+	case FleetSized:
+		c.instances = max(1, e.Instances)
+		c.link.setRate(now, e.LinkBytesPerSecond)
+	}
+}
+
+func (c *Core) tick(now time.Duration) {
+	c.sample(now)
+	c.expireReports(now)
+	c.probeDue(now)
+	c.pollDue(now)
+	c.expire(now)
+	c.drain(now)
+}
+
+func (c *Core) place(now time.Duration, e PlaceRequested) {
+	w := &waiter{id: e.ID, request: e.Request, deadline: e.Deadline, since: now}
+	if err := c.hopeless(now, w); err != nil {
+		c.refuse(e.ID, err)
 		return
 	}
-	var best *endpoint
-	known := false
-	for id, configured := range c.config.Endpoints {
-		if !c.allowed(id, configured, e.Request) {
+	if now-c.drained >= drainInterval {
+		// Requests that wait go first.
+		c.drain(now)
+	}
+	c.learn(&w.request)
+	if !c.try(now, w) {
+		c.enqueue(now, w)
+	}
+}
+
+// hopeless returns the refusal of a request that waiting cannot help.
+func (c *Core) hopeless(now time.Duration, w *waiter) *reason.Error {
+	switch {
+	case c.config == nil:
+		return reason.New(reason.NotReady, "no configuration yet")
+	case w.request.Isolation >= api.IsolationRefused:
+		return reason.New(reason.CrashSuspect, "the content was running on several engines when they died")
+	case w.deadline != 0 && now >= w.deadline:
+		return reason.New(reason.DeadlineExceeded, "the deadline passed before an endpoint was chosen")
+	case w.request.Priority < api.PriorityLookup || w.request.Priority > api.PriorityDraft:
+		return reason.New(reason.BadRequest, "unknown priority %d", w.request.Priority)
+	}
+	if c.anyEligible(&w.request) {
+		return nil
+	}
+	return c.noEndpoint(&w.request)
+}
+
+// noEndpoint tells an unknown model from one whose endpoints are not for the
+// request or are leaving.
+func (c *Core) noEndpoint(request *api.PlacementRequest) *reason.Error {
+	known := request.Kind == api.KindService
+	for _, e := range c.config.Endpoints {
+		if request.Kind == api.KindService || !e.Serves(request.Model) {
 			continue
 		}
 		known = true
-		state := c.state(id)
-		if state.running >= configured.Slots {
-			continue
-		}
-		if best == nil || state.outstanding < best.outstanding {
-			best = state
+		if e.Half == c.options.Half && !c.config.MayDispatch(e.ID, c.options.Half) {
+			return reason.New(reason.EndpointLeaving, "all endpoints for the model take no new work")
 		}
 	}
-	switch {
-	case best != nil:
-		c.grant(e, best)
-	case known:
-		c.refuse(e.ID, reason.New(reason.NoSlot, "all slots are in use"))
-	default:
-		c.refuse(e.ID, reason.New(reason.NoEndpoint, "no endpoint is available"))
+	if !known {
+		return reason.New(reason.ModelUnknown, "no configured endpoint serves the model")
 	}
+	return reason.New(reason.NoEndpoint, "no endpoint is available for the model and account")
 }
 
-func (c *Core) allowed(id api.EndpointID, configured api.Endpoint, request api.PlacementRequest) bool {
-	if configured.Kind != request.Kind {
+// try grants a place if an endpoint can take the work now.
+func (c *Core) try(now time.Duration, w *waiter) bool {
+	chosen := c.choose(now, w)
+	if chosen == nil {
 		return false
 	}
-	for _, excluded := range request.Exclude {
-		if excluded == id {
-			return false
-		}
-	}
-	if request.SameRegionOnly && configured.Region != c.options.Place.Region {
+	if !c.options.faults.ignorePending && !mayUse(c.config, chosen.id, c.options.Half, &w.request) {
+		w.blocked = reason.EndpointLeaving
 		return false
 	}
-	return mayUse(c.config, id, c.options.Half, request)
+	c.grant(now, w, chosen)
+	return true
 }
 
-// mayUse reports whether the configuration in force and the pending tickets
-// allow the request on the endpoint. A service has no model.
-func mayUse(config *api.Config, id api.EndpointID, half api.Half, request api.PlacementRequest) bool {
-	if request.Kind != api.KindService {
-		return config.MayServe(id, half, request.Account, request.Model)
+func (c *Core) grant(now time.Duration, w *waiter, chosen *endpoint) {
+	request := &w.request
+	g := grant{endpoint: chosen, tokens: request.Tokens, marked: request.Isolation != api.IsolationNone}
+	chosen.running++
+	chosen.outstanding += request.Tokens
+	if g.marked {
+		chosen.marked++
 	}
-	return config.MayDispatch(id, half) && config.Endpoints[id].Admits(request.Account)
-}
-
-func (c *Core) state(id api.EndpointID) *endpoint {
-	state, ok := c.endpoints[id]
-	if !ok {
-		state = &endpoint{id: id}
-		c.endpoints[id] = state
+	if request.Isolation == api.IsolationAlone {
+		chosen.exclusive = w.id
+		c.aloneGrant = w.id
 	}
-	return state
-}
-
-func (c *Core) grant(e PlaceRequested, chosen *endpoint) {
-	chosen.running++
-	chosen.outstanding += e.Request.Tokens
-	c.grants[e.ID] = grant{endpoint: chosen, tokens: e.Request.Tokens}
-	configured := c.config.Endpoints[chosen.id]
+	if chosen.heldFor == w.id {
+		chosen.heldFor = 0
+	}
+	if chosen.remote {
+		g.bytes = request.Bytes
+		c.charge(now, g.bytes)
+	}
+	if request.Recovery {
+		chosen.countRecovery(now)
+	}
+	c.hints.record(request.PrefixBlocks, chosen)
+	c.grants[w.id] = g
 	c.actions = append(c.actions, Granted{Grant: api.Grant{
-		ID:          e.ID,
-		Endpoint:    configured,
-		CrossRegion: configured.Region != c.options.Place.Region,
+		ID:          w.id,
+		Endpoint:    chosen.configured,
+		CrossRegion: chosen.remote,
 	}})
 }
 
@@ -140,18 +232,55 @@
 	if !ok {
 		return
 	}
-	done := min(e.Tokens, g.tokens)
+	done := max(0, min(e.Tokens, g.tokens))
 	g.tokens -= done
 	g.endpoint.outstanding -= done
 	c.grants[e.ID] = g
 }
 
-func (c *Core) release(id uint64) {
+func (c *Core) cancel(now time.Duration, id uint64) {
+	if w, ok := c.waiting[id]; ok {
+		c.leave(w)
+		c.recheck = true
+		return
+	}
 	g, ok := c.grants[id]
 	if !ok {
 		return
 	}
-	g.endpoint.running--
-	g.endpoint.outstanding -= g.tokens
+	c.link.refund(g.bytes)
+	c.end(id, g)
+	c.wake(now, g.endpoint)
+}
+
+func (c *Core) release(now time.Duration, e Released) {
+	g, ok := c.grants[e.ID]
+	if !ok {
+		return
+	}
+	c.end(e.ID, g)
+	c.observe(now, g.endpoint, e.Outcome)
+	c.wake(now, g.endpoint)
+}
+
+func (c *Core) end(id uint64, g grant) {
 	delete(c.grants, id)
+	e := g.endpoint
+	e.running--
+	e.outstanding -= g.tokens
+	if g.marked {
+		e.marked--
+	}
+	if e.exclusive == id {
+		e.exclusive = 0
+	}
+	if c.aloneGrant == id {
+		c.aloneGrant = 0
+		c.recheck = true
+	}
+	if e.running == 0 && !configured(c.config, e.id) {
+		c.hints.drop(e)
+		delete(c.endpoints, e.id)
+		c.order()
+	}
 }
--- a/placement/event.go
+++ b/placement/event.go
@@ -25,7 +25,7 @@
 }
 
 // PlaceCancelled withdraws a request that is waiting, or releases its grant if
-// the grant was made already.
+// the grant was made already. Nothing was sent to the endpoint.
 type PlaceCancelled struct{ ID uint64 }
 
 // Progressed reports tokens that the work of a grant has delivered.
@@ -43,6 +43,61 @@
 // WentSilent reports that an endpoint was silent beyond a stream's bound.
 type WentSilent struct{ Endpoint api.EndpointID }
 
+// ProbeEnded is the result of a Probe.
+type ProbeEnded struct {
+	Endpoint api.EndpointID
+	Probe    uint64
+	Alive    bool
+}
+
+// LoadReported is an engine's own load report.
+type LoadReported struct {
+	Endpoint api.EndpointID
+	// Running counts the generations that run or wait on the engine.
+	Running int
+	Tokens  int
+	// Draining says that the engine takes no new work.
+	Draining bool
+	// Lag is how long before its arrival the report was true.
+	Lag time.Duration
+}
+
+// PollFailed reports that an engine did not answer a poll.
+type PollFailed struct{ Endpoint api.EndpointID }
+
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Sequence uint64
+	Block    uint64
+	Evicted  bool
+}
+
+// CacheReported has the events that followed the last known one, in order.
+type CacheReported struct {
+	Endpoint api.EndpointID
+	Events   []CacheEvent
+}
+
+// PeerLoad is the load of one endpoint as an instance last saw it.
+type PeerLoad struct {
+	Endpoint api.EndpointID
+	Instance api.InstanceID
+	Running  int
+	Tokens   int
+	// Version is the wall clock time of the observation in milliseconds.
+	Version uint64
+	Dead    bool
+}
+
+// LoadsMerged hands over loads from a peer.
+type LoadsMerged struct{ Loads []PeerLoad }
+
+// FleetSized sets the number of instances that share polling and the link.
+type FleetSized struct {
+	Instances          int
+	LinkBytesPerSecond float64
+}
+
 func (Tick) event()           {}
 func (ConfigChanged) event()  {}
 func (PlaceRequested) event() {}
@@ -50,3 +105,9 @@
 func (Progressed) event()     {}
 func (Released) event()       {}
 func (WentSilent) event()     {}
+func (ProbeEnded) event()     {}
+func (LoadReported) event()   {}
+func (PollFailed) event()     {}
+func (CacheReported) event()  {}
+func (LoadsMerged) event()    {}
+func (FleetSized) event()     {}
--- /dev/null
+++ b/placement/property_test.go
@@ -0,0 +1,384 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	_ "github.com/hibiscusstair/hibiscusstair/internal/testseed"
+)
+
+const (
+	testHalf  = api.Half("north")
+	otherHalf = api.Half("south")
+	testRate  = 10000.0
+)
+
+var (
+	testPlace = api.Place{Region: "east", FailureDomain: "east-1"}
+	testModel = api.ModelRef{Model: "dream", Version: "1"}
+)
+
+// engineAt returns an engine for all accounts.
+func engineAt(id string, region api.Region, slots int) api.Endpoint {
+	return api.Endpoint{
+		ID: api.EndpointID(id), Kind: api.KindEngine, Address: "127.0.0.1:1", Half: testHalf, Slots: slots,
+		Place: api.Place{Region: region}, Models: []api.ModelRef{testModel},
+	}
+}
+
+func configOf(endpoints ...api.Endpoint) *api.Config {
+	config := &api.Config{Ticket: 1, Endpoints: map[api.EndpointID]api.Endpoint{}}
+	for _, e := range endpoints {
+		config.Endpoints[e.ID] = e
+	}
+	return config
+}
+
+// op is one step of a generated history.
+type op struct{ kind, a, b, c int }
+
+var histories = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) op {
+	return op{
+		kind: rapid.IntRange(0, 13).Draw(t, "kind"),
+		a:    rapid.IntRange(0, 1000).Draw(t, "a"),
+		b:    rapid.IntRange(0, 1000).Draw(t, "b"),
+		c:    rapid.IntRange(0, 1000).Draw(t, "c"),
+	}
+}), 20, 160)
+
+// oracle is a simple account of what the core did.
+type oracle struct {
+	core     *Core
+	now      time.Duration
+	config   *api.Config
+	ids      []api.EndpointID
+	requests map[uint64]PlaceRequested
+	granted  map[uint64]api.EndpointID
+	order    []uint64
+	nextID   uint64
+	probes   []Probe
+	// suspect has the time of the last failure not yet followed by a
+	// successful probe, started the start of the running probe.
+	suspect    map[api.EndpointID]time.Duration
+	started    map[uint64]time.Duration
+	versions   map[api.EndpointID]uint64
+	recoveries map[api.EndpointID][]time.Duration
+	level      float64
+	levelAt    time.Duration
+}
+
+func newOracle(f faults) *oracle {
+	o := &oracle{
+		core: NewCore(CoreOptions{Instance: "i1", Half: testHalf, Place: testPlace, Seed: 7, LinkBytesPerSecond: testRate,
+			WallOffset: time.Hour, faults: f}),
+		now:        time.Second,
+		ids:        []api.EndpointID{"e1", "e2", "e3", "r1", "s1"},
+		requests:   map[uint64]PlaceRequested{},
+		granted:    map[uint64]api.EndpointID{},
+		suspect:    map[api.EndpointID]time.Duration{},
+		started:    map[uint64]time.Duration{},
+		versions:   map[api.EndpointID]uint64{},
+		recoveries: map[api.EndpointID][]time.Duration{},
+		level:      2 * testRate,
+		levelAt:    time.Second,
+	}
+	o.config = o.configuration(nil)
+	return o
+}
+
+func (o *oracle) configuration(pending []api.Pending) *api.Config {
+	service := api.Endpoint{ID: "s1", Kind: api.KindService, Half: testHalf, Slots: 4, Place: testPlace}
+	config := configOf(engineAt("e1", "east", 8), engineAt("e2", "east", 3), engineAt("e3", "east", 1),
+		engineAt("r1", "west", 16), service)
+	config.Pending = pending
+	return config
+}
+
+// run applies a history and returns the name of the first broken promise.
+func run(history []op, f faults) error {
+	o := newOracle(f)
+	if err := o.step(ConfigChanged{Config: o.config}); err != nil {
+		return err
+	}
+	for _, op := range history {
+		if err := o.apply(op); err != nil {
+			return err
+		}
+		if err := o.invariants(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *oracle) apply(op op) error {
+	id := o.ids[op.a%len(o.ids)]
+	switch op.kind {
+	case 0, 1, 2, 3, 4, 5:
+		return o.place(op)
+	case 6, 7:
+		return o.release(op)
+	case 8:
+		o.fail(id)
+		return o.step(WentSilent{Endpoint: id})
+	case 9:
+		return o.probeEnded(op)
+	case 10:
+		o.config = o.configuration(o.pending(op))
+		return o.step(ConfigChanged{Config: o.config})
+	case 11:
+		load := PeerLoad{Endpoint: id, Instance: "i2", Version: o.core.wall(o.now) - uint64(op.b), Running: 0}
+		return o.step(LoadsMerged{Loads: []PeerLoad{load}})
+	default:
+		o.now += time.Duration(op.a) * time.Millisecond
+		return o.step(Tick{})
+	}
+}
+
+func (o *oracle) pending(op op) []api.Pending {
+	if op.b%3 == 0 {
+		return nil
+	}
+	id := o.ids[op.a%len(o.ids)]
+	next := o.configuration(nil).Endpoints[id]
+	next.Half = otherHalf
+	state := &next
+	if op.b%3 == 1 {
+		state = nil
+	}
+	return []api.Pending{{Ticket: 2, Endpoints: map[api.EndpointID]*api.Endpoint{id: state}}}
+}
+
+func (o *oracle) place(op op) error {
+	o.nextID++
+	request := api.PlacementRequest{
+		Kind: api.KindEngine, Model: testModel, Account: "a", Tokens: 100, Bytes: op.c * 10,
+		Priority: api.PriorityInteractive + api.Priority(op.a%2), Recovery: op.b%4 == 0,
+		Isolation: api.Isolation(max(0, op.b%8-5)), PrefixBlocks: []uint64{1, 2, uint64(op.c % 3)},
+	}
+	if op.kind == 0 {
+		request.Priority = api.PriorityLookup
+	}
+	if op.kind == 1 {
+		request = api.PlacementRequest{Kind: api.KindService, Account: "a", Priority: api.Priority(op.a % 4)}
+	}
+	e := PlaceRequested{ID: o.nextID, Request: request}
+	if op.c%2 == 0 {
+		e.Deadline = o.now + time.Duration(1+op.b)*time.Millisecond
+	}
+	o.requests[e.ID] = e
+	return o.step(e)
+}
+
+func (o *oracle) release(op op) error {
+	if len(o.order) == 0 {
+		return nil
+	}
+	index := op.a % len(o.order)
+	id := o.order[index]
+	o.order = append(o.order[:index], o.order[index+1:]...)
+	outcome := api.Outcome(op.b % 5)
+	if outcome == api.OutcomeDied || outcome == api.OutcomeSuspected {
+		o.fail(o.granted[id])
+	}
+	delete(o.granted, id)
+	return o.step(Released{ID: id, Outcome: outcome})
+}
+
+func (o *oracle) fail(id api.EndpointID) { o.suspect[id] = o.now }
+
+func (o *oracle) probeEnded(op op) error {
+	if len(o.probes) == 0 {
+		return nil
+	}
+	probe := o.probes[0]
+	o.probes = o.probes[1:]
+	alive := op.a%3 != 0
+	failedAt, suspected := o.suspect[probe.Endpoint.ID]
+	if alive && suspected && o.started[probe.Probe] >= failedAt {
+		delete(o.suspect, probe.Endpoint.ID)
+	}
+	return o.step(ProbeEnded{Endpoint: probe.Endpoint.ID, Probe: probe.Probe, Alive: alive})
+}
+
+func (o *oracle) step(event Event) error {
+	for _, action := range o.core.Step(o.now, event) {
+		switch a := action.(type) {
+		case Granted:
+			if err := o.check(a.Grant); err != nil {
+				return err
+			}
+		case Probe:
+			o.probes = append(o.probes, a)
+			o.started[a.Probe] = o.now
+		}
+	}
+	return nil
+}
+
+// check judges one grant.
+func (o *oracle) check(grant api.Grant) error {
+	id := grant.Endpoint.ID
+	asked := o.requests[grant.ID]
+	request := asked.Request
+	allowed := o.config.MayServe(id, testHalf, request.Account, request.Model)
+	if request.Kind == api.KindService {
+		allowed = o.config.MayDispatch(id, testHalf)
+	}
+	if !allowed {
+		return fmt.Errorf("leaving: grant on %s", id)
+	}
+	if _, failed := o.suspect[id]; failed {
+		return fmt.Errorf("unprobed: grant on %s", id)
+	}
+	if asked.Deadline != 0 && o.now >= asked.Deadline {
+		return fmt.Errorf("deadline: grant %d is late", grant.ID)
+	}
+	if err := o.checkMarked(id, request); err != nil {
+		return err
+	}
+	o.granted[grant.ID] = id
+	o.order = append(o.order, grant.ID)
+	if err := o.checkPacing(id, request); err != nil {
+		return err
+	}
+	return o.checkLink(grant, request)
+}
+
+func (o *oracle) checkMarked(id api.EndpointID, request api.PlacementRequest) error {
+	for other, on := range o.granted {
+		if on == id && request.Isolation != api.IsolationNone && o.requests[other].Request.Isolation != api.IsolationNone {
+			return fmt.Errorf("marked: two marked contents on %s", id)
+		}
+		if on == id && request.Isolation == api.IsolationAlone {
+			return fmt.Errorf("marked: isolated content with company on %s", id)
+		}
+	}
+	return nil
+}
+
+// checkPacing allows twice the share, since a window may begin at any time.
+func (o *oracle) checkPacing(id api.EndpointID, request api.PlacementRequest) error {
+	if !request.Recovery {
+		return nil
+	}
+	recent := []time.Duration{o.now}
+	for _, at := range o.recoveries[id] {
+		if o.now-at < 250*time.Millisecond {
+			recent = append(recent, at)
+		}
+	}
+	o.recoveries[id] = recent
+	if share := max(1, o.config.Endpoints[id].Slots/8); len(recent) > 2*share {
+		return fmt.Errorf("pacing: %d recoveries on %s", len(recent), id)
+	}
+	return nil
+}
+
+// checkLink keeps a bucket of its own.
+func (o *oracle) checkLink(grant api.Grant, request api.PlacementRequest) error {
+	if !grant.CrossRegion {
+		return nil
+	}
+	burst := 2 * testRate
+	o.level = min(burst, o.level+testRate*(o.now-o.levelAt).Seconds()) - float64(request.Bytes)
+	o.levelAt = o.now
+	const rounding = 1e-3
+	if o.level < -rounding {
+		return fmt.Errorf("link: %f bytes over the budget", -o.level)
+	}
+	if !request.Recovery && o.level < burst/2-rounding {
+		return fmt.Errorf("reserve: ordinary work spent the reserve")
+	}
+	return nil
+}
+
+// invariants judges the state between steps.
+func (o *oracle) invariants() error {
+	running := map[api.EndpointID]int{}
+	drafts := map[api.EndpointID]int{}
+	for id, on := range o.granted {
+		running[on]++
+		request := o.requests[id].Request
+		if request.Priority == api.PriorityDraft && !request.Recovery {
+			drafts[on]++
+		}
+	}
+	for _, id := range o.ids {
+		slots := o.config.Endpoints[id].Slots
+		if running[id] > slots {
+			return fmt.Errorf("slots: %d of %d on %s", running[id], slots, id)
+		}
+		if kept := (slots + 3) / 4; slots > 1 && drafts[id] > slots-kept {
+			return fmt.Errorf("lookups: drafts hold %d of %d slots of %s", drafts[id], slots, id)
+		}
+		version := o.core.endpoints[id].shared.load.Version
+		if version < o.versions[id] {
+			return fmt.Errorf("versions: %s went back from %d to %d", id, o.versions[id], version)
+		}
+		o.versions[id] = version
+	}
+	return o.lookupsServed(running)
+}
+
+// lookupsServed checks that a lookup waits only if every slot of the service is
+// in use, if it is unusable, or for a pause after a refusal.
+func (o *oracle) lookupsServed(running map[api.EndpointID]int) error {
+	for _, w := range o.core.waiting {
+		service := o.core.endpoints["s1"]
+		if w.request.Priority != api.PriorityLookup || w.request.Kind != api.KindService {
+			continue
+		}
+		usable := service.dispatchable && service.health.state == StateAlive && service.refusedUntil <= o.now
+		if usable && running["s1"] < 4 && !o.core.overdue(o.now, w) {
+			return fmt.Errorf("lookups: a lookup waits beside a free slot")
+		}
+	}
+	return nil
+}
+
+// Guards each promise of the core by the oracle's own account.
+func TestCoreKeepsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := run(histories.Draw(t, "history"), faults{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against an oracle that detects nothing: each named wrong variant has
+// to break its own promise.
+func TestWrongVariantsAreDetected(t *testing.T) {
+	variants := map[string]faults{
+		"leaving":  {ignorePending: true},
+		"slots":    {ignoreSlots: true},
+		"lookups":  {noKeptSlots: true},
+		"reserve":  {ignoreReserve: true},
+		"link":     {unlimitedLink: true},
+		"versions": {acceptOldLoads: true},
+		"pacing":   {noPacing: true},
+		"unprobed": {useUnprobed: true},
+		"deadline": {expireNothing: true},
+		"marked":   {skipMarkedCheck: true},
+	}
+	for promise, f := range variants {
+		if !detected(promise, f) {
+			t.Errorf("the wrong variant of %q passes", promise)
+		}
+	}
+}
+
+func detected(promise string, f faults) bool {
+	const seeds = 500
+	for seed := range seeds {
+		err := run(histories.Example(seed), f)
+		if err != nil && len(err.Error()) > len(promise) && err.Error()[:len(promise)] == promise {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -12,19 +12,23 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
-	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/ring"
 )
 
 const (
-	// ringCapacity bounds the messages that wait for the core. At 2 us a
-	// message a full ring is about 8 ms of work.
+	// ringCapacity bounds the messages that wait for the core. At a few
+	// microseconds a message, a full ring is some 10 ms of work.
 	ringCapacity = 4096
 	// tickInterval bounds how late a deadline or timer is noticed.
 	tickInterval = 20 * time.Millisecond
+	// fleetInterval is how often the number of instances is read.
+	fleetInterval = time.Second
 	// queryTimeout bounds the wait for an answer about the core's state.
 	queryTimeout = time.Second
+	// placeTries bounds the choices for one request when the configuration
+	// changes between the choice and its use.
+	placeTries = 3
 )
 
 // Error is the class of the errors of New.
@@ -43,20 +47,33 @@
 	err   *reason.Error
 }
 
+// asked is a Place that waits for its answer.
+type asked struct {
+	reply   chan answer
+	request api.PlacementRequest
+}
+
 // Runner owns a core and connects it to callers, engines and peers.
 type Runner struct {
 	options Options
 	log     *slog.Logger
+	metrics *metrics
 	core    *Core
 	ring    *ring.Ring[message]
-	waiting map[uint64]chan answer
-	lastID  atomic.Uint64
+	poller  *poller
 	config  *api.Config
+	fleet   fleet
+	fleetAt time.Duration
+	lastID  atomic.Uint64
 	stopped chan struct{}
+
+	// asked and grantedOn belong to the goroutine of Run.
+	asked     map[uint64]asked
+	grantedOn map[uint64]api.EndpointID
 	// running has an *atomic.Int64 for each endpoint.
 	running sync.Map
-	// grantedOn remembers the endpoint of each grant; owned by the goroutine.
-	grantedOn map[uint64]api.EndpointID
+	// oldest has the wait of the first waiting request of each priority.
+	oldest [priorityCount]atomic.Int64
 }
 
 // New returns a runner; Run starts it.
@@ -64,6 +81,9 @@
 	if o.Config == nil {
 		return nil, Error.New("no source of the configuration")
 	}
+	if o.LinkBitsPerSecond < 0 {
+		return nil, Error.New("negative budget of the link")
+	}
 	if o.Clock == nil {
 		o.Clock = bootclock.Now
 	}
@@ -73,27 +93,39 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	core := NewCore(CoreOptions{
-		Instance:           o.Instance,
-		Half:               o.Half,
-		Place:              o.Place,
-		Seed:               o.Seed,
-		LinkBytesPerSecond: float64(o.LinkBitsPerSecond) / 8,
-	})
-	return &Runner{
+	r := &Runner{
 		options:   o,
 		log:       o.Log,
-		core:      core,
+		metrics:   newMetrics(o.Scope),
 		ring:      ring.New[message](ringCapacity),
-		waiting:   make(map[uint64]chan answer),
+		fleet:     newFleet(o.Instances),
+		asked:     make(map[uint64]asked),
 		grantedOn: make(map[uint64]api.EndpointID),
 		stopped:   make(chan struct{}),
-	}, nil
+	}
+	r.core = NewCore(CoreOptions{
+		Instance:           o.Instance,
+		Half:               o.Half,
+		Place:              o.Place,
+		Seed:               o.Seed,
+		LinkBytesPerSecond: r.linkShare(r.fleet.peak(o.Clock())),
+		WallOffset:         time.Duration(time.Now().UnixNano()) - o.Clock(),
+	})
+	r.poller = newPoller(o.HTTP, r.post)
+	return r, nil
+}
+
+func (r *Runner) linkShare(instances int) float64 {
+	return float64(r.options.LinkBitsPerSecond) / 8 / float64(instances)
 }
 
 // Run serves until the context ends.
 func (r *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	// Polls that wait for room in the ring end once stopped is closed.
+	defer r.poller.close()
 	defer close(r.stopped)
+	defer cancel()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -101,58 +133,109 @@
 		case <-ctx.Done():
 			return nil
 		case m := <-r.ring.C():
-			r.handle(m)
+			r.handle(ctx, m)
 		case <-ticker.C:
-			r.step(Tick{})
+			r.tick(ctx)
 		}
 	}
 }
 
-func (r *Runner) handle(m message) {
+func (r *Runner) tick(ctx context.Context) {
+	now := r.options.Clock()
+	if now >= r.fleetAt {
+		r.fleetAt = now + fleetInterval
+		r.step(ctx, FleetSized{
+			Instances:          r.fleet.count(now),
+			LinkBytesPerSecond: r.linkShare(r.fleet.peak(now)),
+		})
+		r.metrics.state(r.core.Summarize(now))
+	}
+	r.step(ctx, Tick{})
+	for priority := range r.oldest {
+		r.oldest[priority].Store(int64(r.core.OldestWait(now, api.Priority(priority))))
+	}
+}
+
+func (r *Runner) handle(ctx context.Context, m message) {
 	if m.query != nil {
 		m.query(r.core, r.options.Clock())
 		return
 	}
-	if place, ok := m.event.(PlaceRequested); ok {
-		r.waiting[place.ID] = m.reply
+	switch e := m.event.(type) {
+	case PlaceRequested:
+		r.asked[e.ID] = asked{reply: m.reply, request: e.Request}
+	case LoadsMerged:
+		r.fleet.seen(r.options.Clock(), e.Loads)
 	}
-	r.step(m.event)
+	r.step(ctx, m.event)
 }
 
 // step brings the core up to the current configuration and hands it the event.
-func (r *Runner) step(event Event) {
+func (r *Runner) step(ctx context.Context, event Event) {
 	now := r.options.Clock()
 	if config := r.options.Config(); config != r.config {
 		r.config = config
-		r.apply(r.core.Step(now, ConfigChanged{Config: config}))
+		r.apply(ctx, r.core.Step(now, ConfigChanged{Config: config}))
 	}
-	r.apply(r.core.Step(now, event))
+	r.apply(ctx, r.core.Step(now, event))
 	switch e := event.(type) {
 	case Released:
 		r.uncount(e.ID)
 	case PlaceCancelled:
 		r.uncount(e.ID)
-		delete(r.waiting, e.ID)
+		delete(r.asked, e.ID)
 	}
 }
 
-func (r *Runner) apply(actions []Action) {
+func (r *Runner) apply(ctx context.Context, actions []Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Granted:
-			r.counter(a.Grant.Endpoint.ID).Add(1)
-			r.grantedOn[a.Grant.ID] = a.Grant.Endpoint.ID
-			r.reply(a.Grant.ID, answer{grant: a.Grant})
+			r.granted(a.Grant)
 		case Refused:
-			r.reply(a.ID, answer{err: a.Err})
+			r.metrics.refusals.Inc(a.Err.Reason)
+			r.answer(a.ID, answer{err: a.Err})
+		case HealthChanged:
+			r.log.Info("endpoint health changed", "endpoint", a.Endpoint, "state", a.State.String(), "reason", a.Reason)
+		default:
+			r.perform(ctx, action)
+		}
+	}
+}
+
+// perform starts the I/O of an action.
+func (r *Runner) perform(ctx context.Context, action Action) {
+	started := true
+	switch a := action.(type) {
+	case Probe:
+		r.metrics.probes.Inc(1)
+		if !r.poller.probe(ctx, a) {
+			// Too many probes run; the core repeats this one after probeLost.
+			started = false
 		}
+	case PollLoad:
+		r.metrics.polls.Inc(1)
+		started = r.poller.load(ctx, a.Endpoint)
+	case PollCache:
+		r.metrics.polls.Inc(1)
+		started = r.poller.cache(ctx, a)
+	}
+	if !started {
+		r.metrics.pollSkipped.Inc(1)
 	}
 }
 
-func (r *Runner) reply(id uint64, a answer) {
-	if reply, ok := r.waiting[id]; ok {
-		reply <- a
-		delete(r.waiting, id)
+func (r *Runner) granted(grant api.Grant) {
+	r.counter(grant.Endpoint.ID).Add(1)
+	r.grantedOn[grant.ID] = grant.Endpoint.ID
+	r.metrics.granted(grant, r.asked[grant.ID].request)
+	r.answer(grant.ID, answer{grant: grant})
+}
+
+func (r *Runner) answer(id uint64, a answer) {
+	if waiting, ok := r.asked[id]; ok {
+		waiting.reply <- a
+		delete(r.asked, id)
 	}
 }
 
@@ -170,105 +253,3 @@
 	have, _ := r.running.LoadOrStore(id, new(atomic.Int64))
 	return have.(*atomic.Int64)
 }
-
-// Place reserves a place for the work. It waits until the context ends.
-func (r *Runner) Place(ctx context.Context, request api.PlacementRequest) (api.Grant, error) {
-	id := r.lastID.Add(1)
-	reply := make(chan answer, 1)
-	event := PlaceRequested{ID: id, Request: request, Deadline: r.deadline(ctx)}
-	if !r.ring.Offer(message{event: event, reply: reply}) {
-		return api.Grant{}, reason.New(reason.Overloaded, "the placement ring is full")
-	}
-	select {
-	case a := <-reply:
-		return r.confirm(request, a)
-	case <-ctx.Done():
-		r.post(PlaceCancelled{ID: id})
-		return api.Grant{}, contextError(ctx)
-	case <-r.stopped:
-		return api.Grant{}, reason.New(reason.ShuttingDown, "placement has stopped")
-	}
-}
-
-// confirm checks the configuration again after the grant was counted. A reader
-// that publishes a restriction and then sees Running at 0 can therefore be
-// sure that no earlier grant will be used.
-func (r *Runner) confirm(request api.PlacementRequest, a answer) (api.Grant, error) {
-	if a.err != nil {
-		return api.Grant{}, a.err
-	}
-	if mayUse(r.options.Config(), a.grant.Endpoint.ID, r.options.Half, request) {
-		return a.grant, nil
-	}
-	r.Release(a.grant.ID, api.OutcomeCancelled)
-	return api.Grant{}, reason.New(reason.EndpointLeaving, "the endpoint left while the grant was made")
-}
-
-func contextError(ctx context.Context) error {
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		return reason.New(reason.DeadlineExceeded, "no endpoint before the deadline")
-	}
-	return reason.New(reason.CallerGone, "the request was cancelled before an endpoint was chosen")
-}
-
-func (r *Runner) deadline(ctx context.Context) time.Duration {
-	at, ok := ctx.Deadline()
-	if !ok {
-		return 0
-	}
-	return r.options.Clock() + time.Until(at)
-}
-
-// post hands over an event that must not be dropped.
-func (r *Runner) post(event Event) {
-	m := message{event: event}
-	if r.ring.Offer(m) {
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		select {
-		case <-r.stopped:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	_ = r.ring.Put(ctx, m)
-}
-
-// Progress reports tokens that the work of a grant has delivered.
-func (r *Runner) Progress(grant uint64, tokens int) {
-	r.ring.Offer(message{event: Progressed{ID: grant, Tokens: tokens}})
-}
-
-// Release ends a grant.
-func (r *Runner) Release(grant uint64, outcome api.Outcome) {
-	r.post(Released{ID: grant, Outcome: outcome})
-}
-
-// Silent reports that an endpoint was silent beyond a stream's bound.
-func (r *Runner) Silent(endpoint api.EndpointID) { r.post(WentSilent{Endpoint: endpoint}) }
-
-// Running returns the number of grants in use on the endpoint.
-func (r *Runner) Running(endpoint api.EndpointID) int {
-	return int(r.counter(endpoint).Load())
-}
-
-// EndpointStatus is the state of one endpoint for the operators.
-type EndpointStatus struct {
-	ID          api.EndpointID `json:"id"`
-	State       string         `json:"state"`
-	Reason      reason.Reason  `json:"reason,omitempty"`
-	Running     int            `json:"running"`
-	Outstanding int            `json:"outstanding"`
-}
-
-// Endpoints returns the state of all endpoints.
-func (r *Runner) Endpoints() []EndpointStatus { return nil }
-
-// Collect returns the changes for the peers.
-func (r *Runner) Collect(max int) *peerpb.Deltas { return &peerpb.Deltas{} }
-
-// Merge takes changes from a peer.
-func (r *Runner) Merge(deltas *peerpb.Deltas) {}
