Divide account limits by demand, shed by queueing delay, bound retries

Limits were divided evenly by the number of instances, so an account whose callers reach one of eight instances got an eighth of its rate.

Each instance now takes a part of the limit in proportion to the demand that its peers know of, with a floor of 10% divided evenly. Drafts, then interactive work, are shed while the queueing delay is above its target. Retries are bounded to 10% of the admitted requests plus 0.5 per second.

A property over a fleet of six instances with isolation and repeated old deltas checks rate, versions, retries and tokens in flight; each wrong variant breaks its own promise. It found that an instance that lost contact took the whole limit as soon as the fleet reported it alone, within the 3 s contact bound; a smaller fleet now counts only once contact has outlasted it. It also found that an isolated instance kept a large last share beside peers that had forgotten it; after 15 s it falls to an even share.

--- /dev/null
+++ b/limits/core.go
@@ -0,0 +1,229 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+const (
+	// burstWindow is how much of its rate an account may save up.
+	burstWindow = time.Second
+	// idleLifetime is how long an account without demand is remembered.
+	idleLifetime = time.Minute
+	// sweepInterval is how often idle accounts are looked for.
+	sweepInterval = time.Second
+	// maxRetryAfter bounds the advice when to come back.
+	maxRetryAfter = 10 * time.Second
+)
+
+// admission is a counted request.
+type admission struct {
+	account *account
+	tokens  int
+}
+
+// Core decides. It has no I/O, clock, goroutine or global randomness.
+type Core struct {
+	options    CoreOptions
+	config     *api.Config
+	accounts   map[api.AccountID]*account
+	admissions map[uint64]admission
+	actions    []Action
+
+	fleet   fleet
+	shed    shedder
+	retries retryBudget
+	version uint64
+	sweepAt time.Duration
+}
+
+// NewCore returns a core without a configuration, alone in the fleet.
+func NewCore(o CoreOptions) *Core {
+	return &Core{
+		options:    o,
+		accounts:   make(map[api.AccountID]*account),
+		admissions: make(map[uint64]admission),
+		fleet:      fleet{size: 1},
+		shed:       newShedder(),
+		retries:    newRetryBudget(),
+	}
+}
+
+// Step handles one event. The returned slice is valid until the next Step.
+func (c *Core) Step(now time.Duration, event Event) []Action {
+	c.actions = c.actions[:0]
+	switch e := event.(type) {
+	case Tick:
+		c.tick(now)
+	case ConfigChanged:
+		c.configure(e.Config)
+	case FleetSized:
+		c.fleet.resize(now, e.Instances)
+	case AdmitRequested:
+		c.admit(now, e)
+	case Released:
+		c.release(e.ID)
+	case RetryRequested:
+		unbounded := c.options.NoRetryBudget || c.options.faults.countNoRetries
+		allowed := unbounded || c.retries.take(now, e.Priority)
+		c.actions = append(c.actions, RetryAnswered{ID: e.ID, Allowed: allowed})
+	case QueueDelayed:
+		c.shed.observe(now, e)
+	case UsageMerged:
+		c.merge(now, e.Usage)
+	}
+	return c.actions
+}
+
+// configure takes new limits over. Credit and tokens in flight stay.
+func (c *Core) configure(config *api.Config) {
+	c.config = config
+	for id, a := range c.accounts {
+		if config == nil {
+			return
+		}
+		if configured, ok := config.Accounts[id]; ok {
+			a.configured = configured
+		}
+	}
+}
+
+func (c *Core) admit(now time.Duration, e AdmitRequested) {
+	a, err := c.account(now, e.Request.Account)
+	if err == nil {
+		a.demand.add(now, 1)
+		err = c.judge(now, a, e.Request)
+	}
+	if err != nil {
+		c.actions = append(c.actions, Refused{ID: e.ID, Err: err})
+		return
+	}
+	if a.configured.RequestsPerSecond > 0 {
+		a.credit--
+	}
+	a.inFlight += e.Request.Tokens
+	c.retries.earn(now)
+	c.admissions[e.ID] = admission{account: a, tokens: e.Request.Tokens}
+	c.actions = append(c.actions, Admitted{Admission: api.Admission{
+		ID:      e.ID,
+		Account: e.Request.Account,
+		Tokens:  e.Request.Tokens,
+	}})
+}
+
+func (c *Core) account(now time.Duration, id api.AccountID) (*account, *reason.Error) {
+	if c.config == nil {
+		return nil, reason.New(reason.NotReady, "no configuration yet")
+	}
+	configured, ok := c.config.Accounts[id]
+	if !ok {
+		return nil, reason.New(reason.Unauthenticated, "the account is not configured")
+	}
+	a, ok := c.accounts[id]
+	if !ok {
+		a = &account{configured: configured, credit: 1, creditAt: now}
+		c.accounts[id] = a
+	}
+	a.usedAt = now
+	return a, nil
+}
+
+// judge returns the refusal of a request, or nil.
+func (c *Core) judge(now time.Duration, a *account, request api.AdmissionRequest) *reason.Error {
+	switch {
+	case request.Tokens < 0:
+		return reason.New(reason.BadRequest, "negative number of tokens")
+	case request.Deadline != 0 && now >= request.Deadline:
+		return reason.New(reason.DeadlineExceeded, "the deadline passed before the request was admitted")
+	}
+	if wait := c.rateWait(now, a); wait > 0 {
+		return reason.New(reason.AccountRate, "the account's request rate is used up").WithRetryAfter(wait)
+	}
+	if !c.tokensFit(now, a, request.Tokens) {
+		a.refused.add(now, float64(request.Tokens))
+		return reason.New(reason.AccountTokens, "the account's tokens in flight are used up").WithRetryAfter(time.Second)
+	}
+	if !c.options.NoShedding && c.shed.refuses(now, request, c.options.faults) {
+		return reason.New(reason.Overloaded, "the endpoints are overloaded").WithRetryAfter(c.shed.retryAfter())
+	}
+	return nil
+}
+
+// rateWait returns how long the account has to wait for its next request.
+func (c *Core) rateWait(now time.Duration, a *account) time.Duration {
+	limit := a.configured.RequestsPerSecond
+	if limit <= 0 || c.options.faults.equalToOffered {
+		return 0
+	}
+	rate := c.share(now, a, limit, a.sharedRate, a.peerRate)
+	burst := max(1, rate*burstWindow.Seconds())
+	a.credit = min(burst, a.credit+rate*(now-a.creditAt).Seconds())
+	a.creditAt = now
+	if a.credit >= 1 {
+		return 0
+	}
+	wait := time.Duration((1 - a.credit) / rate * float64(time.Second))
+	return max(time.Millisecond, min(wait, maxRetryAfter))
+}
+
+// tokensFit reports whether the account may have that many more tokens in
+// flight. A request larger than the share may run alone on this instance as
+// long as the whole account has room for it.
+func (c *Core) tokensFit(now time.Duration, a *account, tokens int) bool {
+	limit := float64(a.configured.TokensInFlight)
+	if limit <= 0 {
+		return true
+	}
+	wanted := float64(a.inFlight + tokens)
+	if wanted <= c.share(now, a, limit, a.sharedTokens, a.peerTokens) {
+		return true
+	}
+	return a.inFlight == 0 && a.peerTokens+wanted <= limit
+}
+
+func (c *Core) release(id uint64) {
+	held, ok := c.admissions[id]
+	if !ok || c.options.faults.forgetsReleases {
+		return
+	}
+	held.account.inFlight -= held.tokens
+	delete(c.admissions, id)
+}
+
+func (c *Core) tick(now time.Duration) {
+	if now < c.sweepAt {
+		return
+	}
+	c.sweepAt = now + sweepInterval
+	for id, a := range c.accounts {
+		c.expirePeers(now, a)
+		idle := a.inFlight == 0 && len(a.peers) == 0 && now-a.usedAt >= idleLifetime
+		if idle {
+			delete(c.accounts, id)
+		}
+	}
+}
+
+// Summary is the state of the core in numbers.
+type Summary struct {
+	Accounts         int
+	Admissions       int
+	ShedInteractive  float64
+	ShedDraft        float64
+	RetriesAvailable float64
+	InContact        bool
+}
+
+// Summarize returns the state of the core in numbers.
+func (c *Core) Summarize(now time.Duration) Summary {
+	return Summary{
+		Accounts:         len(c.accounts),
+		Admissions:       len(c.admissions),
+		ShedInteractive:  1 - c.shed.interactive.admit,
+		ShedDraft:        1 - c.shed.draft.admit,
+		RetriesAvailable: c.retries.credit,
+		InContact:        c.fleet.inContact(now),
+	}
+}
--- a/limits/options.go
+++ b/limits/options.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -18,9 +19,36 @@
 	// Config returns the configuration in force; nil means that there is none
 	// yet.
 	Config func() *api.Config
-	// Instances returns the number of live instances of the half.
+	// Instances returns the number of live instances of the half, this one
+	// included.
 	Instances func() int
-	Log       *slog.Logger
-	Scope     tally.Scope
-	Clock     bootclock.Func
+	// QueueDelay returns how long the first waiting request of the priority has
+	// waited for an endpoint. It is optional; without it nothing is shed.
+	QueueDelay func(api.Priority) time.Duration
+	Log        *slog.Logger
+	Scope      tally.Scope
+	Clock      bootclock.Func
+}
+
+// CoreOptions configures a Core.
+type CoreOptions struct {
+	Instance api.InstanceID
+	// WallOffset is the wall clock less the boot clock at the start, so that
+	// versions grow over a restart.
+	WallOffset time.Duration
+	// NoShedding and NoRetryBudget turn parts off, for comparisons.
+	NoShedding    bool
+	NoRetryBudget bool
+	// faults makes the core wrong in one named way; only tests set it.
+	faults faults
+}
+
+// faults are the wrong variants that the property tests have to detect.
+type faults struct {
+	acceptOldUsage  bool // merges a delta whatever its version
+	wholeWhenAlone  bool // takes the whole limit after the loss of contact
+	equalToOffered  bool // admits what is offered, without shares
+	countNoRetries  bool // never charges a retry
+	shedHighFirst   bool // sheds interactive work before drafts
+	forgetsReleases bool // does not give tokens in flight back
 }
--- a/limits/runner.go
+++ b/limits/runner.go
@@ -2,32 +2,60 @@
 
 import (
 	"context"
-	"sync"
+	"log/slog"
+	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/ring"
+)
+
+const (
+	// ringCapacity bounds the messages that wait for the core.
+	ringCapacity = 4096
+	// tickInterval is how often the queueing delay is read.
+	tickInterval = 50 * time.Millisecond
+	// fleetInterval is how often the number of instances is read.
+	fleetInterval = time.Second
+	// queryTimeout bounds the wait for the core.
+	queryTimeout = time.Second
 )
 
 // Error is the class of the errors of New.
 var Error = errs.Class("limits")
 
-type usage struct {
-	credit   float64
-	at       time.Duration
-	inFlight int
+// message is what the ring carries: an event, or a query on the core.
+type message struct {
+	event Event
+	reply chan answer
+	query func(core *Core, now time.Duration)
 }
 
-// Runner admits requests.
+// answer is the end of an Admit or an AllowRetry.
+type answer struct {
+	admission api.Admission
+	allowed   bool
+	err       *reason.Error
+}
+
+// Runner owns a core and connects it to callers and peers.
 type Runner struct {
 	options Options
-	mutex   sync.Mutex
-	usage   map[api.AccountID]*usage
-	lastID  uint64
+	log     *slog.Logger
+	metrics *metrics
+	core    *Core
+	ring    *ring.Ring[message]
+	config  *api.Config
+	fleetAt time.Duration
+	contact bool
+	lastID  atomic.Uint64
+	stopped chan struct{}
 }
 
 // New returns a runner; Run starts it.
@@ -41,63 +69,214 @@
 	if o.Instances == nil {
 		o.Instances = func() int { return 1 }
 	}
-	return &Runner{options: o, usage: make(map[api.AccountID]*usage)}, nil
+	if o.QueueDelay == nil {
+		o.QueueDelay = func(api.Priority) time.Duration { return 0 }
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	wall := time.Duration(time.Now().UnixNano())
+	return &Runner{
+		options: o,
+		log:     o.Log,
+		metrics: newMetrics(o.Scope),
+		core:    NewCore(CoreOptions{Instance: o.Instance, WallOffset: wall - o.Clock()}),
+		ring:    ring.New[message](ringCapacity),
+		contact: true,
+		stopped: make(chan struct{}),
+	}, nil
 }
 
 // Run serves until the context ends.
 func (r *Runner) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	defer close(r.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-r.ring.C():
+			r.handle(m)
+		case <-ticker.C:
+			r.tick()
+		}
+	}
 }
 
-// Admit counts a request in or refuses it.
-func (r *Runner) Admit(_ context.Context, request api.AdmissionRequest) (api.Admission, error) {
-	config := r.options.Config()
-	if config == nil {
-		return api.Admission{}, reason.New(reason.NotReady, "no configuration yet")
-	}
-	account, ok := config.Accounts[request.Account]
-	if !ok {
-		return api.Admission{}, reason.New(reason.Unauthenticated, "unknown account")
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	share := 1 / float64(max(1, r.options.Instances()))
+func (r *Runner) tick() {
+	now := r.options.Clock()
+	if now >= r.fleetAt {
+		r.fleetAt = now + fleetInterval
+		r.core.Step(now, FleetSized{Instances: r.options.Instances()})
+		r.report(r.core.Summarize(now))
+	}
+	r.core.Step(now, QueueDelayed{
+		Interactive: r.options.QueueDelay(api.PriorityInteractive),
+		Draft:       r.options.QueueDelay(api.PriorityDraft),
+	})
+	r.core.Step(now, Tick{})
+}
+
+func (r *Runner) report(s Summary) {
+	r.metrics.state(s)
+	if s.InContact != r.contact {
+		r.contact = s.InContact
+		r.log.Info("contact to peers changed, account shares follow", "in_contact", s.InContact)
+	}
+}
+
+func (r *Runner) handle(m message) {
 	now := r.options.Clock()
-	u, ok := r.usage[account.ID]
-	if !ok {
-		u = &usage{credit: 1, at: now}
-		r.usage[account.ID] = u
+	if m.query != nil {
+		m.query(r.core, now)
+		return
+	}
+	if config := r.options.Config(); config != r.config {
+		r.config = config
+		r.core.Step(now, ConfigChanged{Config: config})
+	}
+	for _, action := range r.core.Step(now, m.event) {
+		switch a := action.(type) {
+		case Admitted:
+			r.metrics.admitted.Inc(1)
+			m.reply <- answer{admission: a.Admission}
+		case Refused:
+			r.metrics.refusals.Inc(a.Err.Reason)
+			m.reply <- answer{err: a.Err}
+		case RetryAnswered:
+			m.reply <- answer{allowed: a.Allowed}
+		}
+	}
+}
+
+// Admit counts a request in or refuses it.
+func (r *Runner) Admit(ctx context.Context, request api.AdmissionRequest) (api.Admission, error) {
+	id := r.lastID.Add(1)
+	m := message{event: AdmitRequested{ID: id, Request: request}, reply: make(chan answer, 1)}
+	if !r.ring.Offer(m) {
+		return api.Admission{}, r.refused(reason.Overloaded, "the limits ring is full")
+	}
+	select {
+	case a := <-m.reply:
+		if a.err != nil {
+			return api.Admission{}, a.err
+		}
+		return a.admission, nil
+	case <-ctx.Done():
+		// The ring keeps the order, so the release follows the admission.
+		r.post(Released{ID: id})
+		return api.Admission{}, r.refused(reason.CallerGone, "the request ended before it was admitted")
+	case <-r.stopped:
+		return api.Admission{}, r.refused(reason.ShuttingDown, "limits has stopped")
+	}
+}
+
+func (r *Runner) refused(why reason.Reason, message string) error {
+	r.metrics.refusals.Inc(why)
+	return reason.New(why, "%s", message)
+}
+
+// post hands over an event that must not be dropped, and waits for room until
+// Run ends.
+func (r *Runner) post(event Event) {
+	m := message{event: event}
+	if r.ring.Offer(m) {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-r.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	_ = r.ring.Put(ctx, m)
+}
+
+// Release ends an admission. A second release has no effect.
+func (r *Runner) Release(admission api.Admission) { r.post(Released{ID: admission.ID}) }
+
+// AllowRetry takes a retry from the budget and reports whether there was one.
+func (r *Runner) AllowRetry(priority api.Priority) bool {
+	m := message{event: RetryRequested{Priority: priority}, reply: make(chan answer, 1)}
+	if !r.ring.Offer(m) {
+		return r.countRetry(false)
 	}
-	rate := account.RequestsPerSecond * share
-	u.credit = min(max(1, rate), u.credit+rate*(now-u.at).Seconds())
-	u.at = now
-	if rate > 0 && u.credit < 1 {
-		return api.Admission{}, reason.New(reason.AccountRate, "the account's rate is used up").WithRetryAfter(time.Second)
+	timer := time.NewTimer(queryTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-m.reply:
+		return r.countRetry(a.allowed)
+	case <-r.stopped:
+	case <-timer.C:
 	}
-	if account.TokensInFlight > 0 && float64(u.inFlight+request.Tokens) > float64(account.TokensInFlight)*share {
-		return api.Admission{}, reason.New(reason.AccountTokens, "the account's tokens in flight are used up").WithRetryAfter(time.Second)
+	return r.countRetry(false)
+}
+
+func (r *Runner) countRetry(allowed bool) bool {
+	if allowed {
+		r.metrics.retriesAllowed.Inc(1)
+	} else {
+		r.metrics.retriesRefused.Inc(1)
 	}
-	u.credit--
-	u.inFlight += request.Tokens
-	r.lastID++
-	return api.Admission{ID: r.lastID, Account: account.ID, Tokens: request.Tokens}, nil
+	return allowed
 }
 
-// Release ends an admission.
-func (r *Runner) Release(admission api.Admission) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if u, ok := r.usage[admission.Account]; ok {
-		u.inFlight -= admission.Tokens
+// Collect returns up to limit changes of demand for the peers.
+func (r *Runner) Collect(limit int) *peerpb.Deltas {
+	result := make(chan []PeerUsage, 1)
+	deltas := &peerpb.Deltas{}
+	if !r.ring.Offer(message{query: func(core *Core, now time.Duration) { result <- core.Collect(now, limit) }}) {
+		return deltas
+	}
+	timer := time.NewTimer(queryTimeout)
+	defer timer.Stop()
+	select {
+	case usage := <-result:
+		for _, u := range usage {
+			deltas.Usage = append(deltas.Usage, toMessage(u))
+		}
+	case <-r.stopped:
+	case <-timer.C:
 	}
+	return deltas
 }
 
-// AllowRetry reports whether the retry budget allows another attempt.
-func (r *Runner) AllowRetry(api.Priority) bool { return true }
+func toMessage(u PeerUsage) *peerpb.Usage {
+	return &peerpb.Usage{
+		Account:           string(u.Account),
+		Instance:          string(u.Instance),
+		RequestsPerSecond: u.Rate,
+		TokensInFlight:    uint64(u.Tokens),
+		Version:           u.Version,
+	}
+}
 
-// Collect returns the changes for the peers.
-func (r *Runner) Collect(max int) *peerpb.Deltas { return &peerpb.Deltas{} }
+// maxReported bounds the counts of a delta, so that a faulty peer cannot make
+// sums overflow.
+const maxReported = 1 << 40
 
-// Merge takes changes from a peer.
-func (r *Runner) Merge(deltas *peerpb.Deltas) {}
+// Merge takes changes from a peer. It is called for every exchange, since an
+// empty one is a sign of contact too. When the ring is full the changes are
+// dropped; a peer passes each on several times.
+func (r *Runner) Merge(deltas *peerpb.Deltas) {
+	usage := make([]PeerUsage, 0, len(deltas.GetUsage()))
+	for _, u := range deltas.GetUsage() {
+		usage = append(usage, PeerUsage{
+			Account:  api.AccountID(u.Account),
+			Instance: api.InstanceID(u.Instance),
+			Rate:     u.RequestsPerSecond,
+			Tokens:   int(min(u.TokensInFlight, maxReported)),
+			Version:  u.Version,
+		})
+	}
+	if !r.ring.Offer(message{event: UsageMerged{Usage: usage}}) {
+		r.metrics.deltasDropped.Inc(1)
+	}
+}
