--- /dev/null
+++ b/standins/bench/control.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/harness"
+)
+
+// tickets measures the time from the submission of a ticket until every
+// instance reports it as in force.
+func (r *runner) tickets(ctx context.Context) error {
+	const instances = 3
+	return with(ctx, instances, 2, nil, func(f *harness.Fleet, _ *harness.Caller) error {
+		latency := newHistogram()
+		for n := range r.ticketCount {
+			ticket := f.NextTicket()
+			start := time.Now()
+			status, answer, err := f.PutTicket(ctx, fmt.Sprintf("instance-%d", 1+n%instances), ticket)
+			if err != nil || status >= 300 {
+				return fmt.Errorf("ticket %d: status %d: %s: %w", ticket.Number, status, answer, err)
+			}
+			if err := f.WaitInForce(ctx, ticket.Number); err != nil {
+				return err
+			}
+			latency.add(time.Since(start))
+		}
+		r.results = append(r.results, latency.quantile("ticket_in_force_p99_ms", "3 instances", 99))
+		return nil
+	})
+}
+
+// control measures what idle instances use.
+func (r *runner) control(ctx context.Context) error {
+	for _, nodes := range r.nodes {
+		err := with(ctx, nodes, 2, nil, func(f *harness.Fleet, _ *harness.Caller) error {
+			return r.idle(ctx, f, nodes)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *runner) idle(ctx context.Context, f *harness.Fleet, nodes int) error {
+	// The exchange after the start isn't part of the steady state.
+	time.Sleep(2 * time.Second)
+	before, err := f.Usage(ctx)
+	if err != nil {
+		return err
+	}
+	time.Sleep(r.controlTime)
+	after, err := f.Usage(ctx)
+	if err != nil {
+		return err
+	}
+	seconds := after.At.Sub(before.At).Seconds() * float64(nodes)
+	variant := fmt.Sprintf("%d nodes", nodes)
+	r.add("control_bytes_per_s", variant, "bytes/s", float64(after.Bytes-before.Bytes)/seconds, nodes)
+	r.add("control_cpu_share", variant, "cores", (after.CPU-before.CPU).Seconds()/seconds, nodes)
+	r.add("control_rss_mb", variant, "MB", float64(after.RSSBytes)/float64(nodes)/1e6, nodes)
+	return nil
+}
--- a/standins/cutproxy/link.go
+++ b/standins/cutproxy/link.go
@@ -112,6 +112,9 @@
 		if !l.pause(c.at.Add(delay), limiter, len(c.data)) || !l.gates[direction].wait(l.ctx) {
 			return
 		}
+		if see := l.proxy.tapped(); see != nil {
+			see(l.source, direction, c.data)
+		}
 		if _, err := to.Write(c.data); err != nil {
 			l.close()
 			return
--- a/standins/cutproxy/proxy.go
+++ b/standins/cutproxy/proxy.go
@@ -47,6 +47,7 @@
 	bytes       map[string]*Bytes
 	connections uint64
 	closed      bool
+	tap         func(source string, direction Direction, data []byte)
 }
 
 // New returns a proxy that listens on the address. sources may be nil, then
@@ -236,6 +237,20 @@
 	return delay, limiter
 }
 
+// Tap passes everything that goes through the proxy to a function. It must not
+// keep the data.
+func (p *Proxy) Tap(see func(source string, direction Direction, data []byte)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tap = see
+}
+
+func (p *Proxy) tapped() func(string, Direction, []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tap
+}
+
 func (p *Proxy) count(source string, direction Direction, n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standins/harness/admin.go
+++ b/standins/harness/admin.go
@@ -187,6 +187,32 @@
 	return f.WaitReady(ctx)
 }
 
+// inForce asks an instance whether a ticket is in force.
+func (f *Fleet) inForce(ctx context.Context, i *Instance, number uint64) (bool, error) {
+	var status struct {
+		Accepted uint64 `json:"accepted"`
+	}
+	err := getJSON(ctx, "http://"+i.Operator+"/v1/status", OperatorToken, &status)
+	return err == nil && status.Accepted >= number, err
+}
+
+// WaitInForce waits until every live instance reports the ticket as in force.
+func (f *Fleet) WaitInForce(ctx context.Context, number uint64) error {
+	for _, i := range f.Instances() {
+		for i.Alive() {
+			done, err := f.inForce(ctx, i, number)
+			if done {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("harness: ticket %d is not in force at %s: %w", number, i.Spec.ID, errors.Join(err, ctx.Err()))
+			}
+			time.Sleep(pollInterval / 2)
+		}
+	}
+	return nil
+}
+
 // WaitReady waits until every live instance answers /readyz with 200.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	var errs []error
