--- a/standins/bench/recovery.go
+++ b/standins/bench/recovery.go
@@ -10,24 +10,13 @@
 // recovery measures resume latency and the cost of recovery in each mode and
 // with the baselines.
 func (r *runner) recovery(ctx context.Context) error {
-	variants := []struct {
-		name      string
-		arguments []string
-	}{
-		{"eager", []string{"--recovery", "eager"}},
-		{"sparing", []string{"--recovery", "sparing"}},
-	}
-	if r.baselines && harness.HasFlag("baseline") {
-		variants = append(variants, struct {
-			name      string
-			arguments []string
-		}{"start_over", []string{"--baseline", "start_over"}}, struct {
-			name      string
-			arguments []string
-		}{"fixed_timeout", []string{"--baseline", "fixed_timeout"}})
+	variants := []struct{ name, setting string }{{"eager", "eager"}, {"sparing", "sparing"}}
+	if r.baselines {
+		variants = append(variants, struct{ name, setting string }{"start_over", "start-over"})
+		variants = append(variants, struct{ name, setting string }{"fixed_timeout", "fixed-timeout"})
 	}
 	for _, v := range variants {
-		err := with(ctx, 3, 4, argue(v.arguments...), func(f *harness.Fleet, c *harness.Caller) error {
+		err := with(ctx, 3, 4, argue("--recovery", v.setting), func(f *harness.Fleet, c *harness.Caller) error {
 			return r.faults(ctx, f, c, v.name)
 		})
 		if err != nil {
--- a/standins/harness/usage.go
+++ b/standins/harness/usage.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -91,13 +89,3 @@
 	}
 	return cpu, resident * uint64(os.Getpagesize()), nil
 }
-
-// HasFlag reports whether the instance binary has a flag.
-func HasFlag(name string) bool {
-	binaries, err := Build()
-	if err != nil {
-		return false
-	}
-	help, err := exec.Command(filepath.Join(binaries, "hibiscusstair"), "--help").CombinedOutput()
-	return err == nil && strings.Contains(string(help), "--"+name+" ")
-}
