Decide the life of a claim in a pure core

An order whose claim or outcome hits a lost answer, a pause, an outage or the death of its holder needs one place that decides what may be done and said. Core has no I/O and no clock: it reads a claim back after a lost answer and recognises its claim id, refuses an unsent order at the end of its window, deletes a claim that was given up, sends once, records the outcome with retries, and resolves claims without an outcome after they did not change for the window plus 2 s.

--- a/order/claim.go
+++ b/order/claim.go
@@ -63,6 +63,9 @@
 	State    State          `json:"state"`
 	// UnixMilli is the wall clock time of the claim.
 	UnixMilli int64 `json:"time"`
+	// Writer identifies the operation that wrote the state, so that it
+	// recognises its own write after a lost response.
+	Writer string `json:"writer,omitempty"`
 	// Reason explains an outcome other than done.
 	Reason string `json:"reason,omitempty"`
 	// Receipt is the service's answer.
--- a/order/claims.go
+++ b/order/claims.go
@@ -25,10 +25,22 @@
 	shardDigits = 3
 )
 
+// errShardFull says that an object has no room for another claim.
+var errShardFull = errors.New("order: the shard is full")
+
+func shardPrefix(shard int) string {
+	return fmt.Sprintf("%s%0*x/", claimPrefix, shardDigits, shard)
+}
+
 func claimKey(id string) string {
 	return claimPrefix + id[:shardDigits] + "/" + id
 }
 
+// newClaims returns the writer of claims.
+func newClaims(api store.API, _ bool) Claims {
+	return &singleClaims{store: api}
+}
+
 // singleClaims keeps each claim in an object of its own.
 type singleClaims struct {
 	store store.API
@@ -49,7 +61,7 @@
 func (s *singleClaims) Update(ctx context.Context, id string, claim Claim, expect uint64) (uint64, error) {
 	value, err := json.Marshal(claim)
 	if err != nil {
-		return 0, fmt.Errorf("order: encode claim: %w", errors.Join(err, store.ErrUnavailable))
+		return 0, fmt.Errorf("order: encode claim: %w", errors.Join(err, store.ErrRefused))
 	}
 	version, err := s.store.Put(ctx, claimKey(id), value, store.Version(expect))
 	return uint64(version), err
--- a/order/http.go
+++ b/order/http.go
@@ -26,6 +26,9 @@
 	Receipt json.RawMessage `json:"receipt,omitempty"`
 }
 
+// stateInProgress is reported for every claim without an outcome.
+const stateInProgress State = "in_progress"
+
 // Register adds the routes to the callers' mux.
 func (r *Runner) Register(mux *http.ServeMux) {
 	mux.HandleFunc("POST /v1/orders", r.handle(r.postOrder))
@@ -45,17 +48,21 @@
 
 func (r *Runner) handle(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, request *http.Request) {
+		r.calls.Add(1)
+		defer r.calls.Add(-1)
 		if err := r.serve(w, request, next); err != nil {
+			r.metrics.refused(err)
 			httpapi.WriteError(w, err)
 		}
 	}
 }
 
 func (r *Runner) serve(w http.ResponseWriter, request *http.Request, next handler) error {
-	if r.options.Config() == nil {
+	config := r.options.Config()
+	if config == nil {
 		return reason.New(reason.NotReady, "the instance has no configuration yet").WithRetryAfter(time.Second)
 	}
-	account, ok := r.account(httpapi.CredentialSHA256(httpapi.BearerToken(request)))
+	account, ok := r.account(config, httpapi.CredentialSHA256(httpapi.BearerToken(request)))
 	if !ok || account.Half != r.options.Half {
 		return reason.New(reason.Unauthenticated, "no account of this half has the credential")
 	}
@@ -88,13 +95,12 @@
 	return reason.New(reason.BadRequest, "%s has to match %s", field, keyPattern).WithField(field)
 }
 
-func writeStored(c *call, key string, claim Claim) error {
+func stateBody(key string, claim Claim) StateBody {
 	body := StateBody{Key: key, State: claim.State, Run: runOf(claim.State), Reason: claim.Reason, Receipt: claim.Receipt}
 	if !claim.State.Final() {
-		body.State = "in_progress"
+		body.State = stateInProgress
 	}
-	httpapi.WriteJSON(c.w, http.StatusOK, body)
-	return nil
+	return body
 }
 
 func runOf(s State) reason.Run {
--- a/order/lookup.go
+++ b/order/lookup.go
@@ -16,7 +16,7 @@
 	if err := checkKey(id, "id"); err != nil {
 		return err
 	}
-	if err := r.options.Gate(); err != nil {
+	if err := r.mayStart(); err != nil {
 		return err
 	}
 	admission, err := r.options.Admitter.Admit(ctx, api.AdmissionRequest{
--- a/order/runner.go
+++ b/order/runner.go
@@ -6,42 +6,177 @@
 
 import (
 	"context"
+	"errors"
+	"hash/fnv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/ring"
 )
 
-// DispatchWindow is how long after the start of the claim's write the holder
-// may send.
-const DispatchWindow = 2 * time.Second
+const (
+	// tickInterval is the step of the core's timers.
+	tickInterval = 25 * time.Millisecond
+	// eventRing bounds the events that wait for the core.
+	eventRing = 1024
+	// sendTimeout bounds the wait for a service's answer to an order. The order
+	// goes on after its caller has been answered.
+	sendTimeout = 30 * time.Second
+	// drainPoll is how often Drain looks whether all work has ended.
+	drainPoll = 20 * time.Millisecond
+)
 
 // Runner serves orders and lookups.
 type Runner struct {
 	options  Options
 	claims   Claims
 	services *services
+	core     *Core
+	events   *ring.Ring[Event]
+	metrics  *metrics
 	accounts atomic.Pointer[accountIndex]
+	nextOp   atomic.Uint64
+	live     atomic.Int64 // operations of the core that have not ended
+	calls    atomic.Int64 // calls of callers under way
+	draining atomic.Bool
+	stopped  chan struct{}
+
+	mu      sync.Mutex
+	waiting map[uint64]*pending
+}
+
+// pending is what an operation needs outside the core.
+type pending struct {
+	reply    chan Reply
+	body     []byte
+	endpoint api.Endpoint
+	account  api.AccountID
+	grant    *grantHold // nil without a grant
+}
+
+// grantHold releases a grant when both the caller's call and the send have
+// ended.
+type grantHold struct {
+	placer  Placer
+	id      uint64
+	holders atomic.Int32
+	outcome atomic.Int32
+}
+
+func holdGrant(placer Placer, id uint64) *grantHold {
+	h := &grantHold{placer: placer, id: id}
+	h.holders.Store(1)
+	return h
 }
 
-// New returns a runner. Nothing runs before Run.
+func (h *grantHold) release() {
+	if h.holders.Add(-1) == 0 {
+		h.placer.Release(h.id, api.Outcome(h.outcome.Load()))
+	}
+}
+
+// New returns a runner. Orders wait until Run is called.
 func New(o Options) (*Runner, error) {
 	if err := o.complete(); err != nil {
 		return nil, err
 	}
-	r := &Runner{options: o, services: newServices()}
-	r.claims = &singleClaims{store: o.Store}
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(o.Instance))
+	r := &Runner{
+		options:  o,
+		services: newServices(),
+		core:     NewCore(CoreOptions{Instance: o.Instance, Incarnation: o.Incarnation, Seed: seed.Sum64()}),
+		events:   ring.New[Event](eventRing),
+		metrics:  newMetrics(o.Scope.SubScope("order")),
+		stopped:  make(chan struct{}),
+		waiting:  make(map[uint64]*pending),
+	}
+	r.claims = newClaims(o.Store, o.Batch)
 	return r, nil
 }
 
-// Run works until the context ends.
+// Run works until the context ends. It owns the core.
 func (r *Runner) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	defer close(r.stopped)
+	var background sync.WaitGroup
+	defer background.Wait()
+	background.Go(func() { r.sweepLoop(ctx) })
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var event Event
+		select {
+		case <-ctx.Done():
+			return nil
+		case event = <-r.events.C():
+		case <-ticker.C:
+			event = Tick{}
+		}
+		r.step(ctx, event)
+	}
+}
+
+func (r *Runner) step(ctx context.Context, event Event) {
+	for _, action := range r.core.Step(r.options.Clock(), event) {
+		r.execute(ctx, action)
+	}
+	r.live.Store(int64(r.core.Live()))
+}
+
+// Drain refuses new calls and waits until running calls have ended and known
+// outcomes are recorded.
+func (r *Runner) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		if r.calls.Load() == 0 && r.live.Load() == 0 && r.events.Len() == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-r.stopped:
+			return errors.New("order: stopped before all work had ended")
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// post hands an event to the core and reports false when the ring is full.
+func (r *Runner) post(event Event, op uint64, p *pending) bool {
+	r.mu.Lock()
+	r.waiting[op] = p
+	r.mu.Unlock()
+	if r.events.Offer(event) {
+		return true
+	}
+	r.forget(op)
+	return false
+}
+
+func (r *Runner) forget(op uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, op)
+}
+
+func (r *Runner) pending(op uint64) *pending {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waiting[op]
 }
 
-// Drain waits until the orders and lookups that run have ended.
-func (r *Runner) Drain(context.Context) error { return nil }
+// mayStart checks whether the instance takes new work.
+func (r *Runner) mayStart() error {
+	if r.draining.Load() {
+		return reason.New(reason.ShuttingDown, "the instance is draining").WithRetryAfter(time.Second)
+	}
+	return r.options.Gate()
+}
 
 // accountIndex finds an account by its credential in one configuration.
 type accountIndex struct {
@@ -49,11 +184,7 @@
 	accounts map[string]api.Account
 }
 
-func (r *Runner) account(credential string) (api.Account, bool) {
-	config := r.options.Config()
-	if config == nil {
-		return api.Account{}, false
-	}
+func (r *Runner) account(config *api.Config, credential string) (api.Account, bool) {
 	index := r.accounts.Load()
 	if index == nil || index.config != config {
 		index = indexAccounts(config)
--- a/order/service.go
+++ b/order/service.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -219,4 +220,31 @@
 	return response.StatusCode, body, response.Header, nil
 }
 
+// fence makes the service reject the order with any lower number and returns
+// whether the order is booked.
+func (s *services) fence(ctx context.Context, endpoint api.Endpoint, id string, number uint64) (booked bool, err error) {
+	body := fmt.Sprintf(`{"fence":%d}`, number)
+	target := "http://" + endpoint.Address + "/orders/" + id + "/fence"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, target, strings.NewReader(body))
+	if err != nil {
+		return false, err
+	}
+	response, err := s.lookups.Do(request)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("the service answered with status %d", response.StatusCode)
+	}
+	var answer struct {
+		Booked *bool `json:"booked"`
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReceiptBytes)).Decode(&answer)
+	if err != nil || answer.Booked == nil {
+		return false, errors.New("the service did not say whether the order is booked")
+	}
+	return *answer.Booked, nil
+}
+
 func lookupPath(id string) string { return "/lookups/" + url.PathEscape(id) }
--- a/order/submit.go
+++ b/order/submit.go
@@ -4,32 +4,23 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/httpapi"
 	"github.com/hibiscusstair/hibiscusstair/reason"
-	"github.com/hibiscusstair/hibiscusstair/store"
 )
 
+// replySlack is how much longer than its deadline a call waits for the core.
+const replySlack = time.Second
+
 func (r *Runner) postOrder(ctx context.Context, c *call) error {
-	key := c.r.Header.Get("Idempotency-Key")
-	if key == "" {
-		return reason.New(reason.KeyRequired, "an order needs an Idempotency-Key").WithField("Idempotency-Key")
-	}
-	if err := checkKey(key, "Idempotency-Key"); err != nil {
-		return err
-	}
-	body, err := httpapi.ReadBody(c.w, c.r, r.options.MaxBodyBytes)
+	key, body, err := r.readOrder(c)
 	if err != nil {
 		return err
 	}
-	if !json.Valid(body) {
-		return reason.New(reason.BadRequest, "the body has to be JSON").WithField("body")
-	}
-	if err := r.options.Gate(); err != nil {
+	if err := r.mayStart(); err != nil {
 		return err
 	}
 	admission, err := r.options.Admitter.Admit(ctx, api.AdmissionRequest{
@@ -39,64 +30,72 @@
 		return err
 	}
 	defer r.options.Admitter.Release(admission)
-	grant, err := r.options.Placer.Place(ctx, api.PlacementRequest{
+	grant, placeErr := r.options.Placer.Place(ctx, api.PlacementRequest{
 		Kind: api.KindService, Account: c.account.ID, Priority: api.PriorityOrder, Bytes: len(body),
 	})
+	p := &pending{reply: make(chan Reply, 1), body: body, endpoint: grant.Endpoint, account: c.account.ID}
+	var refusal *reason.Error
+	if placeErr != nil {
+		refusal = reason.From(placeErr).WithRun(reason.RunNo)
+	} else {
+		p.grant = holdGrant(r.options.Placer, grant.ID)
+		defer p.grant.release()
+	}
+	reply, err := r.submit(c, key, p, refusal)
 	if err != nil {
 		return err
 	}
-	outcome := api.OutcomeCompleted
-	defer func() { r.options.Placer.Release(grant.ID, outcome) }()
-	return r.runOrder(ctx, c, key, body, grant.Endpoint)
+	if reply.Refusal != nil {
+		return reply.Refusal
+	}
+	return answer(c, key, reply.Claim)
 }
 
-func (r *Runner) runOrder(ctx context.Context, c *call, key string, body []byte, endpoint api.Endpoint) error {
-	start := r.options.Clock()
-	id := orderID(c.account.ID, key)
-	claim := Claim{
-		Digest: bodyDigest(body), ClaimID: rand.Text(), Instance: r.options.Instance,
-		Incarnation: r.options.Incarnation, Endpoint: endpoint.ID, State: StateClaimed, UnixMilli: time.Now().UnixMilli(),
+func (r *Runner) readOrder(c *call) (key string, body []byte, err error) {
+	key = c.r.Header.Get("Idempotency-Key")
+	if key == "" {
+		return "", nil, reason.New(reason.KeyRequired, "an order needs an Idempotency-Key").WithField("Idempotency-Key")
 	}
-	revision, err := r.claims.Create(ctx, id, claim)
-	if errors.Is(err, store.ErrConflict) {
-		return r.recorded(ctx, c, key, id, claim.Digest)
+	if err := checkKey(key, "Idempotency-Key"); err != nil {
+		return "", nil, err
 	}
+	body, err = httpapi.ReadBody(c.w, c.r, r.options.MaxBodyBytes)
 	if err != nil {
-		return reason.New(reason.StoreUnavailable, "the claim could not be written").WithRetryAfter(time.Second)
+		return "", nil, err
 	}
-	mayWrite := func() error {
-		if r.options.Clock()-start >= DispatchWindow || !r.options.Config().MayDispatch(endpoint.ID, r.options.Half) {
-			return errNotSent
-		}
-		return nil
+	if !json.Valid(body) {
+		return "", nil, reason.New(reason.BadRequest, "the body has to be JSON").WithField("body")
 	}
-	result, receipt, _ := send(ctx, outgoing{endpoint: endpoint, id: id, fence: revision, body: body, mayWrite: mayWrite})
-	claim.State, claim.Receipt = outcomeOf(result), receipt
-	_, _ = r.claims.Update(context.WithoutCancel(ctx), id, claim, revision)
-	return answer(c, key, claim)
+	return key, body, nil
 }
 
-func (r *Runner) recorded(ctx context.Context, c *call, key, id, digest string) error {
-	stored, err := r.claims.Read(ctx, id)
-	if err != nil {
-		return reason.New(reason.StoreUnavailable, "the claim could not be read").WithRun(reason.RunUnknown)
-	}
-	if stored.Digest != digest {
-		return reason.New(reason.KeyReused, "the Idempotency-Key was used with another body")
+func (r *Runner) submit(c *call, key string, p *pending, refusal *reason.Error) (Reply, error) {
+	op := r.nextOp.Add(1)
+	claim := Claim{
+		Digest: bodyDigest(p.body), ClaimID: rand.Text(), Instance: r.options.Instance,
+		Incarnation: r.options.Incarnation, Endpoint: p.endpoint.ID, State: StateClaimed, UnixMilli: time.Now().UnixMilli(),
 	}
-	return answer(c, key, stored.Claim)
+	event := Submit{Op: op, ID: orderID(c.account.ID, key), Claim: claim, Deadline: c.deadline, Refusal: refusal}
+	return r.await(c, op, p, event)
 }
 
-func outcomeOf(result SendResult) State {
-	switch result {
-	case SendBooked:
-		return StateDone
-	case SendRejected:
-		return StateRejected
-	case SendSkipped, SendRefused:
-		return StateNotRun
-	default:
-		return StateUnknown
+// await posts the event and waits for the core's reply.
+func (r *Runner) await(c *call, op uint64, p *pending, event Event) (Reply, error) {
+	if !r.post(event, op, p) {
+		return Reply{}, reason.New(reason.Overloaded, "too many orders are waiting").WithRetryAfter(time.Second)
+	}
+	timer := time.NewTimer(c.deadline - r.options.Clock() + replySlack)
+	defer timer.Stop()
+	unknown := reason.New(reason.OrderUnknown, "the order may have run; ask for its state").WithRun(reason.RunUnknown)
+	select {
+	case reply := <-p.reply:
+		return reply, nil
+	case <-c.r.Context().Done():
+		return Reply{}, reason.New(reason.CallerGone, "the caller closed its connection").WithRun(reason.RunUnknown)
+	case <-r.stopped:
+		return Reply{}, unknown
+	case <-timer.C:
+		return Reply{}, unknown
 	}
 }
 
@@ -104,30 +103,41 @@
 func answer(c *call, key string, claim Claim) error {
 	switch claim.State {
 	case StateDone:
-		httpapi.WriteJSON(c.w, http.StatusCreated, StateBody{Key: key, State: claim.State, Run: reason.RunYes, Receipt: claim.Receipt})
+		httpapi.WriteJSON(c.w, http.StatusCreated, stateBody(key, claim))
 		return nil
 	case StateRejected:
 		return reason.New(reason.OrderRejected, "the service refused the order")
 	case StateNotRun:
-		return reason.New(reason.DispatchWindow, "the order was not sent")
+		return reason.New(notRunReason(claim), "the order was not run and the key is used up; send it with a new key")
 	case StateUnknown:
 		return reason.New(reason.OrderUnknown, "the order may have run; ask for its state").WithRun(reason.RunUnknown)
 	default:
-		return reason.New(reason.OrderInProgress, "the order is being dispatched").WithRun(reason.RunUnknown).WithRetryAfter(time.Second)
+		return reason.New(reason.OrderInProgress, "the order is being dispatched").
+			WithRun(reason.RunUnknown).WithRetryAfter(time.Second)
 	}
 }
 
-func (r *Runner) getOrder(ctx context.Context, c *call) error {
+func notRunReason(claim Claim) reason.Reason {
+	if recorded := reason.Reason(claim.Reason); recorded.Help() != "" {
+		return recorded
+	}
+	return reason.DispatchWindow
+}
+
+func (r *Runner) getOrder(_ context.Context, c *call) error {
 	key := c.r.PathValue("key")
 	if err := checkKey(key, "key"); err != nil {
 		return err
 	}
-	stored, err := r.claims.Read(ctx, orderID(c.account.ID, key))
-	if errors.Is(err, store.ErrNotFound) {
-		return reason.New(reason.NotFound, "no order has the key")
-	}
+	op := r.nextOp.Add(1)
+	p := &pending{reply: make(chan Reply, 1)}
+	reply, err := r.await(c, op, p, Query{Op: op, ID: orderID(c.account.ID, key), Deadline: c.deadline})
 	if err != nil {
-		return reason.New(reason.StoreUnavailable, "the claim could not be read").WithRun(reason.RunUnknown)
+		return err
+	}
+	if reply.Refusal != nil {
+		return reply.Refusal
 	}
-	return writeStored(c, key, stored.Claim)
+	httpapi.WriteJSON(c.w, http.StatusOK, stateBody(key, reply.Claim))
+	return nil
 }
