--- /dev/null
+++ b/instance/build.go
@@ -0,0 +1,198 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
+	"github.com/hibiscusstair/hibiscusstair/generation"
+	"github.com/hibiscusstair/hibiscusstair/limits"
+	"github.com/hibiscusstair/hibiscusstair/order"
+	"github.com/hibiscusstair/hibiscusstair/peer"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/placement"
+	"github.com/hibiscusstair/hibiscusstair/settings"
+	"github.com/hibiscusstair/hibiscusstair/store"
+	"github.com/hibiscusstair/hibiscusstair/suspect"
+	"github.com/hibiscusstair/hibiscusstair/ticket"
+)
+
+func (i *Instance) buildStore() (err error) {
+	i.clients = peer.NewClients(i.settings.PeerSecret, i.scope("peer"))
+	i.store, err = store.New(store.Options{
+		URL:     i.settings.StoreURL,
+		Timeout: i.settings.StoreTimeout,
+		Scope:   i.scope("store"),
+	})
+	return err
+}
+
+func (i *Instance) buildTicket() (err error) {
+	i.ticket, err = ticket.New(ticket.Options{
+		Instance:            i.settings.Instance,
+		Half:                i.settings.Half,
+		Place:               i.settings.Place,
+		Address:             i.settings.PeerListen.String(),
+		Store:               i.store,
+		Members:             func() []api.Member { return i.fleet.Members() },
+		Incarnation:         func() uint64 { return i.fleet.Incarnation() },
+		Watch:               func() bool { return i.fleet.Watch() },
+		Clients:             i.clients,
+		Busy:                func(id api.EndpointID) int { return i.placement.Running(id) },
+		Expel:               func(ctx context.Context, id api.InstanceID) error { return i.fleet.Expel(ctx, id) },
+		OperatorTokenSHA256: i.settings.OperatorTokenSHA256,
+		MaxBodyBytes:        i.settings.MaxBodyBytes,
+		Log:                 i.log,
+		Scope:               i.scope("ticket"),
+		Clock:               clock,
+		Seed:                i.incarnation,
+	})
+	return err
+}
+
+func (i *Instance) buildFleet() (err error) {
+	i.fleet, err = fleet.New(fleet.Options{
+		Instance:    i.settings.Instance,
+		Incarnation: i.incarnation,
+		Half:        i.settings.Half,
+		Place:       i.settings.Place,
+		Address:     i.settings.PeerListen.String(),
+		Seeds:       i.seeds(),
+		Store:       i.store,
+		Clients:     i.clients,
+		Sources:     []fleet.DeltaSource{i.placement, i.limits, i.suspect},
+		Tickets:     i.ticket,
+		Expel:       string(i.settings.Expel),
+		Log:         i.log,
+		Scope:       i.scope("fleet"),
+		Clock:       clock,
+		Seed:        i.incarnation,
+	})
+	return err
+}
+
+func (i *Instance) buildPlacement() (err error) {
+	i.placement, err = placement.New(placement.Options{
+		Instance:          i.settings.Instance,
+		Half:              i.settings.Half,
+		Place:             i.settings.Place,
+		Config:            i.config,
+		LinkBitsPerSecond: i.settings.LinkBitsPerSec,
+		Log:               i.log,
+		Scope:             i.scope("placement"),
+		Clock:             clock,
+		Seed:              i.incarnation,
+	})
+	return err
+}
+
+func (i *Instance) buildLimits() (err error) {
+	i.limits, err = limits.New(limits.Options{
+		Instance:  i.settings.Instance,
+		Config:    i.config,
+		Instances: func() int { return i.fleet.Live(i.settings.Half) },
+		Log:       i.log,
+		Scope:     i.scope("limits"),
+		Clock:     clock,
+	})
+	return err
+}
+
+func (i *Instance) buildGeneration() (err error) {
+	mode, baseline := recovery(i.settings.Recovery)
+	i.generation, err = generation.New(generation.Options{
+		Instance:        i.settings.Instance,
+		Half:            i.settings.Half,
+		Place:           i.settings.Place,
+		Config:          i.config,
+		Gate:            i.gate,
+		Placer:          i.placement,
+		Admitter:        i.limits,
+		Marks:           i.suspect,
+		Peers:           peers{i},
+		Recovery:        mode,
+		Baseline:        baseline,
+		RequestTimeout:  i.settings.RequestTimeout,
+		MaxTimeout:      i.settings.MaxTimeout,
+		SlowCallerBound: i.settings.SlowCallerBound,
+		MaxBodyBytes:    i.settings.MaxBodyBytes,
+		MaxTokens:       i.settings.MaxTokens,
+		Log:             i.log,
+		Scope:           i.scope("generation"),
+		Clock:           clock,
+	})
+	return err
+}
+
+// recovery splits the setting into the generation slice's mode and baseline.
+func recovery(mode settings.RecoveryMode) (string, string) {
+	switch mode {
+	case settings.RecoveryStartOver:
+		return generation.RecoverySparing, generation.BaselineStartOver
+	case settings.RecoveryFixedTimeout:
+		return generation.RecoverySparing, generation.BaselineFixedTimeout
+	default:
+		return string(mode), ""
+	}
+}
+
+func (i *Instance) buildOrder() (err error) {
+	i.order, err = order.New(order.Options{
+		Instance:       i.settings.Instance,
+		Incarnation:    i.incarnation,
+		Half:           i.settings.Half,
+		Place:          i.settings.Place,
+		Config:         i.config,
+		Gate:           i.gate,
+		Store:          i.store,
+		Placer:         i.placement,
+		Admitter:       i.limits,
+		RequestTimeout: i.settings.RequestTimeout,
+		MaxTimeout:     i.settings.MaxTimeout,
+		MaxBodyBytes:   i.settings.MaxBodyBytes,
+		Log:            i.log,
+		Scope:          i.scope("order"),
+		Clock:          clock,
+	})
+	return err
+}
+
+func (i *Instance) registerCaller() {
+	i.callerMux.Handle("POST /v1/completions", i.generation.Handler())
+	i.order.Register(i.callerMux)
+}
+
+// peers shows the fleet's members to the generation slice.
+type peers struct{ *Instance }
+
+func (p peers) Live() []generation.PeerInfo {
+	var live []generation.PeerInfo
+	for _, member := range p.fleet.Members() {
+		if member.State != api.MemberAlive || member.ID == p.settings.Instance {
+			continue
+		}
+		live = append(live, generation.PeerInfo{ID: member.ID, Address: member.Address, Place: member.Place})
+	}
+	return live
+}
+
+func (p peers) Client(address string) peerpb.Peer { return p.clients.Client(address) }
+
+// seeds returns the configured peer addresses as text.
+func (i *Instance) seeds() []string {
+	var seeds []string
+	for _, address := range i.settings.Peers {
+		seeds = append(seeds, address.String())
+	}
+	return seeds
+}
+
+func (i *Instance) buildSuspect() (err error) {
+	i.suspect, err = suspect.New(suspect.RunnerOptions{
+		Store: i.store,
+		Log:   i.log,
+		Scope: i.scope("suspect"),
+		Clock: clock,
+	})
+	return err
+}
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -39,7 +39,7 @@
 	if err := i.fleet.Gate(); err != nil {
 		return err
 	}
-	if i.ticket.Config() == nil {
+	if !i.ticket.Ready() {
 		return reason.New(reason.NotReady, "no configuration from the store or a peer yet")
 	}
 	return nil
@@ -68,7 +68,7 @@
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", i.readyz)
 	mux.HandleFunc("GET /v1/endpoints", i.operatorOnly(i.endpoints))
-	mux.HandleFunc("GET /v1/streams", i.operatorOnly(i.generation.ServeStreams))
-	mux.HandleFunc("GET /v1/requests/{id}", i.operatorOnly(i.generation.ServeTrace))
+	mux.HandleFunc("GET /v1/streams", i.operatorOnly(i.generation.StreamsHandler().ServeHTTP))
+	mux.HandleFunc("GET /v1/requests/{id}", i.operatorOnly(i.generation.TraceHandler().ServeHTTP))
 	i.ticket.Register(mux)
 }
--- a/instance/peerserver.go
+++ b/instance/peerserver.go
@@ -24,6 +24,14 @@
 	return s.ticket.FetchTickets(ctx, r)
 }
 
+func (s peerServer) Offer(ctx context.Context, r *peerpb.OfferRequest) (*peerpb.OfferResponse, error) {
+	return s.ticket.OfferTickets(ctx, r)
+}
+
+func (s peerServer) Acknowledge(ctx context.Context, r *peerpb.AcknowledgeRequest) (*peerpb.AcknowledgeResponse, error) {
+	return s.ticket.Acknowledge(ctx, r)
+}
+
 func (s peerServer) Takeover(_ context.Context, r *peerpb.TakeoverRequest) (*peerpb.TakeoverResponse, error) {
 	return &peerpb.TakeoverResponse{Ended: s.generation.Takeover(r.Generation, r.Attempt)}, nil
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -214,10 +214,12 @@
 
 func applyRecovery(s *Settings, text string) error {
 	s.Recovery = RecoveryMode(text)
-	if s.Recovery != RecoveryEager && s.Recovery != RecoverySparing {
+	switch s.Recovery {
+	case RecoveryEager, RecoverySparing, RecoveryStartOver, RecoveryFixedTimeout:
+		return nil
+	default:
 		return errNotAllowed
 	}
-	return nil
 }
 
 func applyExpel(s *Settings, text string) error {
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -54,7 +54,7 @@
 	{name: "peers", usage: "addresses of other instances to start from", allowed: "comma-separated IP:PORT, may be empty", apply: applyPeers},
 	{name: "operator-token-sha256", usage: "SHA-256 of the operators' bearer token", allowed: "64 hexadecimal digits", required: true, apply: applyOperatorToken},
 	{name: "peer-secret", usage: "secret that instances authenticate each other with", allowed: "at least 16 characters", required: true, secret: true, apply: applyPeerSecret},
-	{name: "recovery", usage: "eager continues on suspicion, sparing probes first", value: "eager", allowed: "eager or sparing", apply: applyRecovery},
+	{name: "recovery", usage: "eager continues on suspicion, sparing probes first; the others are for comparison", value: "eager", allowed: "eager, sparing, start-over or fixed-timeout", apply: applyRecovery},
 	{name: "expel", usage: "who decides that a silent instance is gone: auto trusts the platform's list", value: "auto", allowed: "auto or manual", apply: applyExpel},
 	{name: "link-bits-per-second", usage: "this fleet's share of the paid link between regions", value: "30000000", allowed: "100000 to 100000000000", apply: applyLinkBits},
 	{name: "request-timeout", usage: "deadline of a request that names none", value: "10m", allowed: "1s to 2h", apply: applyRequestTimeout},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,12 @@
 	// RecoverySparing probes first and stays on the engine that holds the
 	// stream if it answers.
 	RecoverySparing RecoveryMode = "sparing"
+	// RecoveryStartOver computes the answer again from its start; it exists to
+	// be measured against.
+	RecoveryStartOver RecoveryMode = "start-over"
+	// RecoveryFixedTimeout acts only after a fixed silence; it exists to be
+	// measured against.
+	RecoveryFixedTimeout RecoveryMode = "fixed-timeout"
 )
 
 // ExpelMode says who decides that a silent instance is gone.
