Run the whole path in the demo

Cause: the order slice's goroutine was not in the run group, and the caller of the harness and the instance had different default temperatures.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -144,6 +144,7 @@
 	}{
 		{"ticket", i.ticket.Run}, {"fleet", i.fleet.Run}, {"placement", i.placement.Run},
 		{"limits", i.limits.Run}, {"suspect", i.suspect.Run}, {"generation", i.generation.Run},
+		{"order", i.order.Run},
 	}
 	for _, duty := range duties {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/standins/harness/caller.go
+++ b/standins/harness/caller.go
@@ -38,7 +38,7 @@
 	Adapter      string  `json:"adapter,omitempty"`
 	Prompt       string  `json:"prompt"`
 	MaxTokens    int     `json:"max_tokens"`
-	Temperature  float64 `json:"temperature,omitempty"`
+	Temperature  float64 `json:"temperature"`
 	Seed         int64   `json:"seed"`
 	Stream       bool    `json:"stream"`
 	PrefixTokens []int   `json:"prefix_tokens,omitempty"`
