--- a/cmd/hibiscusctl/commands.go
+++ b/cmd/hibiscusctl/commands.go
@@ -58,12 +58,14 @@
 		return err
 	}
 	c := fromCommand(cmd)
-	answer, err := c.call(ctx, http.MethodPut, ticketPath(number), body)
+	limit := cmd.Duration("wait")
+	deadline := time.Now().Add(limit)
+	answer, err := c.applyUntil(ctx, number, body, deadline)
 	if err != nil {
 		return err
 	}
-	if wait := cmd.Duration("wait"); wait > 0 {
-		answer, err = c.wait(ctx, number, wait)
+	if limit > 0 {
+		answer, err = c.wait(ctx, number, time.Until(deadline))
 		if err != nil {
 			return err
 		}
@@ -71,6 +73,22 @@
 	return printAnswer(cmd, answer)
 }
 
+// applyUntil issues the ticket, and again until the deadline while no instance
+// can take it, for example because all of them have just started.
+func (c *client) applyUntil(ctx context.Context, number uint64, body []byte, deadline time.Time) (json.RawMessage, error) {
+	for {
+		answer, err := c.call(ctx, http.MethodPut, ticketPath(number), body)
+		if err == nil || !tryNext(err) || !time.Now().Add(pollInterval).Before(deadline) {
+			return answer, err
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 func validate(ctx context.Context, cmd *cli.Command) error {
 	body, _, err := readTicket(cmd)
 	if err != nil {
--- a/cmd/hibiscusctl/main_test.go
+++ b/cmd/hibiscusctl/main_test.go
@@ -75,6 +75,26 @@
 		Expect(calls.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a refusal in the first moments of a fleet that has just
+	// started, which the faults tests on real processes met.
+	It("repeats the apply within the wait while no instance is ready", func() {
+		var calls atomic.Int32
+		starting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPut && calls.Add(1) == 1 {
+				httpapi.WriteError(w, reason.New(reason.NotReady, "the instance has no tickets yet"))
+				return
+			}
+			httpapi.WriteJSON(w, http.StatusOK, map[string]any{"accepted": 7})
+		}))
+		defer starting.Close()
+		_, err := run("--server", serverAddress(starting), "apply", ticketFile, "--wait", "1m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(calls.Load()).To(BeEquivalentTo(2))
+		calls.Store(0)
+		_, err = run("--server", serverAddress(starting), "apply", ticketFile)
+		Expect(exitCode(err)).To(Equal(exitUnreachable))
+	})
+
 	It("gives each kind of failure its exit code", func() {
 		pending := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			httpapi.WriteJSON(w, http.StatusOK, map[string]any{"accepted": 6})
