--- /dev/null
+++ b/internal/servingmodel/shares.go
@@ -0,0 +1,172 @@
+package servingmodel
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/limits"
+)
+
+// Skew says how an account's demand is spread over the instances.
+type Skew string
+
+// Kinds of skew.
+const (
+	SkewUniform  Skew = "uniform"
+	SkewPareto   Skew = "80/20"
+	SkewOne      Skew = "all on one"
+	SkewMoving   Skew = "moving"
+	movingPeriod      = 20 * time.Second
+)
+
+// Skews lists all kinds.
+var Skews = []Skew{SkewUniform, SkewPareto, SkewOne, SkewMoving}
+
+// ShareOptions describes one run of the share model.
+type ShareOptions struct {
+	Instances int
+	Skew      Skew
+	// Limit is the account's rate, Offered the demand relative to it.
+	Limit    float64
+	Offered  float64
+	Seed     uint64
+	Duration time.Duration
+	// CollectLimit bounds the entries of one exchange.
+	CollectLimit int
+}
+
+// DefaultShare returns the setting of the measurements.
+func DefaultShare(instances int, skew Skew, seed uint64) ShareOptions {
+	return ShareOptions{
+		Instances: instances, Skew: skew, Limit: 100, Offered: 2, Seed: seed,
+		Duration: 3 * time.Minute, CollectLimit: 128,
+	}
+}
+
+// ShareResult is the outcome of one run, without its first 20 s.
+type ShareResult struct {
+	// Error is the admitted rate relative to the limit, less 1.
+	Error float64
+	// Highest and Lowest are the extremes of the error over windows of 10 s.
+	Highest float64
+	Lowest  float64
+	// EntriesPerSecond is the number of delta entries that one instance sends.
+	EntriesPerSecond float64
+}
+
+const (
+	shareWarmup = 20 * time.Second
+	shareWindow = 10 * time.Second
+	// neighbours is the number of instances that one exchanges with a second,
+	// and exchangeDelay how long that takes.
+	neighbours    = 3
+	exchangeDelay = 10 * time.Millisecond
+)
+
+type shareRun struct {
+	options  ShareOptions
+	time     *timeline
+	random   *rand.Rand
+	cores    []*limits.Core
+	nextID   uint64
+	admitted []int // by window
+	entries  int
+}
+
+// Share runs the model once.
+func Share(o ShareOptions) ShareResult {
+	r := &shareRun{options: o, time: newTimeline(), random: rand.New(rand.NewPCG(o.Seed, 2))}
+	r.admitted = make([]int, int((shareWarmup+o.Duration)/shareWindow)+1)
+	config := configuration(nil, api.Account{ID: "a", RequestsPerSecond: o.Limit})
+	for i := range o.Instances {
+		core := limits.NewCore(limits.CoreOptions{Instance: api.InstanceID(fmt.Sprintf("i%03d", i)), WallOffset: time.Hour})
+		core.Step(r.time.now, limits.ConfigChanged{Config: config})
+		core.Step(r.time.now, limits.FleetSized{Instances: o.Instances})
+		r.cores = append(r.cores, core)
+		offset := time.Duration(r.random.Float64() * float64(time.Second))
+		r.time.after(offset, func() { r.exchanges(i) })
+	}
+	r.arrive()
+	r.time.runUntil(modelStart + shareWarmup + o.Duration)
+	return r.finish()
+}
+
+// exchanges lets one instance exchange every second with its neighbours on a
+// ring and with one at random.
+func (r *shareRun) exchanges(i int) {
+	r.cores[i].Step(r.time.now, limits.Tick{})
+	count := len(r.cores)
+	for n := 1; n <= min(neighbours, count-1); n++ {
+		r.exchange(i, (i+n)%count)
+	}
+	r.exchange(i, (i+1+r.random.IntN(count-1))%count)
+	r.time.after(time.Second, func() { r.exchanges(i) })
+}
+
+// exchange passes deltas in both directions.
+func (r *shareRun) exchange(i, j int) {
+	r.deliver(i, j)
+	r.deliver(j, i)
+}
+
+func (r *shareRun) deliver(from, to int) {
+	usage := r.cores[from].Collect(r.time.now, r.options.CollectLimit)
+	r.entries += len(usage)
+	r.time.after(exchangeDelay, func() { r.cores[to].Step(r.time.now, limits.UsageMerged{Usage: usage}) })
+}
+
+func (r *shareRun) arrive() {
+	gap := r.random.ExpFloat64() / (r.options.Limit * r.options.Offered)
+	r.time.after(time.Duration(gap*float64(time.Second)), func() {
+		r.nextID++
+		request := api.AdmissionRequest{Account: "a", Priority: api.PriorityInteractive}
+		core := r.cores[r.target()]
+		for _, action := range core.Step(r.time.now, limits.AdmitRequested{ID: r.nextID, Request: request}) {
+			if _, ok := action.(limits.Admitted); ok {
+				r.admitted[(r.time.now-modelStart)/shareWindow]++
+			}
+		}
+		core.Step(r.time.now, limits.Released{ID: r.nextID})
+		r.arrive()
+	})
+}
+
+// target selects the instance that a request arrives at.
+func (r *shareRun) target() int {
+	count := len(r.cores)
+	few := max(1, count/5)
+	switch r.options.Skew {
+	case SkewPareto:
+		if r.random.Float64() < 0.8 {
+			return r.random.IntN(few)
+		}
+		return few + r.random.IntN(count-few)
+	case SkewOne:
+		return 0
+	case SkewMoving:
+		return int((r.time.now-modelStart)/movingPeriod) % count
+	default:
+		return r.random.IntN(count)
+	}
+}
+
+func (r *shareRun) finish() ShareResult {
+	first := int(shareWarmup / shareWindow)
+	last := first + int(r.options.Duration/shareWindow)
+	result := ShareResult{Highest: math.Inf(-1), Lowest: math.Inf(1)}
+	expected := r.options.Limit * shareWindow.Seconds()
+	sum := 0
+	for _, count := range r.admitted[first:last] {
+		sum += count
+		deviation := float64(count)/expected - 1
+		result.Highest = max(result.Highest, deviation)
+		result.Lowest = min(result.Lowest, deviation)
+	}
+	result.Error = float64(sum)/(r.options.Limit*r.options.Duration.Seconds()) - 1
+	seconds := (shareWarmup + r.options.Duration).Seconds()
+	result.EntriesPerSecond = float64(r.entries) / seconds / float64(len(r.cores))
+	return result
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -24,7 +24,9 @@
 	recoveryWindow = 250 * time.Millisecond
 	recoveryShare  = 8
 	// keptForRecovery and keptForOthers are the parts of the slots (1/n) that
-	// new generations, and drafts in particular, leave free.
+	// new generations, and drafts in particular, leave free. An engine with
+	// fewer slots than keptForRecovery keeps none: one of 8 would cost 12% of
+	// its capacity at all times.
 	keptForRecovery = 16
 	keptForOthers   = 4
 	// spillDelay is how long a paced continuation waits for its own region
@@ -162,14 +164,16 @@
 	if slots < 2 || request.Priority == api.PriorityLookup || c.options.faults.noKeptSlots {
 		return slots
 	}
-	divisor := keptForRecovery
+	kept := slots / keptForRecovery
 	switch {
+	case e.configured.Kind == api.KindService:
+		// Orders always leave a slot to lookups.
+		kept = max(1, kept)
 	case request.Priority == api.PriorityDraft && !request.Recovery:
-		divisor = keptForOthers
+		kept = (slots + keptForOthers - 1) / keptForOthers
 	case request.Priority == api.PriorityInteractive && request.Recovery:
-		return slots
+		kept = 0
 	}
-	kept := (slots + divisor - 1) / divisor
 	return max(1, slots-kept)
 }
 
