Add a claim writer that gathers many claims in one write

A claim and its outcome cost two store writes for each order, and the store's writes are shared by all clients. The second writer keeps all claims of a shard in one object; changes that arrive while a write of the shard is under way go into the next write together. Old claims are dropped when their shard is written.

The longer trial of the property with this writer found a fault of the core: a holder that read its own claim back as unknown recorded not_run over it. It reports the recorded outcome now.

--- a/order/claims.go
+++ b/order/claims.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/store"
 )
@@ -36,8 +37,12 @@
 	return claimPrefix + id[:shardDigits] + "/" + id
 }
 
-// newClaims returns the writer of claims.
-func newClaims(api store.API, _ bool) Claims {
+// NewClaims returns a writer of claims, with an object for each claim or with
+// many claims in one object. wall is the wall clock.
+func NewClaims(api store.API, batch bool, wall func() time.Time) Claims {
+	if batch {
+		return newBatchClaims(api, wall)
+	}
 	return &singleClaims{store: api}
 }
 
--- a/order/core_claim.go
+++ b/order/core_claim.go
@@ -139,6 +139,11 @@
 		c.holds(o, stored.Revision)
 		return
 	}
+	if stored.State.Final() {
+		c.reply(o, stored.Claim)
+		c.end(o, false)
+		return
+	}
 	c.conclude(o, StateNotRun, reason.DispatchWindow)
 }
 
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -96,7 +96,7 @@
 	options := w.variant
 	options.Instance, options.Incarnation, options.Seed = api.InstanceID(n.name), n.incarnation, 7
 	n.core = NewCore(options)
-	n.claims = newClaims(w.store, w.batch)
+	n.claims = NewClaims(w.store, w.batch, w.wall)
 	n.pending, n.inbox, n.ops = nil, nil, make(map[uint64]*simOp)
 }
 
@@ -257,9 +257,11 @@
 	return nil
 }
 
+func (w *world) wall() time.Time { return time.UnixMilli(w.now.Milliseconds()) }
+
 // read passes an age by a wall clock that is an hour wrong now and then.
 func (w *world) read(ctx context.Context, n *node, a ReadClaim) Event {
-	event := readEvent(ctx, n.claims, a, time.UnixMilli(w.now.Milliseconds()))
+	event := readEvent(ctx, n.claims, a, w.wall())
 	if w.oneIn(10) {
 		event.Age += time.Hour
 	}
