Measure both claim writers and answer repeats from memory

orderbench runs whole runners against the in-memory store and a service on loopback and reports orders a second, latency and store calls for each order. A repeated key or a question on the holder's own instance gets a known outcome at once; until now it got order_in_progress while the outcome was being recorded, which a test met.

--- a/order/claim.go
+++ b/order/claim.go
@@ -82,8 +82,8 @@
 // idBytes is the length of the hash that names an order.
 const idBytes = 16
 
-// orderID names the order of an account's key in the store and at services.
-func orderID(account api.AccountID, key string) string {
+// ID names the order of an account's key in the store and at services.
+func ID(account api.AccountID, key string) string {
 	sum := sha256.Sum256([]byte(string(account) + "\x00" + key))
 	return hex.EncodeToString(sum[:idBytes])
 }
--- a/order/core.go
+++ b/order/core.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if running, ok := c.holders[e.ID]; ok {
-		c.refuseSubmit(e.Op, sameKey(running.claim, e.Claim.Digest))
+		c.repeat(e, running)
 		return
 	}
 	o := &op{id: e.Op, order: e.ID, claim: e.Claim, digest: e.Claim.Digest, deadline: e.Deadline, refusal: e.Refusal}
@@ -145,12 +145,28 @@
 	c.create(o)
 }
 
+// repeat answers an order whose key is under way on this instance. An outcome
+// that is known counts before it is recorded.
+func (c *Core) repeat(e Submit, running *op) {
+	if running.claim.Digest != e.Claim.Digest || !running.claim.State.Final() {
+		c.refuseSubmit(e.Op, sameKey(running.claim, e.Claim.Digest))
+		return
+	}
+	c.do(Reply{Op: e.Op, Claim: running.claim})
+	c.do(End{Op: e.Op})
+}
+
 func (c *Core) refuseSubmit(id uint64, refusal *reason.Error) {
 	c.do(Reply{Op: id, Refusal: refusal})
 	c.do(End{Op: id})
 }
 
 func (c *Core) query(e Query) {
+	if running, ok := c.holders[e.ID]; ok && running.claim.State.Final() {
+		c.do(Reply{Op: e.Op, Claim: running.claim})
+		c.do(End{Op: e.Op})
+		return
+	}
 	o := &op{id: e.Op, order: e.ID, deadline: e.Deadline, start: c.now, query: true}
 	c.ops[o.id] = o
 	c.readFor(o, phaseAnswering)
--- /dev/null
+++ b/order/orderbench/orderbench_test.go
@@ -0,0 +1,33 @@
+package orderbench
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a measurement that counts failed orders.
+func TestRun(t *testing.T) {
+	for _, batch := range []bool{false, true} {
+		g := NewWithT(t)
+		result, err := Run(context.Background(), Options{
+			Batch: batch, Instances: 2, Callers: 8, StoreLatency: time.Millisecond,
+			Duration: 100 * time.Millisecond, Prefill: 10,
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Failed).To(BeZero())
+		g.Expect(result.Orders).To(BeNumerically(">", 0))
+		g.Expect(result.WritesPerOrder).To(BeNumerically(">", 0))
+	}
+}
+
+// BenchmarkClaims prints the table; run it with -benchtime=1x.
+func BenchmarkClaims(b *testing.B) {
+	for b.Loop() {
+		if err := All(context.Background(), 2*time.Second, func(r Result) { b.Log(r) }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/order/orderbench/result.go
@@ -0,0 +1,93 @@
+package orderbench
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/store"
+	"github.com/hibiscusstair/hibiscusstair/store/storetest"
+)
+
+func (b *bench) counts() (calls, writes int, bytes int64) {
+	writes = b.store.Calls(storetest.Put) + b.store.Calls(storetest.Delete)
+	return writes + b.store.Calls(storetest.Get) + b.store.Calls(storetest.List), writes, b.store.Bytes()
+}
+
+func (b *bench) result(elapsed time.Duration, calls, writes int, bytes int64) Result {
+	orders := b.latencies.TotalCount()
+	r := Result{
+		Options:         b.options,
+		Orders:          orders,
+		Failed:          b.failed.Load(),
+		OrdersPerSecond: float64(orders) / elapsed.Seconds(),
+		P50:             time.Duration(b.latencies.ValueAtQuantile(50)) * time.Microsecond,
+		P99:             time.Duration(b.latencies.ValueAtQuantile(99)) * time.Microsecond,
+	}
+	if orders > 0 && writes > 0 {
+		r.CallsPerOrder = float64(calls) / float64(orders)
+		r.WritesPerOrder = float64(writes) / float64(orders)
+		r.BytesPerOrder = float64(bytes) / float64(orders)
+		r.OrdersAtWriteBudget = store.DefaultFleetWrites / r.WritesPerOrder
+	}
+	return r
+}
+
+// All measures both writers at 1, 8 and 64 callers with store latencies of 2
+// and 20 ms, then the batching writer with 2 and 8 instances on the same
+// shards, and passes each result to report.
+func All(ctx context.Context, duration time.Duration, report func(Result)) error {
+	for _, o := range combinations() {
+		o.Duration = duration
+		result, err := Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		report(result)
+	}
+	return nil
+}
+
+// prefill stands for a day of finished orders, about 30 KB a shard.
+const prefill = 6400
+
+func combinations() []Options {
+	var list []Options
+	latencies := []time.Duration{2 * time.Millisecond, 20 * time.Millisecond}
+	for _, latency := range latencies {
+		for _, callers := range []int{1, 8, 64} {
+			for _, batch := range []bool{false, true} {
+				list = append(list, Options{Batch: batch, Instances: 1, Callers: callers, StoreLatency: latency})
+			}
+		}
+	}
+	for _, latency := range latencies {
+		for _, instances := range []int{2, 8} {
+			for _, batch := range []bool{false, true} {
+				list = append(list, Options{Batch: batch, Instances: instances, Callers: 64, StoreLatency: latency})
+			}
+		}
+		for _, batch := range []bool{false, true} {
+			list = append(list, Options{Batch: batch, Instances: 8, Callers: 64, StoreLatency: latency, Prefill: prefill})
+		}
+	}
+	return list
+}
+
+// fixedPlacer grants the only service.
+type fixedPlacer struct{ endpoint api.Endpoint }
+
+func (p fixedPlacer) Place(context.Context, api.PlacementRequest) (api.Grant, error) {
+	return api.Grant{Endpoint: p.endpoint}, nil
+}
+func (fixedPlacer) Progress(uint64, int)        {}
+func (fixedPlacer) Release(uint64, api.Outcome) {}
+
+// openAdmitter admits everything.
+type openAdmitter struct{}
+
+func (openAdmitter) Admit(context.Context, api.AdmissionRequest) (api.Admission, error) {
+	return api.Admission{}, nil
+}
+func (openAdmitter) Release(api.Admission)        {}
+func (openAdmitter) AllowRetry(api.Priority) bool { return true }
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -167,7 +167,7 @@
 	}
 }
 
-func simOrder(key int) string { return orderID("acct", fmt.Sprint("key", key)) }
+func simOrder(key int) string { return ID("acct", fmt.Sprint("key", key)) }
 
 func (w *world) submit(n *node, key, body int) {
 	w.nextOp++
--- a/order/submit.go
+++ b/order/submit.go
@@ -75,7 +75,7 @@
 		Digest: bodyDigest(p.body), ClaimID: rand.Text(), Instance: r.options.Instance,
 		Incarnation: r.options.Incarnation, Endpoint: p.endpoint.ID, State: StateClaimed, UnixMilli: time.Now().UnixMilli(),
 	}
-	event := Submit{Op: op, ID: orderID(c.account.ID, key), Claim: claim, Deadline: c.deadline, Refusal: refusal}
+	event := Submit{Op: op, ID: ID(c.account.ID, key), Claim: claim, Deadline: c.deadline, Refusal: refusal}
 	return r.await(c, op, p, event)
 }
 
@@ -131,7 +131,7 @@
 	}
 	op := r.nextOp.Add(1)
 	p := &pending{reply: make(chan Reply, 1)}
-	reply, err := r.await(c, op, p, Query{Op: op, ID: orderID(c.account.ID, key), Deadline: c.deadline})
+	reply, err := r.await(c, op, p, Query{Op: op, ID: ID(c.account.ID, key), Deadline: c.deadline})
 	if err != nil {
 		return err
 	}
--- a/store/storetest/faults.go
+++ b/store/storetest/faults.go
@@ -119,6 +119,19 @@
 	return total
 }
 
+// Bytes returns the size of all values that Get returned or Put received.
+func (s *Store) Bytes() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bytes
+}
+
+func (s *Store) addBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bytes += int64(n)
+}
+
 // begin counts the call, chooses its fault and waits for its delay. An error
 // means that the call has no effect.
 func (s *Store) begin(ctx context.Context, call Call) (Fault, error) {
--- a/store/storetest/storetest.go
+++ b/store/storetest/storetest.go
@@ -34,6 +34,7 @@
 	faults    faults
 	late      []func()
 	calls     map[Method]int
+	bytes     int64
 }
 
 type entry struct {
@@ -62,6 +63,7 @@
 		}
 		object = found
 		object.Value = append([]byte(nil), found.Value...)
+		s.bytes += int64(len(found.Value))
 		return nil
 	})
 	return object, err
@@ -105,6 +107,7 @@
 func (s *Store) Put(ctx context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
 	var version store.Version
 	copied := append([]byte(nil), value...)
+	s.addBytes(len(value))
 	err := s.write(ctx, Call{Method: Put, Key: key, Expect: expect}, func() error {
 		if len(copied) > maxValueBytes {
 			return fmt.Errorf("storetest: a value of %d bytes is above the limit", len(copied))
