Keep one claim in each object by default, after measurement

The batching writer was built to save store writes. Its number of shards is an option now, and orderbench measures both writers with 64 and 4 shards.

The single writer stays the default; it needs 2 writes for each order, which the fleet's 300 writes a second allow 150 times a second.

--- a/order/batch.go
+++ b/order/batch.go
@@ -15,9 +15,9 @@
 
 const (
 	batchPrefix = "order-shards/"
-	// batchShards is the number of objects that share all claims. More shards
-	// hold more claims, fewer gather more claims in one write.
-	batchShards = 64
+	// defaultBatchShards is the number of objects that share all claims. More
+	// shards hold more claims, fewer gather more claims in one write.
+	defaultBatchShards = 64
 	// maxShardBytes keeps a shard below the store's limit of 1 MB with room for
 	// the outcomes of its claims.
 	maxShardBytes = 900 << 10
@@ -40,11 +40,14 @@
 // next write together. Conditional updates make writes of several instances to
 // one shard safe.
 type batchClaims struct {
-	shards [batchShards]*shard
+	shards []*shard
 }
 
-func newBatchClaims(api store.API, wall func() time.Time) *batchClaims {
-	b := &batchClaims{}
+func newBatchClaims(api store.API, shards int, wall func() time.Time) *batchClaims {
+	if shards <= 0 {
+		shards = defaultBatchShards
+	}
+	b := &batchClaims{shards: make([]*shard, shards)}
 	for i := range b.shards {
 		b.shards[i] = &shard{store: api, wall: wall, key: fmt.Sprintf("%s%03d", batchPrefix, i)}
 	}
@@ -56,7 +59,7 @@
 	if err != nil {
 		return b.shards[0] // ids are hexadecimal; any fixed shard is correct
 	}
-	return b.shards[number%batchShards]
+	return b.shards[number%uint64(len(b.shards))]
 }
 
 func (b *batchClaims) Create(ctx context.Context, id string, claim Claim) (uint64, error) {
--- a/order/claims.go
+++ b/order/claims.go
@@ -37,13 +37,13 @@
 	return claimPrefix + id[:shardDigits] + "/" + id
 }
 
-// NewClaims returns a writer of claims, with an object for each claim or with
-// many claims in one object. wall is the wall clock.
-func NewClaims(api store.API, batch bool, wall func() time.Time) Claims {
-	if batch {
-		return newBatchClaims(api, wall)
-	}
-	return &singleClaims{store: api}
+// NewClaims returns a writer that keeps each claim in an object of its own.
+func NewClaims(api store.API) Claims { return &singleClaims{store: api} }
+
+// NewBatchClaims returns a writer that keeps many claims in each of a number of
+// objects; 0 stands for the default number. wall is the wall clock.
+func NewBatchClaims(api store.API, shards int, wall func() time.Time) Claims {
+	return newBatchClaims(api, shards, wall)
 }
 
 // singleClaims keeps each claim in an object of its own.
--- a/order/options.go
+++ b/order/options.go
@@ -48,9 +48,12 @@
 	// Batch keeps many claims in one object per shard. All instances on one
 	// store have to use the same value.
 	Batch bool
-	Log   *slog.Logger
-	Scope tally.Scope
-	Clock bootclock.Func
+	// BatchShards is the number of those objects; 0 is a default. All instances
+	// have to use the same value.
+	BatchShards int
+	Log         *slog.Logger
+	Scope       tally.Scope
+	Clock       bootclock.Func
 }
 
 // Defaults of options that are left zero.
@@ -60,6 +63,13 @@
 	defaultMaxBodyBytes   = 256 << 10
 )
 
+func (o *Options) claims() Claims {
+	if o.Batch {
+		return NewBatchClaims(o.Store, o.BatchShards, time.Now)
+	}
+	return NewClaims(o.Store)
+}
+
 func (o *Options) complete() error {
 	if o.Config == nil || o.Store == nil || o.Placer == nil || o.Admitter == nil {
 		return errors.New("order: Config, Store, Placer and Admitter are required")
--- a/order/orderbench/orderbench.go
+++ b/order/orderbench/orderbench.go
@@ -24,6 +24,8 @@
 // Options describes one measurement.
 type Options struct {
 	Batch bool
+	// Shards is the number of objects of the batching writer.
+	Shards int
 	// Instances share the store; the callers are divided among them.
 	Instances int
 	Callers   int
@@ -56,9 +58,9 @@
 func (r Result) String() string {
 	writer := "single"
 	if r.Batch {
-		writer = "batch"
+		writer = fmt.Sprint("batch/", r.Shards)
 	}
-	return fmt.Sprintf("%-6s instances=%d callers=%-2d store=%-4s prefill=%-5d orders/s=%-7.0f p50=%-6.1fms p99=%-6.1fms calls/order=%-5.2f writes/order=%-5.2f KB/order=%-6.1f orders/s at the write budget=%-5.0f failed=%d",
+	return fmt.Sprintf("%-8s instances=%d callers=%-2d store=%-4s prefill=%-5d orders/s=%-7.0f p50=%-6.1fms p99=%-6.1fms calls/order=%-5.2f writes/order=%-5.2f KB/order=%-6.1f orders/s at the write budget=%-5.0f failed=%d",
 		writer, r.Instances, r.Callers, r.StoreLatency, r.Prefill, r.OrdersPerSecond, ms(r.P50), ms(r.P99),
 		r.CallsPerOrder, r.WritesPerOrder, r.BytesPerOrder/1000, r.OrdersAtWriteBudget, r.Failed)
 }
@@ -135,7 +137,7 @@
 		runner, err := order.New(order.Options{
 			Instance: api.InstanceID(fmt.Sprint("instance-", i)), Incarnation: 1, Half: half,
 			Config: func() *api.Config { return b.config }, Store: b.store,
-			Placer: fixedPlacer{b.config.Endpoints["service"]}, Admitter: openAdmitter{}, Batch: b.options.Batch,
+			Placer: fixedPlacer{b.config.Endpoints["service"]}, Admitter: openAdmitter{}, Batch: b.options.Batch, BatchShards: b.options.Shards,
 		})
 		if err != nil {
 			return err
@@ -152,7 +154,10 @@
 // prefill writes finished orders, in parallel and without latency.
 func (b *bench) prefill(ctx context.Context) error {
 	const writers = 32
-	claims := order.NewClaims(b.store, b.options.Batch, time.Now)
+	claims := order.NewClaims(b.store)
+	if b.options.Batch {
+		claims = order.NewBatchClaims(b.store, b.options.Shards, time.Now)
+	}
 	var group sync.WaitGroup
 	var failure atomic.Value
 	for w := 0; w < writers; w++ {
--- a/order/orderbench/orderbench_test.go
+++ b/order/orderbench/orderbench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 // BenchmarkClaims prints the table; run it with -benchtime=1x.
 func BenchmarkClaims(b *testing.B) {
 	for b.Loop() {
-		if err := All(context.Background(), 2*time.Second, func(r Result) { b.Log(r) }); err != nil {
+		if err := All(context.Background(), 2*time.Second, func(r Result) { fmt.Println(r) }); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/order/orderbench/result.go
+++ b/order/orderbench/result.go
@@ -33,9 +33,9 @@
 	return r
 }
 
-// All measures both writers at 1, 8 and 64 callers with store latencies of 2
-// and 20 ms, then the batching writer with 2 and 8 instances on the same
-// shards, and passes each result to report.
+// All measures the writers at 1, 8 and 64 callers with store latencies of 2 and
+// 20 ms, then with 2 and 8 instances on the same shards, and passes each result
+// to report.
 func All(ctx context.Context, duration time.Duration, report func(Result)) error {
 	for _, o := range combinations() {
 		o.Duration = duration
@@ -48,32 +48,36 @@
 	return nil
 }
 
-// prefill stands for a day of finished orders, about 30 KB a shard.
-const prefill = 6400
+const (
+	manyShards = 64
+	fewShards  = 4
+	// prefill is the number of finished orders of the last measurements, about
+	// 30 KB in each of 64 shards.
+	prefill = 6400
+)
 
 func combinations() []Options {
 	var list []Options
-	latencies := []time.Duration{2 * time.Millisecond, 20 * time.Millisecond}
-	for _, latency := range latencies {
+	for _, latency := range []time.Duration{2 * time.Millisecond, 20 * time.Millisecond} {
 		for _, callers := range []int{1, 8, 64} {
-			for _, batch := range []bool{false, true} {
-				list = append(list, Options{Batch: batch, Instances: 1, Callers: callers, StoreLatency: latency})
-			}
+			list = append(list, writers(Options{Instances: 1, Callers: callers, StoreLatency: latency})...)
 		}
-	}
-	for _, latency := range latencies {
 		for _, instances := range []int{2, 8} {
-			for _, batch := range []bool{false, true} {
-				list = append(list, Options{Batch: batch, Instances: instances, Callers: 64, StoreLatency: latency})
-			}
-		}
-		for _, batch := range []bool{false, true} {
-			list = append(list, Options{Batch: batch, Instances: 8, Callers: 64, StoreLatency: latency, Prefill: prefill})
+			list = append(list, writers(Options{Instances: instances, Callers: 64, StoreLatency: latency})...)
 		}
+		list = append(list, writers(Options{Instances: 8, Callers: 64, StoreLatency: latency, Prefill: prefill})...)
 	}
 	return list
 }
 
+// writers returns the measurement for each writer.
+func writers(o Options) []Options {
+	many, few := o, o
+	many.Batch, many.Shards = true, manyShards
+	few.Batch, few.Shards = true, fewShards
+	return []Options{o, many, few}
+}
+
 // fixedPlacer grants the only service.
 type fixedPlacer struct{ endpoint api.Endpoint }
 
--- a/order/runner.go
+++ b/order/runner.go
@@ -94,7 +94,7 @@
 		stopped:  make(chan struct{}),
 		waiting:  make(map[uint64]*pending),
 	}
-	r.claims = NewClaims(o.Store, o.Batch, time.Now)
+	r.claims = o.claims()
 	return r, nil
 }
 
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -96,7 +96,10 @@
 	options := w.variant
 	options.Instance, options.Incarnation, options.Seed = api.InstanceID(n.name), n.incarnation, 7
 	n.core = NewCore(options)
-	n.claims = NewClaims(w.store, w.batch, w.wall)
+	n.claims = NewClaims(w.store)
+	if w.batch {
+		n.claims = NewBatchClaims(w.store, 0, w.wall)
+	}
 	n.pending, n.inbox, n.ops = nil, nil, make(map[uint64]*simOp)
 }
 
