Control engines under a lease with a fencing number

Nothing brought the engines to the models, versions and roles of the configuration. One instance of each half now holds a lease in the store and sends load, unload and role commands. The lease lasts 10 s from before its write and is renewed every 3 s; a command goes out only while 2 s are left, checked in the first write to a connection of its own; a new holder waits until the lease object was unchanged for 12 s. The fencing number grows with each holder and is above the store's version, so that an engine that moves between the halves accepts its new one. Weight loads are paced, and a model is unloaded only if it is no longer served or another engine that keeps it has it. An engine's 409 ends the tenure.

--- /dev/null
+++ b/enginectl/metrics.go
@@ -0,0 +1,34 @@
+package enginectl
+
+import "github.com/uber-go/tally/v4"
+
+var resultNames = map[CommandResult]string{
+	CommandDone:    "done",
+	CommandStale:   "stale_fence",
+	CommandSkipped: "not_sent",
+	CommandUnknown: "unknown",
+}
+
+type commandKey struct {
+	kind   Kind
+	result CommandResult
+}
+
+type metrics struct {
+	commands map[commandKey]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{commands: make(map[commandKey]tally.Counter)}
+	for _, kind := range []Kind{KindLoad, KindUnload, KindRole} {
+		for result, name := range resultNames {
+			tags := map[string]string{"command": string(kind), "result": name}
+			m.commands[commandKey{kind, result}] = scope.Tagged(tags).Counter("commands")
+		}
+	}
+	return m
+}
+
+func (m *metrics) command(kind Kind, result CommandResult) {
+	m.commands[commandKey{kind, result}].Inc(1)
+}
--- /dev/null
+++ b/enginectl/runner.go
@@ -0,0 +1,222 @@
+package enginectl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/ring"
+	"github.com/hibiscusstair/hibiscusstair/store"
+)
+
+const (
+	// leaseKey names the lease; each half has its own.
+	leaseKey = "enginectl-lease"
+	// tickInterval is the step of the core's timers.
+	tickInterval = 100 * time.Millisecond
+	// eventRing bounds the results that wait for the core.
+	eventRing = 256
+	// leaseCallTimeout bounds a store call, so that a slow renewal is noticed
+	// while there is time for another one.
+	leaseCallTimeout = 2 * time.Second
+)
+
+// Options configures a Runner.
+type Options struct {
+	Instance api.InstanceID
+	Half     api.Half
+	// Config returns the configuration as this instance sees it.
+	Config func() *api.Config
+	// Gate returns nil if the instance may start new work.
+	Gate  func() error
+	Store store.API
+	// LoadsPerMinute paces weight loads over all engines of the half.
+	LoadsPerMinute int
+	Log            *slog.Logger
+	Scope          tally.Scope
+	Clock          bootclock.Func
+}
+
+// Status is the state of the engine control on this instance.
+type Status struct {
+	Holder bool   `json:"holder"`
+	Fence  uint64 `json:"fence"`
+	// Engines and Converged count the engines that the holder controls and those
+	// that are in their desired state.
+	Engines   int `json:"engines"`
+	Converged int `json:"converged"`
+}
+
+// Runner runs the engine control of one instance.
+type Runner struct {
+	options Options
+	core    *Core
+	engines *engineClient
+	events  *ring.Ring[Event]
+	metrics *metrics
+	status  atomic.Pointer[Status]
+	held    bool
+}
+
+// New returns a runner. Nothing happens before Run.
+func New(o Options) (*Runner, error) {
+	if o.Config == nil || o.Store == nil || o.Instance == "" {
+		return nil, errors.New("enginectl: Instance, Config and Store are required")
+	}
+	if o.Gate == nil {
+		o.Gate = func() error { return nil }
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Clock == nil {
+		o.Clock = bootclock.Now
+	}
+	r := &Runner{
+		options: o,
+		core: NewCore(CoreOptions{
+			Instance: o.Instance, Half: o.Half, Token: rand.Text(), LoadsPerMinute: o.LoadsPerMinute,
+		}),
+		engines: newEngineClient(),
+		events:  ring.New[Event](eventRing),
+		metrics: newMetrics(o.Scope.SubScope("enginectl")),
+	}
+	r.status.Store(&Status{})
+	return r, nil
+}
+
+// Status returns the current state.
+func (r *Runner) Status() Status { return *r.status.Load() }
+
+// Run works until the context ends. It owns the core.
+func (r *Runner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var event Event
+		select {
+		case <-ctx.Done():
+			return nil
+		case event = <-r.events.C():
+		case <-ticker.C:
+			event = Tick{Config: r.options.Config()}
+		}
+		for _, action := range r.core.Step(r.options.Clock(), event) {
+			r.execute(ctx, action)
+		}
+		r.publish()
+	}
+}
+
+func (r *Runner) publish() {
+	status := r.core.Status()
+	if status.Holder != r.held {
+		r.held = status.Holder
+		r.options.Log.Info("engine control lease changed", "held", status.Holder, "fence", status.Fence)
+	}
+	r.status.Store(&status)
+}
+
+func (r *Runner) execute(ctx context.Context, action Action) {
+	switch a := action.(type) {
+	case ReadLease:
+		r.async(ctx, r.readLease)
+	case WriteLease:
+		r.async(ctx, func(ctx context.Context) Event { return r.writeLease(ctx, a) })
+	case Observe:
+		r.async(ctx, func(ctx context.Context) Event { return r.observe(ctx, a) })
+	case Command:
+		r.async(ctx, func(ctx context.Context) Event { return r.command(ctx, a) })
+	}
+}
+
+func (r *Runner) async(ctx context.Context, call func(context.Context) Event) {
+	go func() {
+		// A result is lost only if the runner ends.
+		_ = r.events.Put(ctx, call(ctx))
+	}()
+}
+
+func (r *Runner) key() string {
+	if r.options.Half == "" {
+		return leaseKey
+	}
+	return leaseKey + "/" + string(r.options.Half)
+}
+
+func (r *Runner) readLease(ctx context.Context) Event {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	return readLease(ctx, r.options.Store, r.key())
+}
+
+func readLease(ctx context.Context, from store.API, key string) LeaseRead {
+	object, err := from.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return LeaseRead{}
+	}
+	var lease Lease
+	if err != nil || json.Unmarshal(object.Value, &lease) != nil {
+		return LeaseRead{Failed: true}
+	}
+	return LeaseRead{Lease: lease, Version: object.Version}
+}
+
+func (r *Runner) writeLease(ctx context.Context, a WriteLease) Event {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	return writeLease(ctx, r.options.Store, r.key(), a)
+}
+
+func writeLease(ctx context.Context, to store.API, key string, a WriteLease) LeaseWritten {
+	value, err := json.Marshal(a.Lease)
+	if err != nil {
+		return LeaseWritten{Result: WriteRefused}
+	}
+	version, err := to.Put(ctx, key, value, a.Expect)
+	switch {
+	case err == nil:
+		return LeaseWritten{Result: WriteOK, Version: version}
+	case errors.Is(err, store.ErrConflict):
+		return LeaseWritten{Result: WriteConflict}
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrRefused):
+		return LeaseWritten{Result: WriteRefused}
+	default:
+		return LeaseWritten{Result: WriteUnknown}
+	}
+}
+
+func (r *Runner) observe(ctx context.Context, a Observe) Event {
+	sentAt := r.options.Clock()
+	report, err := r.engines.load(ctx, a.Endpoint)
+	if err != nil {
+		return Observed{Endpoint: a.Endpoint.ID, Failed: true, SentAt: sentAt}
+	}
+	// The report lags; what it shows is as old as it says.
+	sentAt -= time.Duration(report.AgeMS) * time.Millisecond
+	return Observed{Endpoint: a.Endpoint.ID, Models: report.Models, Role: report.Role, SentAt: sentAt}
+}
+
+func (r *Runner) command(ctx context.Context, a Command) Event {
+	result, err := r.engines.command(ctx, a, func() bool {
+		return r.options.Clock() < a.NotAfter && r.options.Gate() == nil &&
+			r.options.Config().MayDispatch(a.Endpoint.ID, r.options.Half)
+	})
+	r.metrics.command(a.Kind, result)
+	if err != nil {
+		r.options.Log.Warn("command to an engine was not confirmed",
+			"endpoint", a.Endpoint.ID, "command", string(a.Kind), "fence", a.Fence, "error", err.Error())
+	}
+	return Commanded{Endpoint: a.Endpoint.ID, Fence: a.Fence, Result: result}
+}
