Bound each try of a lookup and release each grant once

A silent service used up the whole deadline of a lookup; a try gets half of the remaining time now, and a retry uses a new connection, also to the same service if there is no other. A caller that went away between the claim and the send released its grant twice; the core holds a part of it until its reply. The body of an order is dropped after the send, since its outcome can take minutes to record.

--- a/order/execute.go
+++ b/order/execute.go
@@ -55,6 +55,7 @@
 func (r *Runner) reply(a Reply) {
 	if p := r.pending(a.Op); p != nil {
 		p.reply <- a // has room for the only reply
+		p.grant.release()
 	}
 }
 
@@ -144,6 +145,7 @@
 			return nil
 		},
 	})
+	p.body = nil // the outcome can take minutes to record
 	event := Sent{Op: a.Op, Result: result, Receipt: receipt, Reason: sendReason(result, err)}
 	if result == SendSkipped && errors.Is(err, errNotSent) && refused != "" {
 		event.Reason = refused
@@ -243,7 +245,7 @@
 }
 
 func (r *Runner) bookedAt(ctx context.Context, endpoint api.Endpoint, id string) (AskResult, json.RawMessage) {
-	status, body, _, err := r.services.get(ctx, endpoint, "/orders/"+id)
+	status, body, _, err := get(ctx, r.services.fresh, endpoint, "/orders/"+id)
 	switch {
 	case err != nil:
 		return AskFailed, nil
--- a/order/lookup.go
+++ b/order/lookup.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
 
-// maxLookupAttempts bounds how many endpoints one lookup tries.
+// maxLookupAttempts bounds how often one lookup is sent.
 const maxLookupAttempts = 4
 
 func (r *Runner) getLookup(ctx context.Context, c *call) error {
@@ -52,29 +53,43 @@
 func (r *Runner) lookup(ctx context.Context, c *call, path string) (lookupAnswer, error) {
 	var tried []api.EndpointID
 	var last error
-	for attempt := 0; attempt < maxLookupAttempts; attempt++ {
+	for attempt := 0; attempt < maxLookupAttempts && ctx.Err() == nil; attempt++ {
 		if attempt > 0 && !r.options.Admitter.AllowRetry(api.PriorityLookup) {
-			return lookupAnswer{}, reason.New(reason.RetryBudget, "the retry budget is used up").WithRun(reason.RunUnknown)
+			r.metrics.reasons.Inc(reason.RetryBudget)
+			return lookupAnswer{}, last
 		}
-		grant, err := r.options.Placer.Place(ctx, api.PlacementRequest{
-			Kind: api.KindService, Account: c.account.ID, Priority: api.PriorityLookup, Exclude: tried,
-		})
+		grant, err := r.placeLookup(ctx, c, tried)
 		if err != nil {
 			return lookupAnswer{}, firstError(last, err)
 		}
-		answer, err := r.lookupOnce(ctx, grant, path)
+		answer, err := r.lookupOnce(ctx, grant, path, attempt)
 		if err == nil {
 			return answer, nil
 		}
+		r.metrics.retries.Inc(1)
 		last = err
 		tried = append(tried, grant.Endpoint.ID)
-		if ctx.Err() != nil {
-			break
-		}
+	}
+	if ctx.Err() != nil {
+		last = reason.New(reason.DeadlineExceeded, "no service answered in time").WithRun(reason.RunUnknown)
 	}
 	return lookupAnswer{}, last
 }
 
+// placeLookup prefers an endpoint that was not tried. If there is none, a new
+// connection to one that was tried can still work.
+func (r *Runner) placeLookup(ctx context.Context, c *call, tried []api.EndpointID) (api.Grant, error) {
+	request := api.PlacementRequest{
+		Kind: api.KindService, Account: c.account.ID, Priority: api.PriorityLookup, Exclude: tried,
+	}
+	grant, err := r.options.Placer.Place(ctx, request)
+	if err == nil || len(tried) == 0 {
+		return grant, err
+	}
+	request.Exclude = nil
+	return r.options.Placer.Place(ctx, request)
+}
+
 func firstError(first, second error) error {
 	if first != nil {
 		return first
@@ -82,15 +97,27 @@
 	return second
 }
 
-func (r *Runner) lookupOnce(ctx context.Context, grant api.Grant, path string) (lookupAnswer, error) {
-	status, body, header, err := r.services.get(ctx, grant.Endpoint, path)
+// lookupOnce asks one endpoint. A silent one gets half of the remaining time,
+// so that another can be asked; a retry uses a new connection.
+func (r *Runner) lookupOnce(ctx context.Context, grant api.Grant, path string, attempt int) (lookupAnswer, error) {
+	client := r.services.lookups
+	if attempt > 0 {
+		client = r.services.fresh
+	}
+	if deadline, ok := ctx.Deadline(); ok && attempt < maxLookupAttempts-1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+		defer cancel()
+	}
+	status, body, header, err := get(ctx, client, grant.Endpoint, path)
 	switch {
 	case err != nil:
-		r.options.Placer.Release(grant.ID, api.OutcomeDied)
+		r.options.Placer.Release(grant.ID, api.OutcomeSuspected)
 		return lookupAnswer{}, reason.New(reason.EndpointUnreachable, "the service did not answer").WithRun(reason.RunUnknown)
 	case status >= http.StatusInternalServerError || status == http.StatusTooManyRequests:
 		r.options.Placer.Release(grant.ID, api.OutcomeRefused)
-		return lookupAnswer{}, reason.New(reason.EndpointUnreachable, "the service answered with status %d", status)
+		return lookupAnswer{}, reason.New(reason.EndpointUnreachable, "the service answered with status %d", status).
+			WithRun(reason.RunUnknown)
 	}
 	r.options.Placer.Release(grant.ID, api.OutcomeCompleted)
 	return lookupAnswer{status: status, contentType: contentType(header), body: body}, nil
--- a/order/runner.go
+++ b/order/runner.go
@@ -57,8 +57,8 @@
 	grant    *grantHold // nil without a grant
 }
 
-// grantHold releases a grant when both the caller's call and the send have
-// ended.
+// grantHold releases a grant when the caller's call has ended, the core has
+// replied and the send has ended. A caller may go away before the send.
 type grantHold struct {
 	placer  Placer
 	id      uint64
@@ -68,11 +68,14 @@
 
 func holdGrant(placer Placer, id uint64) *grantHold {
 	h := &grantHold{placer: placer, id: id}
-	h.holders.Store(1)
+	h.holders.Store(2) // the caller's call and the core
 	return h
 }
 
 func (h *grantHold) release() {
+	if h == nil {
+		return
+	}
 	if h.holders.Add(-1) == 0 {
 		h.placer.Release(h.id, api.Outcome(h.outcome.Load()))
 	}
@@ -155,6 +158,7 @@
 		return true
 	}
 	r.forget(op)
+	p.grant.release()
 	return false
 }
 
--- a/order/service.go
+++ b/order/service.go
@@ -50,7 +50,8 @@
 
 // services calls plain services.
 type services struct {
-	lookups *http.Client
+	lookups *http.Client // reuses connections
+	fresh   *http.Client // opens a connection for each call
 }
 
 func newServices() *services {
@@ -60,7 +61,11 @@
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	return &services{lookups: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return &services{
+		lookups: &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		fresh:   &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -200,12 +205,12 @@
 }
 
 // get performs one idempotent read on a service.
-func (s *services) get(ctx context.Context, endpoint api.Endpoint, path string) (int, []byte, http.Header, error) {
+func get(ctx context.Context, client *http.Client, endpoint api.Endpoint, path string) (int, []byte, http.Header, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint.Address+path, nil)
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	response, err := s.lookups.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, nil, err
 	}
@@ -229,7 +234,7 @@
 	if err != nil {
 		return false, err
 	}
-	response, err := s.lookups.Do(request)
+	response, err := s.fresh.Do(request)
 	if err != nil {
 		return false, err
 	}
