Simulate a fleet and watch the registrations together with the head

Acceptance listed the registrations with one more store call per ticket, and the gossip repeated whole tables. One watched prefix now shows the head and the registrations in order, entries of a whole table are not passed on as news, and a report that is unanswered for 200 ms goes to the next collector. Package fleetsim drives the real cores with a simulated network, store and clock.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -33,6 +33,11 @@
 	rejoinInterval = 5 * time.Second
 	// fullInterval is the shortest time between two requests for a whole table.
 	fullInterval = 5 * time.Second
+	// startPhase is how long after its start an instance asks for whole tables
+	// more often: when many start together, all tables have gaps, and each
+	// answer about doubles what an instance knows.
+	startPhase        = 15 * time.Second
+	startFullInterval = time.Second
 	// quietBound is how long no entry may change before a different table hash
 	// counts as a missed change.
 	quietBound = 3 * time.Second
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -13,10 +13,10 @@
 	if from == c.self.ID {
 		actions = append(actions, c.mergeSelf(now, fromProto(r.GetSelf()))...)
 	} else {
-		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSelf()})...)
+		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSelf()}, true)...)
 		c.heard(now, from, r.GetIncarnation(), r.GetSelf())
 	}
-	actions = append(actions, c.merge(now, r.GetDeltas().GetMembers())...)
+	actions = append(actions, c.merge(now, r.GetDeltas().GetMembers(), len(r.GetDeltas().GetMembers()) <= maxEntries)...)
 	if r.GetHeadVersion() > c.tickets.HeadVersion {
 		actions = append(actions, NewerTickets{Address: r.GetSelf().GetAddress(), HeadVersion: r.GetHeadVersion()})
 	}
@@ -64,13 +64,13 @@
 	self := fromProto(r.GetSelf())
 	var actions []Action
 	if r.GetSender() != nil {
-		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSender()})...)
+		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSender()}, true)...)
 	}
 	if self.ID != c.self.ID {
-		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSelf()})...)
+		actions = append(actions, c.merge(now, []*peerpb.Member{r.GetSelf()}, true)...)
 		c.heard(now, self.ID, self.Incarnation, r.GetSelf())
 	}
-	actions = append(actions, c.merge(now, r.GetDeltas().GetMembers())...)
+	actions = append(actions, c.merge(now, r.GetDeltas().GetMembers(), len(r.GetDeltas().GetMembers()) <= maxEntries)...)
 	// Until then every request asks for the whole table.
 	c.joined = c.joined || self.ID != c.self.ID
 	if r.GetHeadVersion() > c.tickets.HeadVersion {
@@ -124,13 +124,25 @@
 // compareTables asks for the peer's whole table when the hashes still differ
 // although no entry has changed for a while.
 func (c *Core) compareTables(now time.Duration, from api.Member, hash uint64) []Action {
-	if hash == c.hash || now-c.lastChange < quietBound || now-c.lastFull < fullInterval {
+	if hash == c.hash {
+		return nil
+	}
+	interval := fullInterval
+	if now-c.startedAt < startPhase {
+		interval = startFullInterval
+	} else if now-c.lastChange < quietBound {
+		return nil
+	}
+	if now-c.lastFull < interval {
 		return nil
 	}
 	c.lastFull = now
-	// The peer may lack entries of ours: spread all of them once more.
-	for _, m := range c.members {
-		m.sends = max(m.sends, 1)
+	// The peer may lack entries of ours. In a small fleet they fit into the
+	// request; in a large one the peer notices the difference as well.
+	if len(c.members) <= maxEntries {
+		for _, m := range c.members {
+			m.sends = max(m.sends, 1)
+		}
 	}
 	return []Action{SendExchange{To: from.ID, Address: from.Address, Request: c.request(now, true)}}
 }
@@ -170,7 +182,7 @@
 	next := m.Member
 	next.State = api.MemberSuspect
 	next.Version++
-	return c.set(now, next)
+	return c.set(now, next, true)
 }
 
 // ageStates moves suspects to dead, expels and forgets.
@@ -182,7 +194,9 @@
 			next := m.Member
 			next.State = api.MemberDead
 			next.Version++
-			actions = append(actions, c.set(now, next)...)
+			actions = append(actions, c.set(now, next, true)...)
+			// The list tells whether the member is to be expelled.
+			c.lastList = now - listInterval
 		case m.State.Gone() && now-m.since >= forgetAfter:
 			c.hash ^= entryHash(m.Member)
 			delete(c.members, id)
@@ -244,7 +258,7 @@
 	next := m.Member
 	next.State = api.MemberExpelled
 	next.Version++
-	return c.set(now, next)
+	return c.set(now, next, true)
 }
 
 func (c *Core) registerDone(now time.Duration, e RegisterDone) []Action {
--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -77,12 +77,12 @@
 
 // isolated reports whether the last confirmation is too old for new work.
 func (c *Core) isolated(now time.Duration) bool {
-	return c.Status(now).check(now) != nil
+	return c.Status(now).Check(now) != nil
 }
 
-// check returns nil if new work may start. A pause shows as an old
+// Check returns nil if new work may start. A pause shows as an old
 // confirmation, because the boot clock runs on.
-func (s Status) check(now time.Duration) error {
+func (s Status) Check(now time.Duration) error {
 	switch {
 	case s.Leaving:
 		return reason.New(reason.ShuttingDown, "the instance is draining")
--- a/fleet/io.go
+++ b/fleet/io.go
@@ -14,8 +14,9 @@
 )
 
 // MemberPrefix is the store prefix of the registrations. A ticket is accepted
-// only when every registered instance has acknowledged it.
-const MemberPrefix = "members/"
+// only when every registered instance has acknowledged it. It lies below the
+// prefix of the ticket head, so that one watch shows both in their order.
+const MemberPrefix = "control/members/"
 
 // Registration is the stored value. An instance is registered from before it
 // serves until it left or was expelled.
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -47,8 +47,9 @@
 	return xxhash.Sum64(key)
 }
 
-// merge applies entries from a peer.
-func (c *Core) merge(now time.Duration, entries []*peerpb.Member) []Action {
+// merge applies entries from a peer. news says that they changed lately and are
+// passed on; the entries of a whole table are not.
+func (c *Core) merge(now time.Duration, entries []*peerpb.Member, news bool) []Action {
 	var actions []Action
 	for _, p := range entries {
 		m := fromProto(p)
@@ -66,13 +67,13 @@
 		if !known && m.State.Gone() && c.options.mergeWithoutIncarnation {
 			continue
 		}
-		actions = append(actions, c.set(now, m)...)
+		actions = append(actions, c.set(now, m, news)...)
 	}
 	return actions
 }
 
 // set replaces a member's entry and spreads it.
-func (c *Core) set(now time.Duration, m api.Member) []Action {
+func (c *Core) set(now time.Duration, m api.Member, news bool) []Action {
 	have, known := c.members[m.ID]
 	from := api.MemberUnknown
 	if known {
@@ -90,7 +91,10 @@
 		c.members[m.ID] = have
 	}
 	c.hash ^= entryHash(m)
-	have.sends = c.retransmissions()
+	have.sends = 0
+	if news {
+		have.sends = c.retransmissions()
+	}
 	have.since = now
 	have.probing = false
 	c.changed(now)
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -240,7 +240,7 @@
 	status := *r.status.Load()
 	// The ticket slice may have had contact since the last event.
 	status.Confirmed = max(status.Confirmed, r.freshContact(status))
-	return status.check(r.options.Clock())
+	return status.Check(r.options.Clock())
 }
 
 func (r *Runner) freshContact(s Status) time.Duration {
--- /dev/null
+++ b/fleetsim/clock.go
@@ -0,0 +1,53 @@
+package fleetsim
+
+import (
+	"container/heap"
+	"time"
+)
+
+// startTime is the boot clock's value at the start of a simulation. It is above
+// all bounds of the cores, so that none holds by accident at time zero.
+const startTime = time.Hour
+
+// timer is something that happens at a time.
+type timer struct {
+	at  time.Duration
+	seq uint64 // keeps the order of timers of one time
+	run func()
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+// clock runs timers in order of time.
+type clock struct {
+	now   time.Duration
+	seq   uint64
+	queue timers
+}
+
+func (c *clock) after(d time.Duration, run func()) {
+	c.seq++
+	heap.Push(&c.queue, timer{at: c.now + d, seq: c.seq, run: run})
+}
+
+// runUntil runs all timers up to a time.
+func (c *clock) runUntil(end time.Duration) {
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		next := heap.Pop(&c.queue).(timer)
+		c.now = next.at
+		next.run()
+	}
+	c.now = end
+}
--- /dev/null
+++ b/fleetsim/measure.go
@@ -0,0 +1,333 @@
+package fleetsim
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/ticket"
+)
+
+// Fault is what goes wrong during a measurement.
+type Fault string
+
+// Faults of MeasureTickets.
+const (
+	FaultNone Fault = "none"
+	// FaultLoss loses 5% of the messages, each way.
+	FaultLoss Fault = "loss"
+	// FaultCutStore cuts every third instance from the store but not from peers.
+	FaultCutStore Fault = "cut_store"
+	// FaultPaused pauses one instance for pauseTime with each ticket.
+	FaultPaused Fault = "paused"
+	// FaultKilled kills one instance with each ticket; another one starts.
+	FaultKilled Fault = "killed"
+	// FaultSlowStore lets the store answer in 2 s.
+	FaultSlowStore Fault = "slow_store"
+)
+
+// Faults lists all faults in the order of a report.
+func Faults() []Fault {
+	return []Fault{FaultNone, FaultLoss, FaultCutStore, FaultPaused, FaultKilled, FaultSlowStore}
+}
+
+const (
+	lossRate      = 0.05
+	slowStore     = 2 * time.Second
+	pauseTime     = 2 * time.Second
+	ticketSpacing = 2 * time.Second
+	// ticketBound is when a ticket that is not in force is given up.
+	ticketBound = time.Minute
+	readyBound  = 3 * time.Minute
+	// settleTime lets the exchanges after the start and after a fault calm down.
+	settleTime = 15 * time.Second
+	// idleTime is how long the traffic without tickets is measured.
+	idleTime = 10 * time.Second
+)
+
+// TicketReport is the result of MeasureTickets. Times are from the operator's
+// request until a ticket is in force on an instance.
+type TicketReport struct {
+	Fault     Fault
+	Instances int
+	Tickets   int
+	P50       time.Duration
+	P99       time.Duration
+	Max       time.Duration
+	// RestrictP99 is until an instance applies the ticket's restrictions.
+	RestrictP99 time.Duration
+	RestrictMax time.Duration
+	// Missed counts pairs of ticket and instance that were not in force within
+	// a minute.
+	Missed int
+	// StoreCallsPerTicket are calls in the time of the tickets above the idle
+	// rate, which StoreCallsPerSecond is.
+	StoreCallsPerSecond float64
+	StoreCallsPerTicket float64
+	// IdleBytesPerSecond is per instance, sent and received, HTTP headers
+	// included; TicketBytes is per instance and ticket above that.
+	IdleBytesPerSecond float64
+	MaxBytesPerSecond  float64 // of the busiest instance while idle
+	TicketBytes        float64
+	// CoreShare is the share of one core that the two cores of an instance use
+	// while idle.
+	CoreShare      float64
+	BytesPerMember float64 // memory for both cores of an instance
+}
+
+func (r TicketReport) String() string {
+	return fmt.Sprintf("instances=%d fault=%s tickets=%d in_force_p50=%s p99=%s max=%s restrict_p99=%s restrict_max=%s missed=%d "+
+		"store_calls_s=%.1f store_calls_ticket=%.1f idle_bytes_s=%.0f idle_bytes_s_max=%.0f ticket_bytes=%.0f core=%.3f%% memory_node=%.0fKB",
+		r.Instances, r.Fault, r.Tickets, r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Max.Round(time.Millisecond),
+		r.RestrictP99.Round(time.Millisecond), r.RestrictMax.Round(time.Millisecond), r.Missed,
+		r.StoreCallsPerSecond, r.StoreCallsPerTicket, r.IdleBytesPerSecond, r.MaxBytesPerSecond, r.TicketBytes,
+		100*r.CoreShare, r.BytesPerMember/1024)
+}
+
+// TicketOptions configures MeasureTickets.
+type TicketOptions struct {
+	Instances int
+	Fault     Fault
+	Tickets   int
+	// Engines and Accounts are the size of the configuration.
+	Engines  int
+	Accounts int
+	Seed     uint64
+}
+
+// MeasureTickets measures how long tickets take until they are in force, and
+// what the control plane costs.
+func MeasureTickets(o TicketOptions) (TicketReport, error) {
+	before := heapBytes()
+	m := newMeasurement(o)
+	if !m.sim.RunUntil(readyBound, m.sim.Ready) {
+		return m.report, fmt.Errorf("fleetsim: %d instances are not ready after %s", o.Instances, readyBound)
+	}
+	if err := m.install(); err != nil {
+		return m.report, err
+	}
+	m.injectStanding()
+	m.sim.Run(settleTime)
+	m.idle()
+	m.report.BytesPerMember = float64(heapBytes()-before) / float64(o.Instances)
+	m.run()
+	return m.report, nil
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+type measurement struct {
+	options  TicketOptions
+	sim      *Sim
+	report   TicketReport
+	inForce  *hdrhistogram.Histogram
+	restrict *hdrhistogram.Histogram
+	number   uint64
+	storeAll int // calls during the idle time
+	next     int // id of the next instance
+}
+
+func newMeasurement(o TicketOptions) *measurement {
+	options := DefaultOptions(o.Instances)
+	options.Seed = o.Seed
+	const maxMicros = int64(2 * ticketBound / time.Microsecond)
+	return &measurement{
+		options: o, sim: New(options), next: o.Instances,
+		report:   TicketReport{Fault: o.Fault, Instances: o.Instances, Tickets: o.Tickets},
+		inForce:  hdrhistogram.New(1, maxMicros, 3),
+		restrict: hdrhistogram.New(1, maxMicros, 3),
+	}
+}
+
+// install brings the configuration into force with one ticket per 500 items.
+func (m *measurement) install() error {
+	for from := 0; from < max(m.options.Engines, m.options.Accounts); from += 500 {
+		t := &ticket.Ticket{}
+		for i := from; i < min(from+500, m.options.Engines); i++ {
+			t.Endpoints = append(t.Endpoints, simEngine(i, "north"))
+		}
+		for i := from; i < min(from+500, m.options.Accounts); i++ {
+			t.Accounts = append(t.Accounts, simAccount(i))
+		}
+		if _, err := m.issue(t, m.sim.nodes[0]); err != nil {
+			return err
+		}
+		number := m.number
+		if !m.sim.RunUntil(ticketBound, func() bool { return m.everywhere(number) }) {
+			return fmt.Errorf("fleetsim: ticket %d is not in force after %s", number, ticketBound)
+		}
+	}
+	return nil
+}
+
+func simEngine(i int, half api.Half) api.Endpoint {
+	return api.Endpoint{
+		ID: api.EndpointID(fmt.Sprintf("e%04d", i)), Kind: api.KindEngine,
+		Address: fmt.Sprintf("10.200.%d.%d:9000", i/250, i%250+1),
+		Place:   api.Place{Region: api.Region(fmt.Sprintf("r%d", i%3)), FailureDomain: api.FailureDomain(fmt.Sprintf("r%d-d%d", i%3, i/3%2))},
+		Half:    half, Models: []api.ModelRef{{Model: "dream", Version: "v3"}}, Slots: 64,
+	}
+}
+
+func simAccount(i int) api.Account {
+	return api.Account{
+		ID: api.AccountID(fmt.Sprintf("a%05d", i)), Half: "north", Priority: api.PriorityInteractive,
+		RequestsPerSecond: 10, CredentialSHA256: fmt.Sprintf("%064x", i+1),
+	}
+}
+
+// issue submits a ticket and returns the time of the submission.
+func (m *measurement) issue(t *ticket.Ticket, at *Node) (time.Duration, error) {
+	m.number++
+	t.Number = m.number
+	start := m.sim.clock.now
+	var result error
+	m.sim.Apply(at, t, func(err error) { result = err })
+	return start, result
+}
+
+func (m *measurement) everywhere(number uint64) bool {
+	for _, n := range m.sim.nodes {
+		if n.running() && n.ticket.Config().Ticket < number {
+			return false
+		}
+	}
+	return true
+}
+
+// injectStanding sets the faults that last for the whole measurement.
+func (m *measurement) injectStanding() {
+	switch m.options.Fault {
+	case FaultLoss:
+		m.sim.options.Loss = lossRate
+	case FaultSlowStore:
+		m.sim.store.delay = slowStore
+	case FaultCutStore:
+		for i, n := range m.sim.nodes {
+			m.sim.CutStore(n, i%3 == 0)
+		}
+	}
+}
+
+// idle measures the traffic and the time in the cores without tickets.
+func (m *measurement) idle() {
+	calls, bytes, core := m.sim.storeCalls(), m.sim.bytes(), m.sim.coreTime()
+	each := make([]int64, len(m.sim.nodes))
+	for i, n := range m.sim.nodes {
+		each[i] = n.bytes
+	}
+	m.sim.measureTime = true
+	m.sim.Run(idleTime)
+	m.sim.measureTime = false
+	perNode := idleTime.Seconds() * float64(len(m.sim.nodes))
+	m.storeAll = m.sim.storeCalls() - calls
+	m.report.StoreCallsPerSecond = float64(m.storeAll) / idleTime.Seconds()
+	m.report.IdleBytesPerSecond = float64(m.sim.bytes()-bytes) / perNode
+	m.report.CoreShare = (m.sim.coreTime() - core).Seconds() / perNode
+	for i, n := range m.sim.nodes {
+		m.report.MaxBytesPerSecond = max(m.report.MaxBytesPerSecond, float64(n.bytes-each[i])/idleTime.Seconds())
+	}
+}
+
+// run issues the tickets one after the other.
+func (m *measurement) run() {
+	begin, calls, bytes := m.sim.clock.now, m.sim.storeCalls(), m.sim.bytes()
+	for i := range m.options.Tickets {
+		m.one(i)
+		m.sim.Run(ticketSpacing)
+	}
+	elapsed := (m.sim.clock.now - begin).Seconds()
+	tickets := float64(m.options.Tickets)
+	m.report.StoreCallsPerTicket = (float64(m.sim.storeCalls()-calls) - m.report.StoreCallsPerSecond*elapsed) / tickets
+	perNode := float64(m.sim.bytes()-bytes) / float64(m.options.Instances)
+	m.report.TicketBytes = (perNode - m.report.IdleBytesPerSecond*elapsed) / tickets
+	m.report.P50 = quantile(m.inForce, 50)
+	m.report.P99 = quantile(m.inForce, 99)
+	m.report.Max = quantile(m.inForce, 100)
+	m.report.RestrictP99 = quantile(m.restrict, 99)
+	m.report.RestrictMax = quantile(m.restrict, 100)
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// one issues a ticket, with its fault, and records when it is in force on each
+// instance that runs throughout.
+func (m *measurement) one(i int) {
+	waiting := m.runningNodes()
+	at := waiting[m.sim.random.IntN(len(waiting))]
+	if m.options.Fault == FaultCutStore {
+		for at.cutStore {
+			at = waiting[m.sim.random.IntN(len(waiting))]
+		}
+	}
+	victim := waiting[m.sim.random.IntN(len(waiting))]
+	for victim == at {
+		victim = waiting[m.sim.random.IntN(len(waiting))]
+	}
+	m.injectFor(victim)
+	half := api.Half("north")
+	if i%2 == 0 {
+		half = "south"
+	}
+	start, _ := m.issue(&ticket.Ticket{Endpoints: []api.Endpoint{simEngine(i%max(m.options.Engines, 1), half)}}, at)
+	m.record(start, waiting)
+	m.sim.RunUntil(ticketBound, func() bool { return m.everywhere(m.number) })
+}
+
+func (m *measurement) runningNodes() []*Node {
+	var running []*Node
+	for _, n := range m.sim.nodes {
+		if n.running() {
+			running = append(running, n)
+		}
+	}
+	return running
+}
+
+func (m *measurement) injectFor(victim *Node) {
+	switch m.options.Fault {
+	case FaultPaused:
+		m.sim.Pause(victim)
+		m.sim.clock.after(pauseTime, func() { m.sim.Resume(victim) })
+	case FaultKilled:
+		m.sim.Kill(victim)
+		m.next++
+		m.sim.addNode(fmt.Sprintf("i%03d", m.next), victim.half, victim.place, nodeVariant{}, time.Second)
+	}
+}
+
+func (m *measurement) record(start time.Duration, waiting []*Node) {
+	restricted := make(map[*Node]bool, len(waiting))
+	left := append([]*Node(nil), waiting...)
+	m.sim.RunUntil(ticketBound, func() bool {
+		rest := left[:0]
+		for _, n := range left {
+			if n.dead {
+				continue
+			}
+			head := n.ticket.Head()
+			if head.Latest >= m.number && !restricted[n] {
+				restricted[n] = true
+				_ = m.restrict.RecordValue((m.sim.clock.now - start).Microseconds())
+			}
+			if head.Accepted >= m.number {
+				_ = m.inForce.RecordValue((m.sim.clock.now - start).Microseconds())
+				continue
+			}
+			rest = append(rest, n)
+		}
+		left = rest
+		return len(left) == 0
+	})
+	m.report.Missed += len(left)
+}
--- /dev/null
+++ b/fleetsim/node.go
@@ -0,0 +1,315 @@
+package fleetsim
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/store"
+	"github.com/hibiscusstair/hibiscusstair/ticket"
+)
+
+// nodeVariant lets a test replace the options of the cores.
+type nodeVariant struct {
+	fleet  func(*fleet.CoreOptions)
+	ticket func(*ticket.CoreOptions)
+}
+
+// Node is one simulated process.
+type Node struct {
+	sim     *Sim
+	id      api.InstanceID
+	half    api.Half
+	place   api.Place
+	address string
+	fleet   *fleet.Core
+	ticket  *ticket.Core
+	variant nodeVariant
+
+	dead     bool
+	leaving  bool
+	paused   bool
+	queued   []func() // events of a paused process
+	side     int      // of a partition
+	cutStore bool
+	listedTo time.Duration // when the platform's list drops it; 0: listed
+
+	generation uint64 // of the member table passed to the ticket core
+	bytes      int64  // sent and received
+	coreTime   time.Duration
+	work       map[api.EndpointID]int // work by endpoint
+}
+
+// addNode starts a process after a delay.
+func (s *Sim) addNode(id string, half api.Half, place api.Place, v nodeVariant, delay time.Duration) *Node {
+	s.starts++
+	n := &Node{
+		sim: s, id: api.InstanceID(id), half: half, place: place, variant: v,
+		address:  fmt.Sprintf("10.%d.%d.%d:7000", s.starts>>16, s.starts>>8&255, s.starts&255),
+		work:     make(map[api.EndpointID]int),
+		listedTo: -1,
+	}
+	s.nodes = append(s.nodes, n)
+	s.byAddr[n.address] = n
+	s.clock.after(delay, n.start)
+	return n
+}
+
+func (n *Node) start() {
+	fo := fleet.CoreOptions{
+		Self: api.Member{
+			ID: n.id, Incarnation: uint64(n.sim.clock.now / time.Millisecond),
+			Address: n.address, Place: n.place, Half: n.half,
+		},
+		AutoExpel: true, Seed: n.sim.options.Seed,
+	}
+	to := ticket.CoreOptions{Instance: n.id, Half: n.half, Address: n.address, Seed: n.sim.options.Seed}
+	if n.variant.fleet != nil {
+		n.variant.fleet(&fo)
+	}
+	if n.variant.ticket != nil {
+		n.variant.ticket(&to)
+	}
+	n.fleet, n.ticket = fleet.NewCore(fo), ticket.NewCore(to)
+	n.listedTo = 0
+	n.generation = ^uint64(0)
+	n.every(fleetTick, func() {
+		n.stepFleet(n.progress(), nil)
+		n.stepFleet(fleet.Tick{}, nil)
+	})
+	n.every(ticketTick, n.tickTicket)
+}
+
+// every runs a periodic event; a paused process misses ticks.
+func (n *Node) every(interval time.Duration, run func()) {
+	if n.dead {
+		return
+	}
+	if !n.paused {
+		run()
+	}
+	n.sim.clock.after(interval, func() { n.every(interval, run) })
+}
+
+func (n *Node) running() bool { return n.fleet != nil && !n.dead && !n.paused }
+
+// deliver runs an event of the process, after its pause if it is paused.
+func (n *Node) deliver(event func()) {
+	switch {
+	case n.dead:
+	case n.paused:
+		n.queued = append(n.queued, event)
+	case n.fleet != nil:
+		event()
+	}
+}
+
+func (n *Node) progress() fleet.TicketProgress {
+	head := n.ticket.Head()
+	return fleet.TicketProgress{
+		HeadVersion: n.ticket.HeadVersion(), Latest: head.Latest, Accepted: head.Accepted,
+		Acknowledged: head.Latest, StoreContact: n.ticket.StoreContact(),
+	}
+}
+
+// gate is what fleet.Runner.Gate answers.
+func (n *Node) gate() error {
+	if n.fleet == nil {
+		return store.ErrUnavailable
+	}
+	status := n.fleet.Status(n.sim.clock.now)
+	if status.Joined {
+		status.Confirmed = max(status.Confirmed, n.ticket.StoreContact())
+	}
+	return status.Check(n.sim.clock.now)
+}
+
+func (n *Node) reachable() int {
+	count := 0
+	for _, m := range n.fleet.Members() {
+		if m.State.Reachable() {
+			count++
+		}
+	}
+	return count
+}
+
+// mayDispatch reports whether the process would start work on the endpoint.
+func (n *Node) mayDispatch(id api.EndpointID) bool {
+	return n.running() && n.gate() == nil && n.ticket.Config().MayDispatch(id, n.half)
+}
+
+func (n *Node) tickTicket() {
+	if generation := n.fleet.Generation(); generation != n.generation {
+		n.generation = generation
+		n.stepTicket(ticket.MembersChanged{Members: n.fleet.Members()}, nil)
+	}
+	var busy []api.EndpointID
+	for _, id := range n.ticket.Leaving() {
+		if n.work[id] > 0 {
+			busy = append(busy, id)
+		}
+	}
+	status := n.fleet.Status(n.sim.clock.now)
+	n.stepTicket(ticket.Tick{Incarnation: status.Incarnation, Watch: status.Watch, Busy: busy}, nil)
+}
+
+// stepFleet runs the core; respond receives the answer of an exchange.
+func (n *Node) stepFleet(ev fleet.Event, respond func(*peerpb.ExchangeResponse)) {
+	begin := n.sim.begin()
+	actions := n.fleet.Step(n.sim.clock.now, ev)
+	n.coreTime += n.sim.since(begin)
+	for _, action := range actions {
+		n.doFleet(action, respond)
+	}
+	n.sim.observed(n)
+}
+
+func (n *Node) stepTicket(ev ticket.Event, respond func(ticket.Respond)) {
+	begin := n.sim.begin()
+	actions := n.ticket.Step(n.sim.clock.now, ev)
+	n.coreTime += n.sim.since(begin)
+	for _, action := range actions {
+		n.doTicket(action, respond)
+	}
+	n.sim.observed(n)
+}
+
+func (s *Sim) observed(n *Node) {
+	if s.afterEvent != nil {
+		s.afterEvent(n)
+	}
+}
+
+func (s *Sim) begin() time.Time {
+	if !s.measureTime {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
+func (s *Sim) since(begin time.Time) time.Duration {
+	if !s.measureTime {
+		return 0
+	}
+	return time.Since(begin)
+}
+
+func (n *Node) doFleet(action fleet.Action, respond func(*peerpb.ExchangeResponse)) {
+	switch a := action.(type) {
+	case fleet.SendExchange:
+		n.exchange(a)
+	case fleet.Respond:
+		respond(a.Response)
+	case fleet.SendProbe:
+		n.probe(a)
+	case fleet.ReadList:
+		n.readList()
+	case fleet.Register:
+		n.register(a.Incarnation)
+	case fleet.Expel:
+		n.expel(a)
+	case fleet.NewerTickets:
+		n.stepTicket(ticket.Offered{Address: a.Address, HeadVersion: a.HeadVersion}, nil)
+	}
+}
+
+func (n *Node) exchange(a fleet.SendExchange) {
+	sentAt := n.sim.clock.now
+	done := func(response *peerpb.ExchangeResponse) {
+		n.stepFleet(fleet.ExchangeDone{To: a.To, Address: a.Address, SentAt: sentAt, Response: response}, nil)
+	}
+	serve := func(to *Node) (int, func()) {
+		var response *peerpb.ExchangeResponse
+		to.stepFleet(fleet.ExchangeIn{Request: a.Request}, func(r *peerpb.ExchangeResponse) { response = r })
+		return proto.Size(response), func() { done(response) }
+	}
+	n.sim.send(n, a.Address, exchangeTimeout, proto.Size(a.Request), serve, func() { done(nil) })
+}
+
+func (n *Node) probe(a fleet.SendProbe) {
+	sentAt := n.sim.clock.now
+	done := func(ok bool) {
+		n.stepFleet(fleet.ProbeDone{To: a.To, Incarnation: a.Incarnation, SentAt: sentAt, OK: ok}, nil)
+	}
+	serve := func(to *Node) (int, func()) {
+		ok := to.id == a.To
+		return 24, func() { done(ok) }
+	}
+	n.sim.send(n, a.Address, probeTimeout, 8, serve, func() { done(false) })
+}
+
+func (n *Node) readList() {
+	done := fleet.ListDone{At: n.sim.clock.now}
+	operate := func() error {
+		done.OK = true
+		for _, other := range n.sim.nodes {
+			if other.listedTo == 0 || other.listedTo > n.sim.clock.now {
+				done.Instances = append(done.Instances, fleet.ListedInstance{ID: other.id, Address: other.address})
+			}
+		}
+		return nil
+	}
+	n.storeCall("instances", operate, func(err error) {
+		done.OK = err == nil
+		n.stepFleet(done, nil)
+	})
+}
+
+// storeCall calls the store for the process.
+func (n *Node) storeCall(method string, operate func() error, answer func(error)) {
+	n.sim.store.call(method, n.cutStore, operate, func(err error) { n.deliver(func() { answer(err) }) })
+}
+
+// register decides as fleet.Runner does, in one step at the store.
+func (n *Node) register(incarnation uint64) {
+	own := fleet.Registration{Instance: n.id, Incarnation: incarnation, Address: n.address, Half: n.half}
+	done := fleet.RegisterDone{Incarnation: incarnation}
+	operate := func() error {
+		key := fleet.MemberPrefix + string(n.id)
+		object, err := n.sim.store.get(key)
+		var have fleet.Registration
+		if err == nil {
+			_ = json.Unmarshal(object.Value, &have)
+		}
+		if err == nil && have != own && have.Incarnation >= incarnation {
+			done.Seen = have.Incarnation
+			return nil
+		}
+		if have == own {
+			return nil
+		}
+		value, _ := json.Marshal(own)
+		_, err = n.sim.store.put(key, value, object.Version)
+		return err
+	}
+	n.sim.store.calls["put"]++ // a registration is a read and a write
+	n.storeCall("get", operate, func(err error) {
+		done.OK = err == nil && done.Seen == 0
+		n.stepFleet(done, nil)
+	})
+}
+
+func (n *Node) expel(a fleet.Expel) {
+	operate := func() error {
+		key := fleet.MemberPrefix + string(a.ID)
+		object, err := n.sim.store.get(key)
+		if err != nil {
+			return nil // no registration is left
+		}
+		var have fleet.Registration
+		_ = json.Unmarshal(object.Value, &have)
+		if have.Incarnation > a.Incarnation {
+			return store.ErrConflict
+		}
+		return n.sim.store.remove(key, object.Version)
+	}
+	n.storeCall("delete", operate, func(err error) {
+		n.stepFleet(fleet.ExpelDone{ID: a.ID, Incarnation: a.Incarnation, OK: err == nil}, nil)
+	})
+}
--- /dev/null
+++ b/fleetsim/tickets.go
@@ -0,0 +1,172 @@
+package fleetsim
+
+import (
+	"encoding/json"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/store"
+	"github.com/hibiscusstair/hibiscusstair/ticket"
+)
+
+func (n *Node) doTicket(action ticket.Action, respond func(ticket.Respond)) {
+	switch a := action.(type) {
+	case ticket.StoreCall:
+		n.ticketStoreCall(a)
+	case ticket.PeerFetch:
+		n.fetch(a)
+	case ticket.PeerOffer:
+		n.offer(a)
+	case ticket.PeerAck:
+		n.acknowledge(a)
+	case ticket.Respond:
+		respond(a)
+	case ticket.Reply:
+		if reply := n.sim.applied[a.ID]; reply != nil {
+			delete(n.sim.applied, a.ID)
+			reply(a.Err)
+		}
+	}
+}
+
+func (n *Node) ticketStoreCall(a ticket.StoreCall) {
+	s := n.sim.store
+	done := ticket.StoreDone{ID: a.ID, SentAt: n.sim.clock.now}
+	answer := func(err error) {
+		done.Err = err
+		n.stepTicket(done, nil)
+	}
+	switch a.Op {
+	case ticket.StoreGet:
+		n.storeCall("get", func() (err error) { done.Object, err = s.get(a.Key); return err }, answer)
+	case ticket.StorePut:
+		operate := func() (err error) {
+			done.Object.Version, err = s.put(a.Key, a.Value, a.Expect)
+			return err
+		}
+		n.storeCall("put", operate, answer)
+	case ticket.StoreList:
+		operate := func() error {
+			done.Objects, done.Revision = s.list(a.Key), uint64(len(s.changes))
+			return nil
+		}
+		n.storeCall("list", operate, answer)
+	case ticket.StoreWatch:
+		n.watch(a, &done, answer)
+	}
+}
+
+func (n *Node) watch(a ticket.StoreCall, done *ticket.StoreDone, answer func(error)) {
+	s := n.sim.store
+	started := func(err error) {
+		if err != nil {
+			answer(err)
+		}
+	}
+	operate := func() error {
+		s.watch(a.Key, a.After, a.Wait, func(changes []store.Change, revision uint64, err error) {
+			done.Changes, done.Revision = changes, revision
+			n.sim.clock.after(s.delay/2, func() { n.deliver(func() { answer(err) }) })
+		})
+		return nil
+	}
+	n.storeCall("watch", operate, started)
+}
+
+func (n *Node) fetch(a ticket.PeerFetch) {
+	done := func(r *peerpb.FetchTicketsResponse) {
+		n.stepTicket(ticket.FetchDone{Address: a.Address, Response: r}, nil)
+	}
+	serve := func(to *Node) (int, func()) {
+		var answer ticket.Respond
+		to.stepTicket(ticket.FetchIn{Above: a.Above}, func(r ticket.Respond) { answer = r })
+		return proto.Size(answer.Fetch), func() { done(answer.Fetch) }
+	}
+	n.sim.send(n, a.Address, peerTimeout, 10, serve, func() { done(nil) })
+}
+
+func (n *Node) offer(a ticket.PeerOffer) {
+	done := func(ok bool) {
+		n.stepTicket(ticket.OfferDone{To: a.To, HeadVersion: a.Request.GetHeadVersion(), OK: ok}, nil)
+	}
+	serve := func(to *Node) (int, func()) {
+		ev := ticket.Offered{Address: a.Request.GetAddress(), HeadVersion: a.Request.GetHeadVersion(), Request: a.Request}
+		to.stepTicket(ev, nil)
+		return 4, func() { done(true) }
+	}
+	n.sim.send(n, a.Address, peerTimeout, proto.Size(a.Request), serve, func() { done(false) })
+}
+
+func (n *Node) acknowledge(a ticket.PeerAck) {
+	done := func(r *peerpb.AcknowledgeResponse) {
+		n.stepTicket(ticket.AckDone{To: a.To, Key: a.Key, Response: r}, nil)
+	}
+	serve := func(to *Node) (int, func()) {
+		var answer ticket.Respond
+		to.stepTicket(ticket.AckIn{Request: a.Request}, func(r ticket.Respond) { answer = r })
+		return proto.Size(answer.Ack), func() { done(answer.Ack) }
+	}
+	n.sim.send(n, a.Address, peerTimeout, proto.Size(a.Request), serve, func() { done(nil) })
+}
+
+// Apply submits a ticket to an instance; done receives the answer unless the
+// process ends first.
+func (s *Sim) Apply(n *Node, t *ticket.Ticket, done func(error)) {
+	raw, err := json.Marshal(t)
+	if err != nil {
+		panic("fleetsim: " + err.Error()) // tickets have a JSON form
+	}
+	s.applyID++
+	id := s.applyID
+	s.applied[id] = done
+	n.deliver(func() { n.stepTicket(ticket.Apply{ID: id, Raw: raw, Body: t}, nil) })
+}
+
+// Kill ends a process without notice. The platform's list drops it later.
+func (s *Sim) Kill(n *Node) {
+	n.dead = true
+	n.listedTo = s.clock.now + s.options.ListLag
+}
+
+// Pause stops a process; Resume lets it go on with all that waited.
+func (s *Sim) Pause(n *Node) { n.paused = true }
+
+// Resume ends a pause.
+func (s *Sim) Resume(n *Node) {
+	n.paused = false
+	queued := n.queued
+	n.queued = nil
+	for _, event := range queued {
+		n.deliver(event)
+	}
+}
+
+// CutStore separates an instance from the store but not from peers.
+func (s *Sim) CutStore(n *Node, cut bool) { n.cutStore = cut }
+
+// storeCalls is the number of calls to the store so far.
+func (s *Sim) storeCalls() int {
+	total := 0
+	for _, count := range s.store.calls {
+		total += count
+	}
+	return total
+}
+
+// bytes is the sum of what all instances sent and received.
+func (s *Sim) bytes() (total int64) {
+	for _, n := range s.nodes {
+		total += n.bytes
+	}
+	return total
+}
+
+// coreTime is the time spent in the cores.
+func (s *Sim) coreTime() (total time.Duration) {
+	for _, n := range s.nodes {
+		total += n.coreTime
+	}
+	return total
+}
--- a/ticket/accept.go
+++ b/ticket/accept.go
@@ -1,7 +1,6 @@
 package ticket
 
 import (
-	"encoding/json"
 	"errors"
 	"slices"
 	"time"
@@ -11,15 +10,10 @@
 )
 
 const (
-	// memberPrefix is the store prefix of the registrations, which the fleet
-	// slice writes.
-	memberPrefix = "members/"
 	// acceptStagger is how much later each further collector acts, so that
 	// normally only the first one writes.
 	acceptStagger = 250 * time.Millisecond
-	// acceptRetry is the pause after an attempt that did not advance the head,
-	// for example because a dead instance is not expelled yet. Each attempt
-	// costs a call to the store.
+	// acceptRetry is the pause after an attempt that did not advance the head.
 	acceptRetry = 500 * time.Millisecond
 )
 
@@ -36,8 +30,6 @@
 	retryAt   time.Duration
 	duesSince time.Duration // since when an update is due; 0: none is
 	dueFor    uint64        // head version that the update is due for
-	// registered is the list of registrations while an attempt runs.
-	registered map[api.InstanceID]registration
 }
 
 // mayRun is an instance that may start or still run work.
@@ -58,7 +50,7 @@
 			all[m.ID] = mayRun{id: m.ID, incarnation: m.Incarnation, half: m.Half}
 		}
 	}
-	for id, r := range c.accept.registered {
+	for id, r := range c.registrations() {
 		have := all[id]
 		if m, known := c.member(id); known && m.State.Gone() && m.Incarnation >= r.Incarnation {
 			continue
@@ -72,6 +64,20 @@
 	return list
 }
 
+func (c *Core) registrations() map[api.InstanceID]registration {
+	if c.options.acceptUnregistered {
+		return nil
+	}
+	return c.watch.registered
+}
+
+// registrationsComplete reports whether the watch has shown every registration
+// that was made before the head that applies here was written. An instance
+// registers before it reads the head, so one that is not shown knows the ticket.
+func (c *Core) registrationsComplete() bool {
+	return c.options.acceptUnregistered || c.watch.listed && c.watch.shown >= c.applied.version
+}
+
 // acknowledged reports whether the instance applies the ticket.
 func (c *Core) acknowledged(m mayRun, number uint64) bool {
 	a, known := c.acks.table[m.id]
@@ -155,7 +161,7 @@
 // tryAccept advances the head if this instance is a collector that reaches the
 // store and the reports allow it.
 func (c *Core) tryAccept(now time.Duration) {
-	if !c.ready || c.accept.busy || now < c.accept.retryAt || !c.storeReached(now) {
+	if !c.ready || c.accept.busy || now < c.accept.retryAt || !c.storeReached(now) || !c.registrationsComplete() {
 		return
 	}
 	head := &c.applied.head
@@ -177,34 +183,6 @@
 		return
 	}
 	c.accept.busy = true
-	if c.options.acceptUnregistered {
-		c.writeAccepted()
-		return
-	}
-	// The list is read after the head was written. An instance registers before
-	// it reads the head, so one that is not on the list knows the ticket.
-	c.call(StoreCall{Op: StoreList, Key: memberPrefix}, c.registrationsListed)
-}
-
-func (c *Core) registrationsListed(now time.Duration, r StoreDone) {
-	if r.Err != nil {
-		c.acceptEnded(now)
-		return
-	}
-	c.watch.reached = max(c.watch.reached, r.SentAt)
-	c.accept.registered = make(map[api.InstanceID]registration, len(r.Objects))
-	for _, object := range r.Objects {
-		var reg registration
-		if err := json.Unmarshal(object.Value, &reg); err != nil {
-			c.emit(Note{Kind: NoteBroken, Err: Error.Wrap(err)})
-			continue
-		}
-		c.accept.registered[reg.Instance] = reg
-	}
-	if _, changed := c.due(); !changed {
-		c.acceptEnded(now)
-		return
-	}
 	c.writeAccepted()
 }
 
@@ -213,7 +191,6 @@
 	expect := store.Version(c.applied.version)
 	c.call(StoreCall{Op: StorePut, Key: headKey, Value: head.encode(), Expect: expect}, func(now time.Duration, r StoreDone) {
 		c.accept.busy = false
-		c.accept.registered = nil
 		if r.Err == nil {
 			c.accept.duesSince = 0
 			c.learn(now, known{head: head, version: version(r.Object.Version)}, "")
@@ -237,9 +214,3 @@
 	}
 	c.readHead(now)
 }
-
-func (c *Core) acceptEnded(now time.Duration) {
-	c.accept.busy = false
-	c.accept.registered = nil
-	c.accept.retryAt = now + acceptRetry
-}
--- a/ticket/ack.go
+++ b/ticket/ack.go
@@ -17,6 +17,9 @@
 	// collectors is how many instances get each acknowledgement, so that the
 	// death of one does not delay acceptance.
 	collectors = 2
+	// ackPatience is how long a report may be unanswered before the next
+	// collector gets it as well.
+	ackPatience = 200 * time.Millisecond
 	// collectorRetry is the pause before a collector that failed is tried again.
 	collectorRetry = 500 * time.Millisecond
 	// ackRefresh is the time between two reports without a change while a
@@ -177,7 +180,7 @@
 	if known && sent.key == key && sent.to == m.Incarnation {
 		switch {
 		case sent.inFlight:
-			return true
+			return now-sent.at < ackPatience
 		case sent.ok && now-sent.at < ackRefresh:
 			return true
 		case !sent.ok && now-sent.at < collectorRetry:
--- a/ticket/apply.go
+++ b/ticket/apply.go
@@ -37,6 +37,8 @@
 	bodyWritten  bool
 	// checked is the head version that the ticket was validated against.
 	checked uint64
+	// read says that the head was read from the store for this ticket.
+	read bool
 }
 
 func (c *Core) startApply(now time.Duration, e Apply) {
@@ -51,7 +53,7 @@
 	job := &applyJob{id: e.ID, raw: e.Raw, body: e.Body, deadline: now + applyBound}
 	c.applies = append(c.applies, job)
 	if len(c.applies) == 1 {
-		c.applyHead(now, job)
+		c.applyChecked(now, job)
 	}
 }
 
@@ -60,13 +62,14 @@
 	c.emit(Reply{ID: job.id, Err: err, Findings: findings, Head: c.applied.head.clone()})
 	c.applies = c.applies[1:]
 	if len(c.applies) > 0 {
-		c.applyHead(now, c.applies[0])
+		c.applyChecked(now, c.applies[0])
 	}
 }
 
-// applyHead reads the head, so that the ticket is checked against the newest
-// state.
+// applyHead reads the head after a step failed. Normally the head that applies
+// here is the newest one, and the conditional update shows if it is not.
 func (c *Core) applyHead(now time.Duration, job *applyJob) {
+	job.read = true
 	c.call(StoreCall{Op: StoreGet, Key: headKey}, func(now time.Duration, r StoreDone) {
 		if !c.headRead(now, r) {
 			c.retryApply(now, job, r.Err, c.applyHead)
@@ -141,7 +144,12 @@
 }
 
 func (c *Core) applyValidated(now time.Duration, job *applyJob) {
-	if found := Validate(job.body, c.latestState()); len(found) > 0 {
+	found := Validate(job.body, c.latestState())
+	if len(found) > 0 && !job.read {
+		c.applyHead(now, job) // a newer state may allow the ticket
+		return
+	}
+	if len(found) > 0 {
 		c.finish(now, job, reason.New(reason.TicketInvalid, "the ticket has %d findings", len(found)), found)
 		return
 	}
--- a/ticket/catchup.go
+++ b/ticket/catchup.go
@@ -32,7 +32,6 @@
 	retryAt   time.Duration
 	startedAt time.Duration
 	started   bool
-	tried     int // peers asked since the start
 	// snapshot was read for the wanted head.
 	snapshot       *State
 	snapshotNumber uint64
@@ -73,16 +72,21 @@
 		c.adopt(now, *wanted)
 		return
 	}
-	if c.catchup.peerBusy || c.catchup.storeBusy > 0 || now < c.catchup.retryAt {
-		return
-	}
-	if len(c.catchup.sources) > 0 {
+	if !c.catchup.peerBusy && len(c.catchup.sources) > 0 {
 		source := c.catchup.sources[0]
 		c.catchup.sources = c.catchup.sources[1:]
 		c.fetchFrom(source)
+	}
+	if c.catchup.peerBusy || now < c.catchup.retryAt {
 		return
 	}
-	c.readMissing(now, wanted.head, missing, needSnapshot)
+	c.catchup.retryAt = now + fetchRetry
+	if peers := c.reachable(); len(peers) > 0 {
+		c.fetchFrom(peers[c.random.IntN(len(peers))].Address)
+	}
+	if c.catchup.storeBusy == 0 {
+		c.readMissing(wanted.head, missing, needSnapshot)
+	}
 }
 
 // bootstrap looks for a first head, with peers first.
@@ -95,8 +99,8 @@
 		return
 	}
 	peers := c.reachable()
+	c.catchup.retryAt = now + fetchRetry
 	if !c.catchup.peerBusy && len(peers) > 0 {
-		c.catchup.tried++
 		c.fetchFrom(peers[c.random.IntN(len(peers))].Address)
 	}
 	if now-c.catchup.startedAt >= peersFirst || len(peers) == 0 {
@@ -156,8 +160,7 @@
 }
 
 // readMissing reads tickets and snapshot parts from the store.
-func (c *Core) readMissing(now time.Duration, head Head, missing []uint64, snapshot bool) {
-	c.catchup.retryAt = now + fetchRetry
+func (c *Core) readMissing(head Head, missing []uint64, snapshot bool) {
 	for _, number := range missing {
 		c.catchup.storeBusy++
 		c.call(StoreCall{Op: StoreGet, Key: ticketKey(number)}, func(now time.Duration, r StoreDone) {
@@ -258,7 +261,6 @@
 	c.catchup.peerBusy = false
 	r := e.Response
 	if r == nil {
-		c.catchup.retryAt = now + fetchRetry
 		c.advance(now)
 		return
 	}
@@ -292,9 +294,7 @@
 	c.watch.reading = true
 	c.call(StoreCall{Op: StoreGet, Key: headKey}, func(now time.Duration, r StoreDone) {
 		c.watch.reading = false
-		if !c.headRead(now, r) {
-			c.catchup.retryAt = now + fetchRetry
-		}
+		c.headRead(now, r)
 	})
 }
 
--- a/ticket/model.go
+++ b/ticket/model.go
@@ -14,7 +14,10 @@
 
 // Store keys of the slice.
 const (
-	headKey        = "ticket-head"
+	// controlPrefix is watched: it holds the head and the registrations.
+	controlPrefix  = "control/"
+	headKey        = controlPrefix + "ticket-head"
+	memberPrefix   = controlPrefix + "members/" // written by the fleet slice
 	ticketPrefix   = "tickets/"
 	snapshotPrefix = "ticket-snapshots/"
 )
--- a/ticket/watch.go
+++ b/ticket/watch.go
@@ -1,9 +1,12 @@
 package ticket
 
 import (
+	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/store"
 )
 
@@ -24,6 +27,7 @@
 
 // watch follows the head in the store for the failure domain.
 type watch struct {
+	wanted   bool // this instance watches for its failure domain
 	running  bool
 	listed   bool // revision is valid
 	revision uint64
@@ -35,6 +39,11 @@
 
 	// seen is the highest head version read from the store.
 	seen uint64
+	// shown is the head version up to which the watch has shown all changes of
+	// the registrations that came before it.
+	shown uint64
+	// registered are the registrations that the watch has shown.
+	registered map[api.InstanceID]registration
 	// contact is when the last answered read of an applied head was sent.
 	contact time.Duration
 	// waiting is a contact that counts once its head applies.
@@ -72,6 +81,7 @@
 }
 
 func (c *Core) tickWatch(now time.Duration, wanted bool) {
+	c.watch.wanted = wanted
 	if !wanted {
 		return
 	}
@@ -82,10 +92,10 @@
 	}
 	w.running = true
 	if !w.listed {
-		c.call(StoreCall{Op: StoreList, Key: headKey}, c.headListed)
+		c.call(StoreCall{Op: StoreList, Key: controlPrefix}, c.headListed)
 		return
 	}
-	c.call(StoreCall{Op: StoreWatch, Key: headKey, After: w.revision, Wait: watchWait}, c.watched)
+	c.call(StoreCall{Op: StoreWatch, Key: controlPrefix, After: w.revision, Wait: watchWait}, c.watched)
 }
 
 // confirmAlone reads the head in parallel to a delayed watch, because an
@@ -116,13 +126,37 @@
 	w.retry = 0
 	w.listed = true
 	w.revision = r.Revision
+	w.registered = make(map[api.InstanceID]registration, len(r.Objects))
 	found := StoreDone{SentAt: r.SentAt, Err: store.ErrNotFound}
 	for _, object := range r.Objects {
 		if object.Key == headKey {
 			found.Object, found.Err = object, nil
+			continue
 		}
+		c.registrationShown(store.Change{Object: object})
 	}
+	w.shown = version(found.Object.Version)
 	c.headRead(now, found)
+	c.tryAccept(now)
+}
+
+// registrationShown uses a change of a registration.
+func (c *Core) registrationShown(change store.Change) {
+	id, found := strings.CutPrefix(change.Key, memberPrefix)
+	if !found {
+		return
+	}
+	if change.Deleted {
+		delete(c.watch.registered, api.InstanceID(id))
+		return
+	}
+	var r registration
+	if err := json.Unmarshal(change.Value, &r); err != nil {
+		// Acceptance waits for an instance that cannot be read, by its key.
+		c.emit(Note{Kind: NoteBroken, Err: Error.Wrap(err)})
+	}
+	r.Instance = api.InstanceID(id)
+	c.watch.registered[r.Instance] = r
 }
 
 func (c *Core) watched(now time.Duration, r StoreDone) {
@@ -142,12 +176,17 @@
 	for _, change := range r.Changes {
 		if change.Key == headKey && !change.Deleted {
 			changed = true
+			w.shown = version(change.Version)
 			c.headRead(now, StoreDone{SentAt: r.SentAt, Object: change.Object})
+			continue
 		}
+		c.registrationShown(change)
 	}
 	if !changed {
 		c.contacted(r.SentAt, w.seen)
 	}
+	c.tickWatch(now, w.wanted)
+	c.tryAccept(now)
 }
 
 func (c *Core) watchFailed(now time.Duration) {
