Measure resume latency from the first token of another attempt

The longest gap after the fault was elsewhere in the answer when the resume took a few milliseconds only: 982 ms were shown for a resume after 10 ms in a trial. The harness sends the temperature always, since its default is 1.

--- a/standins/harness/caller.go
+++ b/standins/harness/caller.go
@@ -38,7 +38,7 @@
 	Adapter      string  `json:"adapter,omitempty"`
 	Prompt       string  `json:"prompt"`
 	MaxTokens    int     `json:"max_tokens"`
-	Temperature  float64 `json:"temperature,omitempty"`
+	Temperature  float64 `json:"temperature"`
 	Seed         int64   `json:"seed"`
 	Stream       bool    `json:"stream"`
 	PrefixTokens []int   `json:"prefix_tokens,omitempty"`
@@ -363,19 +363,30 @@
 	return nil
 }
 
-// ResumeLatency returns the time from a fault until the first token after the
-// longest gap that lasted beyond the fault. Tokens that were on their way at
-// the fault don't count.
+// ResumeLatency returns the time from a fault until the first token of another
+// attempt. Tokens that were on their way at the fault don't count. If the same
+// attempt went on, it is the longest gap after the fault.
 func (s *Stream) ResumeLatency(fault time.Time) time.Duration {
-	var longest, latency time.Duration
-	events := s.Events()
-	for i := 1; i < len(events); i++ {
-		gap := events[i].At.Sub(events[i-1].At)
-		if events[i].At.After(fault) && gap > longest {
-			longest, latency = gap, events[i].At.Sub(fault)
+	var longest time.Duration
+	var before Event
+	for _, event := range s.Events() {
+		if event.At.Before(fault) {
+			before = event
+			continue
+		}
+		if attemptOf(event.ID) != attemptOf(before.ID) {
+			return event.At.Sub(fault)
 		}
+		longest = max(longest, event.At.Sub(before.At))
+		before = event
 	}
-	return latency
+	return longest
+}
+
+// attemptOf returns the generation and attempt of an event id.
+func attemptOf(id string) string {
+	parts := strings.SplitN(id, ".", 4)
+	return strings.Join(parts[:min(3, len(parts))], ".")
 }
 
 // ServedBy returns the endpoint and the instance that an event id names.
