--- a/standins/harness/admin.go
+++ b/standins/harness/admin.go
@@ -181,21 +181,55 @@
 	if err := os.WriteFile(file, text, 0o644); err != nil {
 		return err
 	}
+	if err := f.waitRead(ctx); err != nil {
+		return err
+	}
 	if _, err := f.Ctl(ctx, instance, "apply", "--wait", "7s", file); err != nil {
 		return err
 	}
 	return f.WaitReady(ctx)
 }
 
+// Status is the part of an instance's status that the harness reads.
+type Status struct {
+	// Ready says that the instance has read the tickets, if only that there
+	// are none.
+	Ready    bool   `json:"ready"`
+	Latest   uint64 `json:"latest"`
+	Accepted uint64 `json:"accepted"`
+}
+
+// Status asks an instance for its status.
+func (f *Fleet) Status(ctx context.Context, instance string) (status Status, err error) {
+	err = getJSON(ctx, "http://"+f.Instance(instance).Operator+"/v1/status", OperatorToken, &status)
+	return status, err
+}
+
 // inForce asks an instance whether a ticket is in force.
 func (f *Fleet) inForce(ctx context.Context, i *Instance, number uint64) (bool, error) {
-	var status struct {
-		Accepted uint64 `json:"accepted"`
-	}
-	err := getJSON(ctx, "http://"+i.Operator+"/v1/status", OperatorToken, &status)
+	status, err := f.Status(ctx, i.Spec.ID)
 	return err == nil && status.Accepted >= number, err
 }
 
+// waitRead waits until every live instance has read the tickets.
+func (f *Fleet) waitRead(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	for _, i := range f.Instances() {
+		for i.Alive() {
+			status, err := f.Status(ctx, i.Spec.ID)
+			if err == nil && status.Ready {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("harness: %s has not read the tickets: %w", i.Spec.ID, errors.Join(err, ctx.Err()))
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
 // WaitInForce waits until every live instance reports the ticket as in force.
 func (f *Fleet) WaitInForce(ctx context.Context, number uint64) error {
 	for _, i := range f.Instances() {
