generation: count a probe that is closed at once as a death

Cause: the failure test with a poison request ran into its 60 s timeout and all five engines died, since a probe through a proxy is accepted and then closed, which did not count as a death, so nothing was marked. Change: any failure of a probe other than silence shows that no engine serves. Conclusion: marks do not depend on connections being refused by the kernel.

--- a/generation/engine.go
+++ b/generation/engine.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
@@ -235,7 +234,9 @@
 	return chunk
 }
 
-// probe asks on a new connection whether the engine is alive.
+// probe asks on a new connection whether the engine is alive. A connection that
+// is refused or closed at once shows that no engine serves there; silence does
+// not.
 func (c *engineClient) probe(ctx context.Context, address string) (alive, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -245,7 +246,8 @@
 	}
 	response, err := c.fresh.RoundTrip(request)
 	if err != nil {
-		return false, errors.Is(err, syscall.ECONNREFUSED)
+		var timeout net.Error
+		return false, ctx.Err() == nil && !(errors.As(err, &timeout) && timeout.Timeout())
 	}
 	response.Body.Close()
 	return response.StatusCode == http.StatusOK, false
--- a/generation/event.go
+++ b/generation/event.go
@@ -101,8 +101,8 @@
 type Probed struct {
 	Endpoint api.EndpointID
 	Alive    bool
-	// Refused says that the connection was refused, which proves a death; a
-	// probe without an answer does not.
+	// Refused says that the connection was refused or closed at once, which
+	// shows a death; a probe without an answer does not.
 	Refused bool
 }
 
