generation: charge retries of refused requests, count streams by endpoint

Cause: a request that an engine refused was sent once more without asking the retry budget, which doubles the load of an overload; streams that were reattached have no grant, so nobody knew that an endpoint still runs them; a long recovery queue was sorted at every token. Change: only the first continuation of a broken stream is free of the budget; Runner.Running reports the open streams of an endpoint; the queue is looked at on ticks and changes only.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -150,8 +150,7 @@
 	}
 	c.endAttempt(g, a, api.OutcomeCancelled, false)
 	c.note(g, a, "not placed", ev.Err.Reason)
-	final := ev.Err.Reason == reason.CrashSuspect || ev.Err.Reason == reason.ModelUnknown
-	if final || (g.sent == 0 && !g.ran && g.lostAt == 0) {
+	if c.isFinal(g, ev.Err.Reason) {
 		c.finish(now, g, ev.Err.WithRun(c.runStatus(g)))
 		return
 	}
@@ -159,6 +158,16 @@
 	c.requeue(now, g)
 }
 
+// isFinal reports whether a failed placement ends the answer. An answer that
+// has started waits for an endpoint until its deadline.
+func (c *Core) isFinal(g *generation, why reason.Reason) bool {
+	if why == reason.CrashSuspect || why == reason.ModelUnknown {
+		return true
+	}
+	started := g.sent > 0 || g.ran
+	return !started && (g.lostAt == 0 || why == reason.RetryBudget)
+}
+
 // startReattach sends the request for an engine's existing stream.
 func (c *Core) startReattach(g *generation, a *attempt, from int, hash uint64) {
 	a.next, a.hash = from, hash
@@ -235,6 +244,9 @@
 
 func (c *Core) rememberLost(now time.Duration, g *generation, a *attempt) {
 	s := c.endpointOf(a)
+	for len(s.lost) > 0 && now-s.lost[0].at > incidentWindow {
+		s.lost = s.lost[1:]
+	}
 	s.lost = append(s.lost, lostContent{at: now, digest: g.request.Digest})
 }
 
@@ -249,6 +261,7 @@
 		g.lostAt = now
 	}
 	g.lastLost = a.endpoint.ID
+	g.notStarted = outcome == api.OutcomeRefused || why == reason.ConnectFailed
 	c.endAttempt(g, a, outcome, cancel)
 	if g.healthy(nil) {
 		return
--- a/generation/core.go
+++ b/generation/core.go
@@ -82,6 +82,7 @@
 	endedList []*endedAnswer
 	endpoints map[api.EndpointID]*endpointState
 	queue     []*generation // waiting for a continuation
+	due       bool          // the queue has to be looked at
 	pace      *rate.Limiter
 	nextCheck time.Duration
 	actions   []Action
@@ -127,6 +128,7 @@
 		c.onTakenOver(now, ev)
 	case Tick:
 		c.onTick(now)
+		c.due = true
 	}
 	c.pump(now)
 	return c.actions
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -174,13 +174,13 @@
 	p.outcomes = append(p.outcomes, outcome)
 }
 
-type fakeAdmitter struct{}
+type fakeAdmitter struct{ noRetries bool }
 
 func (fakeAdmitter) Admit(context.Context, api.AdmissionRequest) (api.Admission, error) {
 	return api.Admission{}, nil
 }
 func (fakeAdmitter) Release(api.Admission)          {}
-func (fakeAdmitter) AllowRetry(_ api.Priority) bool { return true }
+func (a fakeAdmitter) AllowRetry(api.Priority) bool { return !a.noRetries }
 
 type fakeMarks struct {
 	mu        sync.Mutex
--- a/generation/receive.go
+++ b/generation/receive.go
@@ -158,7 +158,7 @@
 	}
 	g.recomputed = 0
 	g.fruitless, g.retryWaits, g.paced = 0, 0, false
-	g.lastLost = ""
+	g.lastLost, g.notStarted = "", false
 	a.reattaches = 0
 }
 
--- a/generation/recovery.go
+++ b/generation/recovery.go
@@ -16,6 +16,7 @@
 	g.queued = true
 	g.readyAt = now
 	c.queue = append(c.queue, g)
+	c.due = true
 }
 
 // requeue asks for a continuation after a wait that grows with the number of
@@ -36,6 +37,7 @@
 	for _, g := range c.queue {
 		if g.awaits == endpoint {
 			g.awaits = ""
+			c.due = true
 		}
 	}
 }
@@ -55,11 +57,13 @@
 }
 
 // pump starts continuations in order of priority and time of loss, as far as
-// the pace allows.
+// the pace allows. It does nothing between ticks unless something changed, so
+// that a long queue does not slow down the tokens of other answers.
 func (c *Core) pump(now time.Duration) {
-	if len(c.queue) == 0 {
+	if !c.due || len(c.queue) == 0 {
 		return
 	}
+	c.due = false
 	sort.SliceStable(c.queue, func(i, j int) bool {
 		a, b := c.queue[i], c.queue[j]
 		if a.request.Priority != b.request.Priority && c.o.variant != ignorePriority {
@@ -88,8 +92,8 @@
 }
 
 // continueAnswer asks the peers for the prefix where it is not known, then
-// places a new attempt. Only the first continuation of a loss is free of the
-// retry budget.
+// places a new attempt. Only the first continuation of a stream that broke is
+// free of the retry budget; sending a refused request again is not.
 func (c *Core) continueAnswer(now time.Duration, g *generation) {
 	if g.base > 0 && g.prefix == prefixUnasked {
 		g.prefix = prefixFetching
@@ -100,7 +104,7 @@
 	if g.base > 0 && g.prefix == prefixFetching {
 		return
 	}
-	c.place(now, g, g.fruitless > 1)
+	c.place(now, g, g.fruitless > 1 || g.notStarted)
 }
 
 func (c *Core) onPrefixFetched(now time.Duration, ev PrefixFetched) {
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -33,7 +33,8 @@
 	nextConn atomic.Uint64
 	mu       sync.Mutex
 	conns    map[uint64]*connection
-	streams  map[streamKey]context.CancelFunc // owned by the loop
+	running  map[api.EndpointID]int     // open streams
+	streams  map[streamKey]openedStream // owned by the loop
 	jobs     sync.WaitGroup
 	ctx      context.Context // of Run; set before the loop starts
 	ready    chan struct{}
@@ -43,6 +44,12 @@
 	accounts atomic.Pointer[accountIndex]
 }
 
+// openedStream is an open connection to an engine.
+type openedStream struct {
+	endpoint api.EndpointID
+	cancel   context.CancelFunc
+}
+
 type streamKey struct {
 	generation string
 	attempt    uint64
@@ -64,7 +71,8 @@
 		metrics: newMetrics(o.Scope),
 		holder:  newHolder(),
 		conns:   make(map[uint64]*connection),
-		streams: make(map[streamKey]context.CancelFunc),
+		streams: make(map[streamKey]openedStream),
+		running: make(map[api.EndpointID]int),
 		ready:   make(chan struct{}),
 	}
 	r.sender = newCheckpointSender(r)
@@ -167,13 +175,13 @@
 	case Place:
 		r.spawn(func() { r.place(action) })
 	case Open:
-		ctx := r.openStream(action.Generation, action.Attempt)
+		ctx := r.openStream(action.Generation, action.Attempt, action.Endpoint.ID)
 		body := newEngineRequest(action)
 		r.spawn(func() {
 			r.stream(ctx, action.Generation, action.Attempt, action.Endpoint.Address, "/v1/completions", body, action.Fresh)
 		})
 	case Reattach:
-		ctx := r.openStream(action.Generation, action.Attempt)
+		ctx := r.openStream(action.Generation, action.Attempt, action.Endpoint.ID)
 		body := resumeRequest{Attempt: action.Attempt, From: action.From}
 		path := "/v1/streams/" + action.EngineID + "/resume"
 		r.spawn(func() { r.stream(ctx, action.Generation, action.Attempt, action.Endpoint.Address, path, body, true) })
@@ -230,17 +238,37 @@
 	}
 }
 
-func (r *Runner) openStream(generation string, attempt uint64) context.Context {
+func (r *Runner) openStream(generation string, attempt uint64, endpoint api.EndpointID) context.Context {
 	ctx, cancel := context.WithCancel(r.ctx)
-	r.streams[streamKey{generation, attempt}] = cancel
+	r.streams[streamKey{generation, attempt}] = openedStream{endpoint: endpoint, cancel: cancel}
+	r.countStream(endpoint, 1)
 	return ctx
 }
 
+func (r *Runner) countStream(endpoint api.EndpointID, change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[endpoint] += change
+	if r.running[endpoint] == 0 {
+		delete(r.running, endpoint)
+	}
+}
+
+// Running returns the number of streams that are open on the endpoint. It
+// includes streams that were reattached after the death of another instance,
+// for which placement has no grant.
+func (r *Runner) Running(endpoint api.EndpointID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[endpoint]
+}
+
 func (r *Runner) closeStream(action CloseStream) {
 	key := streamKey{action.Generation, action.Attempt}
-	if cancel := r.streams[key]; cancel != nil {
-		cancel()
+	if stream, ok := r.streams[key]; ok {
+		stream.cancel()
 		delete(r.streams, key)
+		r.countStream(stream.endpoint, -1)
 	}
 	if action.Cancel {
 		r.spawn(func() { r.engines.cancel(r.ctx, action.Endpoint, action.EngineID, action.Attempt) })
--- a/generation/runner_test.go
+++ b/generation/runner_test.go
@@ -37,6 +37,7 @@
 		start(nil, newFakeEngine())
 		a := b.call(streamBody, nil)
 		Expect(a.status).To(Equal(200))
+		Eventually(func() int { return b.runner.Running("e1") }).Should(BeZero())
 		Expect(a.tokens).To(Equal(wantTokens("p", 7, 0, 40)))
 		Expect(a.ids).To(HaveLen(40))
 		Expect(a.finish).To(Equal("length"))
@@ -80,6 +81,17 @@
 		})
 	}
 
+	// Guards against retries that multiply an overload.
+	It("does not send a refused request again without budget", func() {
+		first, second := newFakeEngine(), newFakeEngine()
+		first.refuse = true
+		start(func(o *Options) { o.Admitter = fakeAdmitter{noRetries: true} }, first, second)
+		a := b.call(streamBody, nil)
+		Expect(a.err.Reason).To(Equal(reason.RetryBudget))
+		Expect(a.err.Run).To(Equal(reason.RunNo))
+		Expect(second.opens).To(BeEmpty())
+	})
+
 	// Guards against an error that claims the request was not run.
 	It("refuses as not run when no engine is available", func() {
 		first := newFakeEngine()
--- a/generation/state.go
+++ b/generation/state.go
@@ -51,6 +51,7 @@
 	queued     bool
 	readyAt    time.Duration
 	lastLost   api.EndpointID
+	notStarted bool           // the last loss was a refusal or a failure to connect
 	awaits     api.EndpointID // whose probe holds the continuation back
 	awaitUntil time.Duration
 	recomputed int
