generation: replay known tokens to a caller that comes back

Cause: a caller that reconnected without an event id within 10 s had its answer computed again although its tokens were still known. Change: kept tokens are replayed and the answer continues after them; it is reattached only if the event id names the stream that delivered the last of them. The baselines run through the simulated world as well.

--- a/generation/property_test.go
+++ b/generation/property_test.go
@@ -200,6 +200,18 @@
 	})
 }
 
+// TestBaselinesKeepTheInvariants guards against baselines that look cheap
+// because they deliver wrong answers.
+func TestBaselinesKeepTheInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := CoreOptions{Recovery: RecoverySparing}
+		o.Baseline = rapid.SampledFrom([]string{BaselineStartOver, BaselineFixedTimeout}).Draw(rt, "baseline")
+		if err := play(rt, o, append(networkFaults, faultMove, faultLeave), rapid.Bool().Draw(rt, "stream")); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
 // TestSilenceIsNoticed guards against an answer that waits for ever on a
 // connection which is open but silent.
 func TestSilenceIsNoticed(t *testing.T) {
--- a/generation/start.go
+++ b/generation/start.go
@@ -39,7 +39,7 @@
 		g.base, g.tokens = 0, append([]uint32(nil), r.Prefix...)
 		g.texts = make([]string, len(g.tokens))
 	}
-	g.ran = from > 0
+	g.ran = g.next > 0
 	c.live[r.Generation] = g
 	c.byConn[ev.Conn] = g
 	c.order = append(c.order, g)
@@ -63,12 +63,16 @@
 // connection that the event id comes from.
 func (c *Core) firstAttemptNumber(g *generation) {
 	if g.request.Resume != nil {
-		epoch := g.request.Resume.Attempt>>epochBits + 1
-		salt := uint64(g.request.Salt) % (1 << saltBits)
-		g.lastAttempt = epoch<<epochBits | salt<<(epochBits-saltBits)
+		g.lastAttempt = c.nextEpoch(g, g.request.Resume.Attempt)
 	}
 }
 
+func (c *Core) nextEpoch(g *generation, attempt uint64) uint64 {
+	epoch := attempt>>epochBits + 1
+	salt := uint64(g.request.Salt) % (1 << saltBits)
+	return epoch<<epochBits | salt<<(epochBits-saltBits)
+}
+
 // begin starts the first attempt of a connection. A resumed stream is
 // reattached where the event id says that it runs.
 func (c *Core) begin(now time.Duration, g *generation) {
@@ -81,7 +85,9 @@
 	if r.Resume.Instance != c.o.Instance {
 		c.do(NotifyTakeover{Instance: r.Resume.Instance, Generation: r.Generation, Attempt: g.lastAttempt})
 	}
-	if r.ResumeEndpoint == nil || c.o.Baseline != "" {
+	// Tokens that are known beyond the event id may come from another stream.
+	sameStream := g.next == r.Resume.Position+1 || g.last.stream == r.Resume.Stream
+	if r.ResumeEndpoint == nil || !sameStream || c.o.Baseline != "" {
 		c.enqueue(now, g)
 		return
 	}
@@ -128,8 +134,8 @@
 	}
 }
 
-// fromEnded continues from the kept tokens of an ended answer. It reports true
-// if they are the whole answer.
+// fromEnded replays the kept tokens of an ended answer and continues after
+// them. It reports true if they are the whole answer.
 func (c *Core) fromEnded(now time.Duration, g *generation) bool {
 	e := c.ended[g.request.Generation]
 	if e == nil || g.next < e.textFrom {
@@ -139,13 +145,15 @@
 	if !ok || known != g.hash {
 		return false
 	}
+	count := len(e.tokens)
+	g.base, g.textFrom, g.last = 0, e.textFrom, e.last
+	g.tokens, g.texts = e.tokens[:count:count], e.texts[:count:count]
+	g.next, g.hash = count, hashTokens(g.tokens)
+	c.replay(g)
 	if !e.complete {
-		g.base, g.textFrom = 0, e.textFrom
-		g.tokens, g.texts = e.tokens[:g.next:g.next], e.texts[:g.next:g.next]
+		g.lastAttempt = max(g.lastAttempt, c.nextEpoch(g, e.last.attempt))
 		return false
 	}
-	g.base, g.tokens, g.texts, g.last = 0, e.tokens, e.texts, e.last
-	c.replay(g)
 	c.do(Deliver{Conn: g.conn, Finish: e.finish})
 	c.note(g, nil, "replayed", "")
 	c.do(Finish{Conn: g.conn, Generation: g.request.Generation})
--- a/generation/world_test.go
+++ b/generation/world_test.go
@@ -175,7 +175,9 @@
 	case Deliver:
 		w.deliver(action)
 	case Restarted:
-		w.conns[action.Conn].tokens = nil
+		if c := w.conns[action.Conn]; c.conn == action.Conn {
+			c.tokens = nil
+		}
 	case Finish:
 		w.finish(action)
 	case FetchPrefix:
