generation: remember an engine's longest gaps in the silence bound

Cause: mean and six deviations with a floor of 150 ms suspect an engine falsely when the gaps between tokens have a long tail; each suspicion in eager mode starts a prefill. Change: the bound is also at least 1.5 times the longest recent gap, which is forgotten by 1/16384 at each token; the gap of a falsely suspected attempt counts.

--- a/generation/limits_test.go
+++ b/generation/limits_test.go
@@ -238,6 +238,35 @@
 	})
 }
 
+// TestSilenceBound guards against bounds outside their limits, against a bound
+// that forgets an engine's long gaps, and against a first-token bound that does
+// not grow with the prompt and the queue.
+func TestSilenceBound(t *testing.T) {
+	g := NewWithT(t)
+	var s gaps
+	g.Expect(s.bound()).To(Equal(maxSilence))
+	for range 1000 {
+		s.add(20 * time.Millisecond)
+	}
+	g.Expect(s.bound()).To(Equal(minSilence))
+	s.add(300 * time.Millisecond)
+	for range 100 {
+		s.add(20 * time.Millisecond)
+	}
+	g.Expect(s.bound()).To(BeNumerically("~", 450*time.Millisecond, 10*time.Millisecond))
+	s.add(5 * time.Second)
+	g.Expect(s.bound()).To(Equal(maxSilence))
+
+	c := NewCore(CoreOptions{Recovery: RecoveryEager})
+	a := &attempt{opened: true, endpoint: api.Endpoint{ID: "e"}}
+	short := c.bound(&generation{request: &Request{Prompt: "p"}}, a)
+	long := c.bound(&generation{request: &Request{Prompt: strings.Repeat("p", 1<<16)}}, a)
+	c.endpointOf(a).running = 20
+	queued := c.bound(&generation{request: &Request{Prompt: "p"}}, a)
+	g.Expect(long).To(BeNumerically(">", short+2*time.Second))
+	g.Expect(queued).To(BeNumerically(">", short))
+}
+
 // TestHolder guards against held prefixes that grow without bound, that never
 // expire, or that join parts which do not belong together.
 func TestHolder(t *testing.T) {
--- a/generation/receive.go
+++ b/generation/receive.go
@@ -91,7 +91,7 @@
 // alive records a valid chunk as a sign of life.
 func (c *Core) alive(now time.Duration, a *attempt) {
 	s := c.endpointOf(a)
-	if a.gotChunk && !a.suspected {
+	if a.gotChunk {
 		s.add(now - a.lastAt)
 	}
 	a.gotChunk = true
--- a/generation/silence.go
+++ b/generation/silence.go
@@ -17,6 +17,11 @@
 	// the deviation, as in TCP's retransmission timer.
 	gapWeight       = 8
 	deviationWeight = 4
+	// peakPercent of the longest recent gap are normal too; the peak is
+	// forgotten by 1/peakDecay at each token. Without it, gaps with a long tail
+	// cause a false suspicion, and a prefill, about once in 1,000 tokens.
+	peakPercent = 150
+	peakDecay   = 16384
 
 	// firstTokenBase, firstTokenPerByte and firstTokenPerRunning make up the
 	// wait for a first token: a fixed part, the prefill (about 6,000 tokens of
@@ -40,10 +45,11 @@
 
 // gaps follows the time between the tokens of one engine.
 type gaps struct {
-	mean, deviation time.Duration
+	mean, deviation, peak time.Duration
 }
 
 func (s *gaps) add(gap time.Duration) {
+	s.peak = max(gap, s.peak-s.peak/peakDecay)
 	if s.mean == 0 {
 		s.mean = gap
 		s.deviation = gap / 2
@@ -58,7 +64,7 @@
 	if s.mean == 0 {
 		return maxSilence
 	}
-	return min(max(s.mean+deviations*s.deviation, minSilence), maxSilence)
+	return min(max(s.mean+deviations*s.deviation, s.peak*peakPercent/100, minSilence), maxSilence)
 }
 
 // endpointState is what the core knows of one engine.
