generation: withdraw placements that are not needed any more

Cause: a hedge whose first engine woke up, or an answer whose caller left, kept its place in placement's queue until the request's deadline; sparing recovery could wait in its own region's queue for as long. Conclusion: a queue place lasts no longer than the attempt that asked for it.

--- a/generation/action.go
+++ b/generation/action.go
@@ -21,6 +21,12 @@
 	Deadline time.Duration // boot clock
 }
 
+// CancelPlace withdraws a Place whose endpoint is no longer needed.
+type CancelPlace struct {
+	Generation string
+	Attempt    uint64
+}
+
 // Open sends a request to an engine; its stream arrives as Received and Closed.
 type Open struct {
 	Generation string
@@ -150,6 +156,7 @@
 }
 
 func (Place) action()            {}
+func (CancelPlace) action()      {}
 func (Open) action()             {}
 func (Reattach) action()         {}
 func (Probe) action()            {}
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -34,7 +34,13 @@
 	}
 	request.Exclude = c.excluded(g)
 	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && now-g.lostAt < regionPatience
-	c.do(Place{Generation: r.Generation, Attempt: a.number, Digest: r.Digest, Request: request, Retry: retry, Deadline: r.Deadline})
+	deadline := r.Deadline
+	if request.SameRegionOnly {
+		// Placement queues a request that finds no free slot; after this time
+		// another region is better than a longer wait.
+		deadline = min(deadline, g.lostAt+regionPatience)
+	}
+	c.do(Place{Generation: r.Generation, Attempt: a.number, Digest: r.Digest, Request: request, Retry: retry, Deadline: deadline})
 }
 
 // excluded lists the endpoints that a new attempt has to avoid: those of the
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -33,8 +33,9 @@
 	nextConn atomic.Uint64
 	mu       sync.Mutex
 	conns    map[uint64]*connection
-	running  map[api.EndpointID]int     // open streams
-	streams  map[streamKey]openedStream // owned by the loop
+	running  map[api.EndpointID]int           // open streams
+	streams  map[streamKey]openedStream       // owned by the loop
+	places   map[streamKey]context.CancelFunc // owned by the loop
 	jobs     sync.WaitGroup
 	ctx      context.Context // of Run; set before the loop starts
 	ready    chan struct{}
@@ -72,6 +73,7 @@
 		holder:  newHolder(),
 		conns:   make(map[uint64]*connection),
 		streams: make(map[streamKey]openedStream),
+		places:  make(map[streamKey]context.CancelFunc),
 		running: make(map[api.EndpointID]int),
 		ready:   make(chan struct{}),
 	}
@@ -111,9 +113,14 @@
 func (call) event() {}
 
 func (r *Runner) handle(ev Event) {
-	if run, ok := ev.(call); ok {
-		run(r.core)
+	switch ev := ev.(type) {
+	case call:
+		ev(r.core)
 		return
+	case Placed:
+		r.endPlace(ev.Generation, ev.Attempt)
+	case PlaceFailed:
+		r.endPlace(ev.Generation, ev.Attempt)
 	}
 	r.apply(r.core.Step(r.o.Clock(), ev))
 }
@@ -173,7 +180,11 @@
 func (r *Runner) applyOne(action Action) {
 	switch action := action.(type) {
 	case Place:
-		r.spawn(func() { r.place(action) })
+		ctx, cancel := context.WithTimeout(r.ctx, action.Deadline-r.o.Clock())
+		r.places[streamKey{action.Generation, action.Attempt}] = cancel
+		r.spawn(func() { r.place(ctx, action) })
+	case CancelPlace:
+		r.endPlace(action.Generation, action.Attempt)
 	case Open:
 		ctx := r.openStream(action.Generation, action.Attempt, action.Endpoint.ID)
 		body := newEngineRequest(action)
@@ -286,13 +297,13 @@
 
 // place asks placement for an endpoint. Content under suspicion carries its
 // level of isolation.
-func (r *Runner) place(action Place) {
+func (r *Runner) place(ctx context.Context, action Place) {
 	fail := func(err error) {
 		r.post(PlaceFailed{Generation: action.Generation, Attempt: action.Attempt, Err: reason.From(err)})
 	}
 	level := r.o.Marks.Level(action.Digest)
 	if level == api.IsolationAlone {
-		r.pause(aloneWait)
+		pause(ctx, aloneWait)
 		level = r.o.Marks.Level(action.Digest)
 	}
 	if level == api.IsolationRefused {
@@ -305,8 +316,6 @@
 	}
 	request := action.Request
 	request.Isolation = level
-	ctx, cancel := context.WithTimeout(r.ctx, action.Deadline-r.o.Clock())
-	defer cancel()
 	grant, err := r.o.Placer.Place(ctx, request)
 	if err != nil {
 		fail(err)
@@ -317,12 +326,21 @@
 	}
 }
 
-// pause waits within the life of the runner.
-func (r *Runner) pause(d time.Duration) {
+// endPlace ends the wait of a placement that has its result or is not needed.
+func (r *Runner) endPlace(generation string, attempt uint64) {
+	key := streamKey{generation, attempt}
+	if cancel := r.places[key]; cancel != nil {
+		cancel()
+		delete(r.places, key)
+	}
+}
+
+// pause waits until the context ends.
+func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-r.ctx.Done():
+	case <-ctx.Done():
 	case <-timer.C:
 	}
 }
--- a/generation/state.go
+++ b/generation/state.go
@@ -153,7 +153,9 @@
 		c.do(Release{Grant: a.grant, Outcome: outcome})
 		a.grant = 0
 	}
-	if !a.placing {
+	if a.placing {
+		c.do(CancelPlace{Generation: g.request.Generation, Attempt: a.number})
+	} else {
 		c.endpointOf(a).running--
 		c.do(CloseStream{
 			Generation: g.request.Generation, Attempt: a.number, EngineID: engineID(g.request.Generation, a.stream),
