--- a/generation/runner.go
+++ b/generation/runner.go
@@ -95,7 +95,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			r.endConnections()
 			return nil
 		case ev := <-r.events.C():
 			r.handle(ev)
@@ -150,15 +149,6 @@
 	}
 }
 
-// endConnections tells the remaining callers that the instance stops.
-func (r *Runner) endConnections() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, conn := range r.conns {
-		conn.finish(&reason.Error{Reason: reason.ShuttingDown, Run: reason.RunUnknown, Message: "the instance stops"})
-	}
-}
-
 // post hands the result of I/O to the loop and waits for room.
 func (r *Runner) post(ev Event) bool { return r.events.Put(r.ctx, ev) == nil }
 
@@ -231,6 +221,7 @@
 			conn.restart()
 		}
 	case Finish:
+		r.logEnd(action)
 		if conn := r.connection(action.Conn); conn != nil {
 			conn.finish(action.Err)
 		}
@@ -249,6 +240,12 @@
 	}
 }
 
+func (r *Runner) logEnd(f Finish) {
+	if f.Err != nil {
+		r.o.Log.Info("generation ended early", "generation", f.Generation, "reason", string(f.Err.Reason), "run", string(f.Err.Run))
+	}
+}
+
 func (r *Runner) openStream(generation string, attempt uint64, endpoint api.EndpointID) context.Context {
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.streams[streamKey{generation, attempt}] = openedStream{endpoint: endpoint, cancel: cancel}
--- a/generation/sse.go
+++ b/generation/sse.go
@@ -63,6 +63,10 @@
 		case <-s.request.Context().Done():
 			s.left(reason.CallerGone)
 			return
+		case <-s.r.ctx.Done():
+			s.conn.finish(stopped())
+			s.flush()
+			return
 		case <-s.conn.wake:
 			if done := s.flush(); done {
 				return
@@ -76,6 +80,11 @@
 	}
 }
 
+// stopped is the end of answers that run when the instance stops.
+func stopped() *reason.Error {
+	return &reason.Error{Reason: reason.ShuttingDown, Run: reason.RunUnknown, Message: "the instance stops"}
+}
+
 // left tells the loop that the caller is gone.
 func (s *sender) left(why reason.Reason) {
 	s.r.post(CallerLeft{Conn: s.conn.id, Reason: why})
