generation: look in the own region for 150 ms only

Change: the first placement of a loss ends after 150 ms in sparing mode; the next one takes any region and any endpoint at once.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -33,12 +33,12 @@
 		Recovery:     g.lostAt != 0,
 	}
 	request.Exclude = c.excluded(g)
-	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && now-g.lostAt < regionPatience
+	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && g.retryWaits == 0
 	deadline := r.Deadline
 	if request.SameRegionOnly {
 		// Placement queues a request that finds no free slot; after this time
 		// another region is better than a longer wait.
-		deadline = min(deadline, g.lostAt+regionPatience)
+		deadline = min(deadline, now+regionPatience)
 	}
 	c.do(Place{Generation: r.Generation, Attempt: a.number, Digest: r.Digest, Request: request, Retry: retry, Deadline: deadline})
 }
@@ -161,6 +161,10 @@
 		return
 	}
 	g.retryWaits++
+	if g.retryWaits == 1 {
+		c.enqueue(now, g) // any region, any endpoint
+		return
+	}
 	c.requeue(now, g)
 }
 
--- a/generation/core.go
+++ b/generation/core.go
@@ -26,8 +26,9 @@
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
 	// regionPatience is how long sparing recovery looks for an engine in its
-	// own region only.
-	regionPatience = time.Second
+	// own region only, counted from when it is placed. A caller waits meanwhile,
+	// so it is a part of the 250 ms goal for a lost engine.
+	regionPatience = 150 * time.Millisecond
 	// progressBatch is how many tokens are reported to placement together.
 	progressBatch = 16
 	// keepEnded is how long the tokens of an ended answer are kept for a caller
