--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -33,8 +33,14 @@
 		Recovery:     g.lostAt != 0,
 	}
 	request.Exclude = c.excluded(g)
-	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && now-g.lostAt < regionPatience
-	c.do(Place{Generation: r.Generation, Attempt: a.number, Digest: r.Digest, Request: request, Retry: retry, Deadline: r.Deadline})
+	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && g.retryWaits == 0
+	deadline := r.Deadline
+	if request.SameRegionOnly {
+		// Placement queues a request that finds no free slot; after this time
+		// another region is better than a longer wait.
+		deadline = min(deadline, now+regionPatience)
+	}
+	c.do(Place{Generation: r.Generation, Attempt: a.number, Digest: r.Digest, Request: request, Retry: retry, Deadline: deadline})
 }
 
 // excluded lists the endpoints that a new attempt has to avoid: those of the
@@ -150,15 +156,28 @@
 	}
 	c.endAttempt(g, a, api.OutcomeCancelled, false)
 	c.note(g, a, "not placed", ev.Err.Reason)
-	final := ev.Err.Reason == reason.CrashSuspect || ev.Err.Reason == reason.ModelUnknown
-	if final || (g.sent == 0 && !g.ran && g.lostAt == 0) {
+	if c.isFinal(g, ev.Err.Reason) {
 		c.finish(now, g, ev.Err.WithRun(c.runStatus(g)))
 		return
 	}
 	g.retryWaits++
+	if g.retryWaits == 1 {
+		c.enqueue(now, g) // any region, any endpoint
+		return
+	}
 	c.requeue(now, g)
 }
 
+// isFinal reports whether a failed placement ends the answer. An answer that
+// has started waits for an endpoint until its deadline.
+func (c *Core) isFinal(g *generation, why reason.Reason) bool {
+	if why == reason.CrashSuspect || why == reason.ModelUnknown {
+		return true
+	}
+	started := g.sent > 0 || g.ran
+	return !started && (g.lostAt == 0 || why == reason.RetryBudget)
+}
+
 // startReattach sends the request for an engine's existing stream.
 func (c *Core) startReattach(g *generation, a *attempt, from int, hash uint64) {
 	a.next, a.hash = from, hash
@@ -235,6 +254,9 @@
 
 func (c *Core) rememberLost(now time.Duration, g *generation, a *attempt) {
 	s := c.endpointOf(a)
+	for len(s.lost) > 0 && now-s.lost[0].at > incidentWindow {
+		s.lost = s.lost[1:]
+	}
 	s.lost = append(s.lost, lostContent{at: now, digest: g.request.Digest})
 }
 
@@ -249,6 +271,7 @@
 		g.lostAt = now
 	}
 	g.lastLost = a.endpoint.ID
+	g.notStarted = outcome == api.OutcomeRefused || why == reason.ConnectFailed
 	c.endAttempt(g, a, outcome, cancel)
 	if g.healthy(nil) {
 		return
--- a/generation/core.go
+++ b/generation/core.go
@@ -26,8 +26,9 @@
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
 	// regionPatience is how long sparing recovery looks for an engine in its
-	// own region only.
-	regionPatience = time.Second
+	// own region only, counted from when it is placed. A caller waits meanwhile,
+	// so it is a part of the 250 ms goal for a lost engine.
+	regionPatience = 150 * time.Millisecond
 	// progressBatch is how many tokens are reported to placement together.
 	progressBatch = 16
 	// keepEnded is how long the tokens of an ended answer are kept for a caller
@@ -82,6 +83,7 @@
 	endedList []*endedAnswer
 	endpoints map[api.EndpointID]*endpointState
 	queue     []*generation // waiting for a continuation
+	due       bool          // the queue has to be looked at
 	pace      *rate.Limiter
 	nextCheck time.Duration
 	actions   []Action
@@ -127,6 +129,7 @@
 		c.onTakenOver(now, ev)
 	case Tick:
 		c.onTick(now)
+		c.due = true
 	}
 	c.pump(now)
 	return c.actions
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -33,7 +33,9 @@
 	nextConn atomic.Uint64
 	mu       sync.Mutex
 	conns    map[uint64]*connection
-	streams  map[streamKey]context.CancelFunc // owned by the loop
+	running  map[api.EndpointID]int           // open streams
+	streams  map[streamKey]openedStream       // owned by the loop
+	places   map[streamKey]context.CancelFunc // owned by the loop
 	jobs     sync.WaitGroup
 	ctx      context.Context // of Run; set before the loop starts
 	ready    chan struct{}
@@ -43,6 +45,12 @@
 	accounts atomic.Pointer[accountIndex]
 }
 
+// openedStream is an open connection to an engine.
+type openedStream struct {
+	endpoint api.EndpointID
+	cancel   context.CancelFunc
+}
+
 type streamKey struct {
 	generation string
 	attempt    uint64
@@ -64,7 +72,9 @@
 		metrics: newMetrics(o.Scope),
 		holder:  newHolder(),
 		conns:   make(map[uint64]*connection),
-		streams: make(map[streamKey]context.CancelFunc),
+		streams: make(map[streamKey]openedStream),
+		places:  make(map[streamKey]context.CancelFunc),
+		running: make(map[api.EndpointID]int),
 		ready:   make(chan struct{}),
 	}
 	r.sender = newCheckpointSender(r)
@@ -85,7 +95,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			r.endConnections()
 			return nil
 		case ev := <-r.events.C():
 			r.handle(ev)
@@ -103,9 +112,14 @@
 func (call) event() {}
 
 func (r *Runner) handle(ev Event) {
-	if run, ok := ev.(call); ok {
-		run(r.core)
+	switch ev := ev.(type) {
+	case call:
+		ev(r.core)
 		return
+	case Placed:
+		r.endPlace(ev.Generation, ev.Attempt)
+	case PlaceFailed:
+		r.endPlace(ev.Generation, ev.Attempt)
 	}
 	r.apply(r.core.Step(r.o.Clock(), ev))
 }
@@ -135,15 +149,6 @@
 	}
 }
 
-// endConnections tells the remaining callers that the instance stops.
-func (r *Runner) endConnections() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, conn := range r.conns {
-		conn.finish(&reason.Error{Reason: reason.ShuttingDown, Run: reason.RunUnknown, Message: "the instance stops"})
-	}
-}
-
 // post hands the result of I/O to the loop and waits for room.
 func (r *Runner) post(ev Event) bool { return r.events.Put(r.ctx, ev) == nil }
 
@@ -165,15 +170,19 @@
 func (r *Runner) applyOne(action Action) {
 	switch action := action.(type) {
 	case Place:
-		r.spawn(func() { r.place(action) })
+		ctx, cancel := context.WithTimeout(r.ctx, action.Deadline-r.o.Clock())
+		r.places[streamKey{action.Generation, action.Attempt}] = cancel
+		r.spawn(func() { r.place(ctx, action) })
+	case CancelPlace:
+		r.endPlace(action.Generation, action.Attempt)
 	case Open:
-		ctx := r.openStream(action.Generation, action.Attempt)
+		ctx := r.openStream(action.Generation, action.Attempt, action.Endpoint.ID)
 		body := newEngineRequest(action)
 		r.spawn(func() {
 			r.stream(ctx, action.Generation, action.Attempt, action.Endpoint.Address, "/v1/completions", body, action.Fresh)
 		})
 	case Reattach:
-		ctx := r.openStream(action.Generation, action.Attempt)
+		ctx := r.openStream(action.Generation, action.Attempt, action.Endpoint.ID)
 		body := resumeRequest{Attempt: action.Attempt, From: action.From}
 		path := "/v1/streams/" + action.EngineID + "/resume"
 		r.spawn(func() { r.stream(ctx, action.Generation, action.Attempt, action.Endpoint.Address, path, body, true) })
@@ -212,6 +221,7 @@
 			conn.restart()
 		}
 	case Finish:
+		r.logEnd(action)
 		if conn := r.connection(action.Conn); conn != nil {
 			conn.finish(action.Err)
 		}
@@ -230,17 +240,43 @@
 	}
 }
 
-func (r *Runner) openStream(generation string, attempt uint64) context.Context {
+func (r *Runner) logEnd(f Finish) {
+	if f.Err != nil {
+		r.o.Log.Info("generation ended early", "generation", f.Generation, "reason", string(f.Err.Reason), "run", string(f.Err.Run))
+	}
+}
+
+func (r *Runner) openStream(generation string, attempt uint64, endpoint api.EndpointID) context.Context {
 	ctx, cancel := context.WithCancel(r.ctx)
-	r.streams[streamKey{generation, attempt}] = cancel
+	r.streams[streamKey{generation, attempt}] = openedStream{endpoint: endpoint, cancel: cancel}
+	r.countStream(endpoint, 1)
 	return ctx
 }
 
+func (r *Runner) countStream(endpoint api.EndpointID, change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[endpoint] += change
+	if r.running[endpoint] == 0 {
+		delete(r.running, endpoint)
+	}
+}
+
+// Running returns the number of streams that are open on the endpoint. It
+// includes streams that were reattached after the death of another instance,
+// for which placement has no grant.
+func (r *Runner) Running(endpoint api.EndpointID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[endpoint]
+}
+
 func (r *Runner) closeStream(action CloseStream) {
 	key := streamKey{action.Generation, action.Attempt}
-	if cancel := r.streams[key]; cancel != nil {
-		cancel()
+	if stream, ok := r.streams[key]; ok {
+		stream.cancel()
 		delete(r.streams, key)
+		r.countStream(stream.endpoint, -1)
 	}
 	if action.Cancel {
 		r.spawn(func() { r.engines.cancel(r.ctx, action.Endpoint, action.EngineID, action.Attempt) })
@@ -258,13 +294,13 @@
 
 // place asks placement for an endpoint. Content under suspicion carries its
 // level of isolation.
-func (r *Runner) place(action Place) {
+func (r *Runner) place(ctx context.Context, action Place) {
 	fail := func(err error) {
 		r.post(PlaceFailed{Generation: action.Generation, Attempt: action.Attempt, Err: reason.From(err)})
 	}
 	level := r.o.Marks.Level(action.Digest)
 	if level == api.IsolationAlone {
-		r.pause(aloneWait)
+		pause(ctx, aloneWait)
 		level = r.o.Marks.Level(action.Digest)
 	}
 	if level == api.IsolationRefused {
@@ -277,8 +313,6 @@
 	}
 	request := action.Request
 	request.Isolation = level
-	ctx, cancel := context.WithTimeout(r.ctx, action.Deadline-r.o.Clock())
-	defer cancel()
 	grant, err := r.o.Placer.Place(ctx, request)
 	if err != nil {
 		fail(err)
@@ -289,12 +323,21 @@
 	}
 }
 
-// pause waits within the life of the runner.
-func (r *Runner) pause(d time.Duration) {
+// endPlace ends the wait of a placement that has its result or is not needed.
+func (r *Runner) endPlace(generation string, attempt uint64) {
+	key := streamKey{generation, attempt}
+	if cancel := r.places[key]; cancel != nil {
+		cancel()
+		delete(r.places, key)
+	}
+}
+
+// pause waits until the context ends.
+func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-r.ctx.Done():
+	case <-ctx.Done():
 	case <-timer.C:
 	}
 }
