Test the runners and start the first probe at once

The runners had no tests. Examples with in-process engines cover running counts, deadlines, a configuration that changes while a request waits, probes, load reports, deltas and concurrent callers.

They found two faults. Endpoints was empty until the first event, since a query did not hand over the configuration. Running counted a new grant before the ended one whose slot it took, so it could exceed the slots for a moment; the ended one is now uncounted first.

The first probe after a failure no longer waits for the next tick.

--- a/placement/core.go
+++ b/placement/core.go
@@ -37,6 +37,8 @@
 	// that all waiting requests are tried at the end of the step.
 	recheck bool
 	drained time.Duration
+	// failed says that a first probe may be due before the next tick.
+	failed bool
 
 	link       bucket
 	hints      hints
@@ -96,6 +98,9 @@
 	if c.recheck {
 		c.drain(now)
 	}
+	if c.failed {
+		c.probeDue(now)
+	}
 	return c.actions
 }
 
--- /dev/null
+++ b/placement/core_test.go
@@ -0,0 +1,174 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+var _ = Describe("the core", func() {
+	const now = time.Second
+	var (
+		core *Core
+		next uint64
+	)
+
+	configure := func(endpoints ...api.Endpoint) {
+		core.Step(now, ConfigChanged{Config: configOf(endpoints...)})
+	}
+	place := func(request api.PlacementRequest) (api.Grant, reason.Reason) {
+		next++
+		for _, action := range core.Step(now, PlaceRequested{ID: next, Request: request}) {
+			switch a := action.(type) {
+			case Granted:
+				return a.Grant, ""
+			case Refused:
+				return api.Grant{}, a.Err.Reason
+			}
+		}
+		return api.Grant{}, "waits"
+	}
+	withPrefix := func(blocks ...uint64) api.PlacementRequest {
+		request := interactive()
+		request.PrefixBlocks = blocks
+		return request
+	}
+
+	BeforeEach(func() {
+		next = 0
+		core = NewCore(CoreOptions{Instance: "i1", Half: testHalf, Place: testPlace, Seed: 3, LinkBytesPerSecond: 1000})
+	})
+
+	It("tells why no endpoint can ever serve a request", func() {
+		_, why := place(interactive())
+		Expect(why).To(Equal(reason.NotReady))
+		configure(engineAt("e1", "east", 1))
+		unknown := interactive()
+		unknown.Model.Model = "other"
+		_, why = place(unknown)
+		Expect(why).To(Equal(reason.ModelUnknown))
+		excluded := interactive()
+		excluded.Exclude = []api.EndpointID{"e1"}
+		_, why = place(excluded)
+		Expect(why).To(Equal(reason.NoEndpoint))
+		refused := interactive()
+		refused.Isolation = api.IsolationRefused
+		_, why = place(refused)
+		Expect(why).To(Equal(reason.CrashSuspect))
+	})
+
+	// Guards the billed link against work that could wait.
+	It("prefers its region, and lets drafts wait for it", func() {
+		configure(engineAt("e1", "east", 1), engineAt("w1", "west", 4))
+		grant, _ := place(interactive())
+		Expect(grant.CrossRegion).To(BeFalse())
+		draft := interactive()
+		draft.Priority = api.PriorityDraft
+		_, why := place(draft)
+		Expect(why).To(BeEquivalentTo("waits"))
+		grant, _ = place(interactive())
+		Expect(grant.CrossRegion).To(BeTrue())
+	})
+
+	// Guards a service whose only model is none.
+	It("places a lookup on a service that admits the account", func() {
+		service := api.Endpoint{ID: "s1", Kind: api.KindService, Half: testHalf, Accounts: []api.AccountID{"a"}, Place: testPlace}
+		configure(service)
+		lookup := api.PlacementRequest{Kind: api.KindService, Account: "a", Priority: api.PriorityLookup}
+		grant, _ := place(lookup)
+		Expect(grant.Endpoint.ID).To(Equal(api.EndpointID("s1")))
+		lookup.Account = "b"
+		_, why := place(lookup)
+		Expect(why).To(Equal(reason.NoEndpoint))
+	})
+
+	// Guards affinity: one shared prefix goes to one engine, on every instance.
+	It("sends a shared prefix to the same engine on every instance", func() {
+		seen := map[api.EndpointID]int{}
+		for _, instance := range []api.InstanceID{"i1", "i2", "i3"} {
+			core = NewCore(CoreOptions{Instance: instance, Half: testHalf, Place: testPlace, Seed: uint64(len(seen))})
+			configure(engineAt("e1", "east", 64), engineAt("e2", "east", 64), engineAt("e3", "east", 64))
+			for own := range uint64(8) {
+				grant, _ := place(withPrefix(1, 2, 3, 4, 100, 101, 1000+own))
+				seen[grant.Endpoint.ID]++
+			}
+		}
+		highest := 0
+		for _, count := range seen {
+			highest = max(highest, count)
+		}
+		Expect(highest).To(BeNumerically(">=", 20), "%v", seen)
+	})
+
+	// Guards against hints that survive a lost eviction.
+	It("drops its hints on a gap of the cache events", func() {
+		configure(engineAt("e1", "east", 8), engineAt("e2", "east", 8))
+		core.Step(now, CacheReported{Endpoint: "e1", Events: []CacheEvent{{Sequence: 1, Block: 7}, {Sequence: 2, Block: 8}}})
+		holder, _ := core.hints.deepestHolder([]uint64{7, 8}, func(*endpoint) bool { return true })
+		Expect(holder).NotTo(BeNil())
+		core.Step(now, CacheReported{Endpoint: "e1", Events: []CacheEvent{{Sequence: 2, Block: 8}, {Sequence: 5, Block: 9}}})
+		holder, _ = core.hints.deepestHolder([]uint64{7, 8}, func(*endpoint) bool { return true })
+		Expect(holder).To(BeNil())
+	})
+
+	// Guards a prober's backoff: the streams of one engine fail together.
+	It("counts the failures of one death once", func() {
+		configure(engineAt("e1", "east", 8), engineAt("e2", "east", 8))
+		var grants []api.Grant
+		for range 16 {
+			grant, _ := place(interactive())
+			grants = append(grants, grant)
+		}
+		for _, grant := range grants {
+			if grant.Endpoint.ID == "e1" {
+				core.Step(now, Released{ID: grant.ID, Outcome: api.OutcomeDied})
+			}
+		}
+		Expect(core.endpoints["e1"].health.failures).To(Equal(1))
+		Expect(core.endpoints["e1"].health.state).To(Equal(StateDead))
+	})
+
+	// Guards the engines against polls that grow with instances times engines.
+	It("polls a share of the engines that shrinks with the fleet", func() {
+		var list []api.Endpoint
+		for i := range 100 {
+			list = append(list, engineAt(fmt.Sprintf("e%d", i), "east", 8))
+		}
+		configure(list...)
+		core.Step(now, FleetSized{Instances: 100})
+		polls := 0
+		const seconds = 60
+		for at := now; at < now+seconds*time.Second; at += 20 * time.Millisecond {
+			for _, action := range core.Step(at, Tick{}) {
+				switch action.(type) {
+				case PollLoad, PollCache:
+					polls++
+				}
+			}
+		}
+		// Two pollers per engine and round, in rounds of 0.5 s and 2 s, shared by
+		// as many instances as engines: 2*2 + 2/2 polls a second.
+		Expect(polls).To(BeNumerically("~", 5*seconds, 2*seconds))
+	})
+
+	// Guards against content under suspicion that never starts because the
+	// selected engine is always busy.
+	It("holds the selected engine for content that runs alone", func() {
+		configure(engineAt("e1", "east", 2))
+		first, _ := place(interactive())
+		alone := interactive()
+		alone.Isolation = api.IsolationAlone
+		_, why := place(alone)
+		Expect(why).To(BeEquivalentTo("waits"))
+		_, why = place(interactive())
+		Expect(why).To(BeEquivalentTo("waits"))
+		actions := core.Step(now, Released{ID: first.ID, Outcome: api.OutcomeCompleted})
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].(Granted).Grant.ID).To(Equal(uint64(2)))
+	})
+})
--- a/placement/health.go
+++ b/placement/health.go
@@ -86,6 +86,7 @@
 		}
 		h.failures++
 		h.probeAt = now + c.backoff(h.failures)
+		c.failed = true
 	}
 	h.failedAt = now
 	if state > h.state {
@@ -123,6 +124,7 @@
 
 // probeDue starts the probes whose time has come.
 func (c *Core) probeDue(now time.Duration) {
+	c.failed = false
 	started := 0
 	for _, e := range c.ordered {
 		h := &e.health
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -158,6 +158,7 @@
 
 func (r *Runner) handle(ctx context.Context, m message) {
 	if m.query != nil {
+		r.refresh(ctx)
 		m.query(r.core, r.options.Clock())
 		return
 	}
@@ -172,12 +173,8 @@
 
 // step brings the core up to the current configuration and hands it the event.
 func (r *Runner) step(ctx context.Context, event Event) {
-	now := r.options.Clock()
-	if config := r.options.Config(); config != r.config {
-		r.config = config
-		r.apply(ctx, r.core.Step(now, ConfigChanged{Config: config}))
-	}
-	r.apply(ctx, r.core.Step(now, event))
+	r.refresh(ctx)
+	// The ended grant is uncounted before the step gives its slot to another.
 	switch e := event.(type) {
 	case Released:
 		r.uncount(e.ID)
@@ -185,6 +182,17 @@
 		r.uncount(e.ID)
 		delete(r.asked, e.ID)
 	}
+	r.apply(ctx, r.core.Step(r.options.Clock(), event))
+}
+
+// refresh hands over a new configuration.
+func (r *Runner) refresh(ctx context.Context) {
+	config := r.options.Config()
+	if config == r.config {
+		return
+	}
+	r.config = config
+	r.apply(ctx, r.core.Step(r.options.Clock(), ConfigChanged{Config: config}))
 }
 
 func (r *Runner) apply(ctx context.Context, actions []Action) {
--- /dev/null
+++ b/placement/runner_test.go
@@ -0,0 +1,247 @@
+package placement
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+// fakeEngine answers polls and probes.
+type fakeEngine struct {
+	server  *httptest.Server
+	load    atomic.Value // JSON
+	healthy atomic.Bool
+	events  atomic.Value // JSON
+}
+
+func newFakeEngine() *fakeEngine {
+	e := &fakeEngine{}
+	e.load.Store(`{}`)
+	e.events.Store(`{"events":[]}`)
+	e.healthy.Store(true)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(e.load.Load().(string))) })
+	mux.HandleFunc("GET /v1/cache/events", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(e.events.Load().(string))) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
+		if !e.healthy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	e.server = httptest.NewServer(mux)
+	return e
+}
+
+func (e *fakeEngine) address() string { return strings.TrimPrefix(e.server.URL, "http://") }
+
+func interactive() api.PlacementRequest {
+	return api.PlacementRequest{Kind: api.KindEngine, Model: testModel, Account: "a", Priority: api.PriorityInteractive, Tokens: 10}
+}
+
+func reasonOf(err error) reason.Reason { return reason.From(err).Reason }
+
+var _ = Describe("the runner", func() {
+	var (
+		ctx     context.Context
+		cancel  context.CancelFunc
+		engines []*fakeEngine
+		config  atomic.Pointer[api.Config]
+		done    chan struct{}
+		before  goleak.Option
+	)
+
+	start := func(instance api.InstanceID) *Runner {
+		r, err := New(Options{Instance: instance, Half: testHalf, Place: testPlace, Config: config.Load, LinkBitsPerSecond: 1e6, Seed: 1})
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			defer GinkgoRecover()
+			Expect(r.Run(ctx)).To(Succeed())
+			done <- struct{}{}
+		}()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(done).Should(Receive())
+		})
+		return r
+	}
+	stateOf := func(r *Runner, id api.EndpointID) func() string {
+		return func() string {
+			for _, s := range r.Endpoints() {
+				if s.ID == id {
+					return s.State
+				}
+			}
+			return ""
+		}
+	}
+
+	BeforeEach(func() {
+		before = goleak.IgnoreCurrent()
+		ctx, cancel = context.WithCancel(context.Background())
+		done = make(chan struct{}, 4)
+		engines = []*fakeEngine{newFakeEngine(), newFakeEngine()}
+		var list []api.Endpoint
+		for i, e := range engines {
+			endpoint := engineAt([]string{"e1", "e2"}[i], "east", 2)
+			endpoint.Address = e.address()
+			list = append(list, endpoint)
+		}
+		config.Store(configOf(list...))
+		DeferCleanup(func() {
+			for _, e := range engines {
+				e.server.Close()
+			}
+			http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+			Eventually(func() error { return goleak.Find(before) }).Should(Succeed())
+		})
+	})
+
+	// Guards the count that an instance of the other half relies on.
+	It("counts running grants until their release", func() {
+		r := start("i1")
+		grant, err := r.Place(ctx, interactive())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Running(grant.Endpoint.ID)).To(Equal(1))
+		r.Release(grant.ID, api.OutcomeCompleted)
+		r.Release(grant.ID, api.OutcomeCompleted)
+		Eventually(func() int { return r.Running(grant.Endpoint.ID) }).Should(BeZero())
+		Consistently(func() int { return r.Running(grant.Endpoint.ID) }, "50ms").Should(BeZero())
+	})
+
+	// Guards against a request that waits beyond its deadline, or is reported as
+	// possibly run.
+	It("refuses as not run what cannot start before its deadline", func() {
+		r := start("i1")
+		for range 4 {
+			_, err := r.Place(ctx, interactive())
+			Expect(err).NotTo(HaveOccurred())
+		}
+		short, stop := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer stop()
+		_, err := r.Place(short, interactive())
+		Expect(reasonOf(err)).To(Equal(reason.DeadlineExceeded))
+		Expect(reason.From(err).Run).To(Equal(reason.RunNo))
+	})
+
+	// Guards against a grant for an endpoint that a new configuration takes away
+	// while the request waits.
+	It("serves a waiting request under the newest configuration only", func() {
+		r := start("i1")
+		var grants []api.Grant
+		for range 4 {
+			grant, err := r.Place(ctx, interactive())
+			Expect(err).NotTo(HaveOccurred())
+			grants = append(grants, grant)
+		}
+		got := make(chan api.Grant, 1)
+		go func() {
+			grant, _ := r.Place(ctx, interactive())
+			got <- grant
+		}()
+		Eventually(func() time.Duration { return r.QueueDelay(api.PriorityInteractive) }).Should(BeNumerically(">", 0))
+		next := *config.Load()
+		next.Pending = []api.Pending{{Ticket: 2, Endpoints: map[api.EndpointID]*api.Endpoint{"e1": nil}}}
+		config.Store(&next)
+		for _, grant := range grants {
+			if grant.Endpoint.ID == "e1" {
+				r.Release(grant.ID, api.OutcomeCompleted)
+			}
+		}
+		Consistently(got, "100ms").ShouldNot(Receive())
+		for _, grant := range grants {
+			r.Release(grant.ID, api.OutcomeCompleted)
+		}
+		var grant api.Grant
+		Eventually(got).Should(Receive(&grant))
+		Expect(grant.Endpoint.ID).To(Equal(api.EndpointID("e2")))
+	})
+
+	// Guards against use of a dead engine, and against one that stays unused.
+	It("uses a failed engine again after a probe over a new connection", func() {
+		r := start("i1")
+		engines[0].healthy.Store(false)
+		engines[1].healthy.Store(false)
+		r.Silent("e1")
+		Eventually(stateOf(r, "e1")).Should(Equal("dead"))
+		for range 2 {
+			grant, err := r.Place(ctx, interactive())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(grant.Endpoint.ID).To(Equal(api.EndpointID("e2")))
+		}
+		engines[0].healthy.Store(true)
+		Eventually(stateOf(r, "e1"), "5s").Should(Equal("alive"))
+	})
+
+	// Guards the reading of the engine's report.
+	It("avoids an engine that reports foreign work, and one that drains", func() {
+		engines[0].load.Store(`{"running":1,"waiting":1,"outstanding_tokens":900,"age_ms":1}`)
+		r := start("i1")
+		Eventually(func() int { return r.Endpoints()[0].ForeignRunning }, "5s").Should(Equal(2))
+		grant, err := r.Place(ctx, interactive())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(grant.Endpoint.ID).To(Equal(api.EndpointID("e2")))
+		engines[1].load.Store(`{"draining":true}`)
+		Eventually(stateOf(r, "e2"), "5s").Should(Equal("leaving"))
+	})
+
+	// Guards the way of a death from one instance to the next.
+	It("passes a death on to a peer, which probes before it believes", func() {
+		first, second := start("i1"), start("i2")
+		engines[0].healthy.Store(false)
+		first.Silent("e1")
+		Eventually(stateOf(first, "e1")).Should(Equal("dead"))
+		deltas := first.Collect(10)
+		Expect(deltas.Loads).NotTo(BeEmpty())
+		Expect(deltas.Loads[0].Dead).To(BeTrue())
+		second.Merge(deltas)
+		Eventually(stateOf(second, "e1")).Should(Equal("dead"))
+		Expect(stateOf(second, "e2")()).To(Equal("alive"))
+	})
+
+	// Guards slots and counts against concurrent callers.
+	It("keeps slots under concurrency", func() {
+		r := start("i1")
+		var group sync.WaitGroup
+		for range 40 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				short, stop := context.WithTimeout(ctx, 10*time.Second)
+				defer stop()
+				grant, err := r.Place(short, interactive())
+				Expect(err).NotTo(HaveOccurred())
+				Expect(r.Running(grant.Endpoint.ID)).To(BeNumerically("<=", 2))
+				r.Progress(grant.ID, 3)
+				r.Release(grant.ID, api.OutcomeCompleted)
+			})
+		}
+		group.Wait()
+		Eventually(func() int { return r.Running("e1") + r.Running("e2") }).Should(BeZero())
+	})
+
+	// Guards against an unbounded queue in front of the core.
+	It("refuses when its ring is full", func() {
+		r, err := New(Options{Instance: "i3", Half: testHalf, Place: testPlace, Config: config.Load})
+		Expect(err).NotTo(HaveOccurred())
+		for range ringCapacity {
+			r.Progress(1, 1)
+		}
+		_, err = r.Place(ctx, interactive())
+		Expect(reasonOf(err)).To(Equal(reason.Overloaded))
+	})
+})
