Shed only when most requests wait, bound an account's part of a queue

The queueing delay that shedding follows was the wait of the oldest request. One request that waits for a particular engine, or one overloaded model of several, would have shed the requests for all models. The delay is now the longest that at least half of the recent requests see, over models.

One account could fill the queue of a priority; it may now fill half of it. Loads are passed on six times instead of 3 log2 N, deaths as before, newest first.

--- a/internal/servingmodel/overload.go
+++ b/internal/servingmodel/overload.go
@@ -175,7 +175,7 @@
 	r.calls[id] = c
 	r.asked[id] = r.time.now
 	e := placement.PlaceRequested{ID: id, Request: api.PlacementRequest{
-		Kind: api.KindEngine, Model: modelRef, Account: "a", Priority: api.PriorityInteractive, Tokens: tokens(c.service),
+		Kind: api.KindEngine, Model: modelRef, Account: modelAccount(id), Priority: api.PriorityInteractive, Tokens: tokens(c.service),
 	}}
 	if r.options.Protected {
 		e.Deadline = c.deadline
@@ -196,6 +196,9 @@
 	})
 }
 
+// modelAccount spreads the requests over ten accounts.
+func modelAccount(id uint64) api.AccountID { return api.AccountID(rune('a' + id%10)) }
+
 func (r *overloadRun) place(event placement.Event) {
 	actions := slices.Clone(r.placement.Step(r.time.now, event))
 	for _, action := range actions {
--- a/placement/core.go
+++ b/placement/core.go
@@ -40,6 +40,11 @@
 	// failed says that a first probe may be due before the next tick.
 	failed bool
 
+	// queued counts the waiting requests of each account and queue.
+	queued   map[queueShare]int
+	arrivals arrivals
+	classes  classes
+
 	link       bucket
 	hints      hints
 	aloneGrant uint64
@@ -63,6 +68,9 @@
 		byModel:   make(map[api.ModelRef]*candidates),
 		grants:    make(map[uint64]grant),
 		waiting:   make(map[uint64]*waiter),
+		queued:    make(map[queueShare]int),
+		arrivals:  newArrivals(),
+		classes:   newClasses(),
 		random:    rand.New(rand.NewPCG(o.Seed, self)),
 		self:      self,
 		link:      newBucket(o.LinkBytesPerSecond),
@@ -79,6 +87,7 @@
 		c.tick(now)
 	case ConfigChanged:
 		c.configure(e.Config)
+		c.reclassify()
 		c.recheck = true
 	case PlaceRequested:
 		c.place(now, e)
@@ -123,6 +132,7 @@
 
 func (c *Core) tick(now time.Duration) {
 	c.sample(now)
+	c.arrivals.decay(now)
 	c.expireReports(now)
 	c.probeDue(now)
 	c.pollDue(now)
@@ -140,6 +150,7 @@
 		// Requests that wait go first.
 		c.drain(now)
 	}
+	c.arrivals.add(w.request.Model)
 	c.learn(&w.request)
 	if !c.try(now, w) {
 		c.enqueue(now, w)
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -133,6 +133,43 @@
 		Expect(core.endpoints["e1"].health.state).To(Equal(StateDead))
 	})
 
+	// Guards all requests against shedding for the sake of a single one that
+	// waits for a particular engine, or of one overloaded model.
+	It("reports a queueing delay only if most requests are delayed", func() {
+		other := engineAt("e2", "east", 64)
+		other.Models = []api.ModelRef{{Model: "other"}}
+		configure(engineAt("e1", "east", 1), other)
+		request := interactive()
+		request.Model = api.ModelRef{Model: "other"}
+		for range 10 {
+			place(request)
+		}
+		place(interactive())
+		_, why := place(interactive())
+		Expect(why).To(BeEquivalentTo("waits"))
+		Expect(core.OldestWait(now+time.Second, api.PriorityInteractive)).To(BeZero())
+		for range 10 {
+			place(interactive())
+		}
+		Expect(core.OldestWait(now+time.Second, api.PriorityInteractive)).To(Equal(time.Second))
+	})
+
+	// Guards other accounts against one that fills the queue.
+	It("bounds the part of a queue that one account fills", func() {
+		configure(engineAt("e1", "east", 1))
+		refused := 0
+		for range 400 {
+			if _, why := place(interactive()); why == reason.Overloaded {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(400 - 1 - 256))
+		request := interactive()
+		request.Account = "b"
+		_, why := place(request)
+		Expect(why).To(BeEquivalentTo("waits"))
+	})
+
 	// Guards the engines against polls that grow with instances times engines.
 	It("polls a share of the engines that shrinks with the fleet", func() {
 		var list []api.Endpoint
--- a/placement/load.go
+++ b/placement/load.go
@@ -28,6 +28,12 @@
 	clockTolerance = 10 * time.Second
 	// refreshInterval is when an unchanged load is shared again.
 	refreshInterval = 4 * time.Second
+	// refreshPerEndpoint lets the interval grow with the number of endpoints,
+	// since every load is passed to every instance.
+	refreshPerEndpoint = 20 * time.Millisecond
+	// loadSends is how often an instance passes a load on. With eight exchanges
+	// a second by every instance that has it, six reach nearly all.
+	loadSends = 6
 	// changeShare is the part of the slots (1/n) that counts as a change.
 	changeShare = 10
 )
@@ -127,7 +133,7 @@
 func (c *Core) changed(now time.Duration, e *endpoint, report LoadReported) bool {
 	last := e.shared.load
 	age := c.wall(now) - last.Version
-	if age >= uint64(refreshInterval.Milliseconds()) {
+	if age >= uint64(c.refresh().Milliseconds()) {
 		return true
 	}
 	difference := report.Running - last.Running
@@ -169,11 +175,22 @@
 	load.Endpoint = e.id
 	load.Instance = c.options.Instance
 	load.Version = max(c.wall(now), e.shared.load.Version+1)
-	e.shared = sharedLoad{load: load, sends: c.sends()}
+	e.shared = sharedLoad{load: load, sends: c.sends(load)}
 }
 
-// sends returns how often a changed entry is passed on, about 3 log2 N.
-func (c *Core) sends() int { return 3 * max(1, bits.Len(uint(c.instances))) }
+// sends returns how often a changed entry is passed on: a death until every
+// instance is certain to have it, about 3 log2 N times, a load a few times.
+func (c *Core) sends(load PeerLoad) int {
+	if load.Dead {
+		return 3 * max(1, bits.Len(uint(c.instances)))
+	}
+	return loadSends
+}
+
+// refresh returns the time between two unchanged loads of one endpoint.
+func (c *Core) refresh() time.Duration {
+	return max(refreshInterval, time.Duration(len(c.ordered))*refreshPerEndpoint)
+}
 
 // newer orders the observations of one endpoint by several instances.
 func newer(a, b PeerLoad) bool {
@@ -201,7 +218,7 @@
 
 func (c *Core) mergeLoad(now time.Duration, e *endpoint, load PeerLoad) {
 	revived := e.shared.load.Dead && !load.Dead
-	e.shared = sharedLoad{load: load, sends: c.sends()}
+	e.shared = sharedLoad{load: load, sends: c.sends(load)}
 	if load.Dead {
 		// Another instance's view is a reason to look, not a verdict.
 		c.silent(now, e.id)
@@ -237,7 +254,7 @@
 		if a.shared.sends != b.shared.sends {
 			return b.shared.sends - a.shared.sends
 		}
-		return cmp.Compare(a.shared.load.Version, b.shared.load.Version)
+		return cmp.Compare(b.shared.load.Version, a.shared.load.Version)
 	})
 	due = due[:min(limit, len(due))]
 	loads := make([]PeerLoad, 0, len(due))
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -30,6 +30,9 @@
 // be sent within their dispatch window of 2 s.
 var waitBounds = [priorityCount]time.Duration{2 * time.Second, 2 * time.Second, 30 * time.Second, 2 * time.Minute}
 
+// accountShare is the part of a queue (1/n) that one account may fill.
+const accountShare = 2
+
 // waiter is a request that waits for an endpoint.
 type waiter struct {
 	id       uint64
@@ -39,6 +42,7 @@
 	// blocked is why the last try failed.
 	blocked reason.Reason
 	gone    bool
+	class   int
 }
 
 func (w *waiter) queue() int {
@@ -49,6 +53,14 @@
 	return queue
 }
 
+// queueShare is one account's part of one queue.
+type queueShare struct {
+	queue   int
+	account api.AccountID
+}
+
+func (w *waiter) share() queueShare { return queueShare{w.queue(), w.request.Account} }
+
 // waitClass groups requests that are blocked for the same reasons.
 type waitClass struct {
 	kind       api.EndpointKind
@@ -58,17 +70,48 @@
 	regionOnly bool
 }
 
-// class returns the request's class and whether it has one.
-func (c *Core) class(w *waiter) (waitClass, bool) {
+// classes numbers the wait classes, so that a pass over a long queue compares
+// numbers. Number 0 stands for a request without a class.
+type classes struct {
+	numbers map[waitClass]int
+	// failed has the last pass in which the class could not be served.
+	failed []uint64
+	pass   uint64
+}
+
+func newClasses() classes {
+	return classes{numbers: make(map[waitClass]int), failed: make([]uint64, 1)}
+}
+
+func (c *classes) number(class waitClass) int {
+	number, ok := c.numbers[class]
+	if !ok {
+		number = len(c.failed)
+		c.numbers[class] = number
+		c.failed = append(c.failed, 0)
+	}
+	return number
+}
+
+// classify returns the number of the request's class.
+func (c *Core) classify(w *waiter) int {
 	request := &w.request
 	if len(request.Exclude) > 0 || request.Isolation != api.IsolationNone {
-		return waitClass{}, false
+		return 0
 	}
 	class := waitClass{kind: request.Kind, model: request.Model, queue: w.queue(), regionOnly: request.SameRegionOnly}
 	if c.list(request).restricted {
 		class.account = request.Account
 	}
-	return class, true
+	return c.classes.number(class)
+}
+
+// reclassify numbers the classes anew after a change of the configuration.
+func (c *Core) reclassify() {
+	c.classes = newClasses()
+	for _, w := range c.waiting {
+		w.class = c.classify(w)
+	}
 }
 
 func (c *Core) enqueue(now time.Duration, w *waiter) {
@@ -85,6 +128,16 @@
 		c.refuse(w.id, reason.New(reason.Overloaded, "%d requests of the priority wait already", bound).WithRetryAfter(time.Second))
 		return
 	}
+	if c.queued[w.share()] >= bound/accountShare {
+		c.letGo(w)
+		c.refuse(w.id, reason.New(reason.Overloaded, "the account has %d requests waiting already", bound/accountShare).WithRetryAfter(time.Second))
+		return
+	}
+	if len(c.waiting) == 0 {
+		c.classes = newClasses()
+	}
+	w.class = c.classify(w)
+	c.queued[w.share()]++
 	c.queues[queue] = append(c.queues[queue], w)
 	c.waiting[w.id] = w
 }
@@ -92,6 +145,10 @@
 // leave takes a request out of its queue. The slice is compacted later.
 func (c *Core) leave(w *waiter) {
 	w.gone = true
+	c.queued[w.share()]--
+	if c.queued[w.share()] == 0 {
+		delete(c.queued, w.share())
+	}
 	c.letGo(w)
 	delete(c.waiting, w.id)
 }
@@ -147,14 +204,13 @@
 // serveQueue tries the requests of one queue in their order. After one of a
 // class has failed, no other of the class is tried.
 func (c *Core) serveQueue(now time.Duration, queue int, worthTrying func(*waiter) bool) {
-	var failed map[waitClass]bool
+	c.classes.pass++
 	served := false
 	for _, w := range c.queues[queue] {
-		if w.gone || c.overdue(now, w) || !worthTrying(w) {
+		if w.gone || (w.class != 0 && c.classes.failed[w.class] == c.classes.pass) {
 			continue
 		}
-		class, classed := c.class(w)
-		if classed && failed[class] {
+		if c.overdue(now, w) || !worthTrying(w) {
 			continue
 		}
 		if c.try(now, w) {
@@ -162,12 +218,7 @@
 			served = true
 			continue
 		}
-		if classed {
-			if failed == nil {
-				failed = make(map[waitClass]bool)
-			}
-			failed[class] = true
-		}
+		c.classes.failed[w.class] = c.classes.pass
 	}
 	if served {
 		c.compact(queue)
@@ -207,18 +258,3 @@
 	}
 	return reason.New(w.blocked, "no endpoint within %s", waitBounds[w.request.Priority]).WithRetryAfter(time.Second)
 }
-
-// OldestWait returns how long the first waiting request of the priority has
-// waited.
-func (c *Core) OldestWait(now time.Duration, priority api.Priority) time.Duration {
-	oldest := time.Duration(0)
-	for queue := 2 * int(priority); queue <= 2*int(priority)+1; queue++ {
-		for _, w := range c.queues[queue] {
-			if !w.gone {
-				oldest = max(oldest, now-w.since)
-				break
-			}
-		}
-	}
-	return oldest
-}
