Bound peer tables, shorten the probe backoff, test the spread of recovery

A faulty peer could grow the tables of instances without bound; both are capped. An engine that starts after the instance could stay unused for 10 s; the backoff now ends at 5 s. A probe may take 1 s, since only reuse waits for it.

--- a/limits/share.go
+++ b/limits/share.go
@@ -42,6 +42,8 @@
 	tombstoneLifetime = 5 * time.Minute
 	// changeShare is the relative change of demand that is published.
 	changeShare = 0.1
+	// maxPeers bounds the entries of one account against a faulty peer.
+	maxPeers = 4096
 	// negligible is the demand below which an estimate counts as 0.
 	negligible = 1e-4
 )
@@ -267,6 +269,9 @@
 		a.peers = make(map[api.InstanceID]*peerUsage)
 	}
 	known, ok := a.peers[u.Instance]
+	if !ok && len(a.peers) >= maxPeers {
+		return
+	}
 	if ok && u.Version <= known.usage.Version && !c.options.faults.acceptOldUsage {
 		return
 	}
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -154,6 +154,39 @@
 		Expect(core.OldestWait(now+time.Second, api.PriorityInteractive)).To(Equal(time.Second))
 	})
 
+	// Guards the neighbours of a dead engine: its streams share one prefix and
+	// would all follow it.
+	It("spreads the streams of a dead engine", func() {
+		var list []api.Endpoint
+		for i := range 24 {
+			list = append(list, engineAt(fmt.Sprintf("e%d", i), "east", 16))
+		}
+		configure(list...)
+		var lost []api.Grant
+		for len(lost) < 16 {
+			grant, _ := place(withPrefix(1, 2, 3, 4))
+			if len(lost) == 0 || grant.Endpoint.ID == lost[0].Endpoint.ID {
+				lost = append(lost, grant)
+			}
+			if next > 300 {
+				break
+			}
+		}
+		taken := map[api.EndpointID]int{}
+		for _, grant := range lost {
+			core.Step(now, Released{ID: grant.ID, Outcome: api.OutcomeDied})
+			request := withPrefix(1, 2, 3, 4)
+			request.Recovery = true
+			continued, why := place(request)
+			Expect(why).To(BeEmpty())
+			taken[continued.Endpoint.ID]++
+		}
+		Expect(taken).NotTo(HaveKey(lost[0].Endpoint.ID))
+		for id, count := range taken {
+			Expect(count).To(BeNumerically("<=", 2), "%s", id)
+		}
+	})
+
 	// Guards other accounts against one that fills the queue.
 	It("bounds the part of a queue that one account fills", func() {
 		configure(engineAt("e1", "east", 1))
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -13,6 +13,8 @@
 	// to shrink. An instance that lost contact with its peers would otherwise
 	// take the whole budget.
 	peakLifetime = 10 * time.Minute
+	// maxInstances bounds the table against a faulty peer.
+	maxInstances = 4096
 )
 
 // fleet estimates the number of instances.
@@ -32,7 +34,9 @@
 		return
 	}
 	for _, load := range loads {
-		f.last[load.Instance] = now
+		if _, known := f.last[load.Instance]; known || len(f.last) < maxInstances {
+			f.last[load.Instance] = now
+		}
 	}
 }
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -24,7 +24,7 @@
 const (
 	// probeBackoff doubles with each further failure up to probeBackoffMax.
 	probeBackoff    = 250 * time.Millisecond
-	probeBackoffMax = 10 * time.Second
+	probeBackoffMax = 5 * time.Second
 	// failureMemory is how long an endpoint has to live for its earlier
 	// failures to be forgotten.
 	failureMemory = time.Minute
--- a/placement/poll.go
+++ b/placement/poll.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// probeTimeout bounds a probe over a new connection.
-	probeTimeout = 500 * time.Millisecond
+	// probeTimeout bounds a probe over a new connection. A generation that waits
+	// does not depend on it: it moves to another engine.
+	probeTimeout = time.Second
 	// pollTimeout bounds a poll; polls are not urgent.
 	pollTimeout = 2 * time.Second
 	// pollWorkers bounds the polls and probes that run at once.
