Admit again within seconds of an outage, drop hints in constant time

After an outage that had shed all but 2% of the requests, the admitted part grew by 0.1 a second. The step now grows while nothing waits.

A gap in the cache events walked the whole hint table; an epoch per endpoint now makes its hints invalid. A test covers the check of the configuration after the grant is counted.

--- a/limits/shed.go
+++ b/limits/shed.go
@@ -19,6 +19,9 @@
 	interactiveDecrease = 0.08
 	draftDecrease       = 0.3
 	increase            = 0.01
+	// calmSteps is after how many adjustments without any waiting the step up is
+	// twice as large, so that the end of an outage is noticed within seconds.
+	calmSteps = 5
 	// draftsGone is the admitted part of drafts below which interactive work is
 	// shed too, interactiveBack the part of interactive work above which drafts
 	// are admitted again.
@@ -34,13 +37,20 @@
 	admit  float64
 	credit float64
 	delay  time.Duration
+	// calm counts the adjustments in a row at which nothing waited.
+	calm int
 }
 
 // adjust lowers the admitted part in proportion to the excess delay and raises
-// it slowly when there is none.
+// it slowly when there is little, and faster the longer nothing waits.
 func (c *controller) adjust(excess, maxDecrease float64) {
+	if excess > -1 {
+		c.calm = 0
+	}
 	if excess <= 0 {
-		c.admit = min(1, c.admit+increase*min(1, -excess*2))
+		step := increase * (1 + float64(c.calm)/calmSteps)
+		c.calm++
+		c.admit = min(1, c.admit+step*min(1, -excess*2))
 		return
 	}
 	c.admit = max(leastAdmit, c.admit*(1-maxDecrease*min(1, excess)))
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -13,7 +13,7 @@
 
 // hint is what is known about one block.
 type hint struct {
-	holders [hintHolders]*endpoint
+	holders [hintHolders]holder
 	next    uint8
 	// requests counts the prompts with the block.
 	requests uint32
@@ -21,6 +21,15 @@
 	touched bool
 }
 
+// holder is an endpoint that most likely holds a block, as long as its epoch is
+// the endpoint's.
+type holder struct {
+	endpoint *endpoint
+	epoch    uint32
+}
+
+func (h holder) valid() bool { return h.endpoint != nil && h.epoch == h.endpoint.hintEpoch }
+
 // hints remembers prompt blocks: how often they occur and which endpoints most
 // likely hold them. It is never relied on; a wrong hint costs a prefill.
 type hints struct {
@@ -69,12 +78,12 @@
 
 func (h *hints) hold(block uint64, e *endpoint) {
 	known := h.entry(block)
-	for _, holder := range known.holders {
-		if holder == e {
+	for _, have := range known.holders {
+		if have.endpoint == e && have.valid() {
 			return
 		}
 	}
-	known.holders[known.next%hintHolders] = e
+	known.holders[known.next%hintHolders] = holder{endpoint: e, epoch: e.hintEpoch}
 	known.next = (known.next + 1) % hintHolders
 	h.blocks[block] = known
 }
@@ -115,25 +124,16 @@
 	if !ok {
 		return
 	}
-	for i, holder := range known.holders {
-		if holder == e {
-			known.holders[i] = nil
+	for i, have := range known.holders {
+		if have.endpoint == e {
+			known.holders[i] = holder{}
 		}
 	}
 	h.blocks[block] = known
 }
 
 // drop forgets everything about the endpoint.
-func (h *hints) drop(e *endpoint) {
-	for block, known := range h.blocks {
-		for _, holder := range known.holders {
-			if holder == e {
-				h.forget(block, e)
-				break
-			}
-		}
-	}
-}
+func (h *hints) drop(e *endpoint) { e.hintEpoch++ }
 
 // key returns the deepest block that other prompts have too, and its depth.
 // Requests with a shared prefix get the same key on every instance.
@@ -153,9 +153,9 @@
 		if !recorded(index) {
 			continue
 		}
-		for _, holder := range h.blocks[blocks[index]].holders {
-			if holder != nil && accept(holder) {
-				return holder, index
+		for _, have := range h.blocks[blocks[index]].holders {
+			if have.valid() && accept(have.endpoint) {
+				return have.endpoint, index
 			}
 		}
 	}
--- a/placement/runner_test.go
+++ b/placement/runner_test.go
@@ -172,6 +172,33 @@
 		Expect(grant.Endpoint.ID).To(Equal(api.EndpointID("e2")))
 	})
 
+	// Guards the check after the choice: the configuration changes as soon as the
+	// grant is counted, before its caller has it.
+	It("does not hand out a grant that a newer configuration forbids", func() {
+		var r *Runner
+		allowed, forbidden := configOf(engineAt("e1", "east", 2)), configOf(engineAt("e1", "east", 2))
+		forbidden.Held = map[api.EndpointID]bool{"e1": true}
+		var ready atomic.Bool
+		r, err := New(Options{Instance: "i4", Half: testHalf, Place: testPlace, Config: func() *api.Config {
+			if ready.Load() && r.Running("e1") > 0 {
+				return forbidden
+			}
+			return allowed
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		ready.Store(true)
+		go func() {
+			defer GinkgoRecover()
+			Expect(r.Run(ctx)).To(Succeed())
+			done <- struct{}{}
+		}()
+		_, err = r.Place(ctx, interactive())
+		Expect(reasonOf(err)).To(Equal(reason.EndpointLeaving))
+		Eventually(func() int { return r.Running("e1") }).Should(BeZero())
+		cancel()
+		Eventually(done).Should(Receive())
+	})
+
 	// Guards against use of a dead engine, and against one that stays unused.
 	It("uses a failed engine again after a probe over a new connection", func() {
 		r := start("i1")
--- a/placement/table.go
+++ b/placement/table.go
@@ -57,6 +57,8 @@
 	pollRound uint64
 	cacheAt   time.Duration
 	cacheLast uint64
+	// hintEpoch grows when the hints about the endpoint become invalid.
+	hintEpoch uint32
 	// pass marks the endpoint as usable in the current choice.
 	pass uint64
 }
