Pause only the model that an engine refused

An engine that has not loaded a new version yet refuses it before it starts. The pause after a refusal applied to the whole endpoint, so work for its other models waited too. Pauses are now kept by model and end with a new configuration.

--- a/internal/servingmodel/model_test.go
+++ b/internal/servingmodel/model_test.go
@@ -84,6 +84,7 @@
 				b.ReportMetric(r.Goodput, "goodput")
 				b.ReportMetric(r.Wasted, "wasted")
 				b.ReportMetric(float64(r.Sent)/float64(r.Offered), "sent/offered")
+				b.ReportMetric(r.WaitP95.Seconds(), "wait-p95-s")
 				b.ReportMetric(r.WaitP99.Seconds(), "wait-p99-s")
 			})
 		}
--- a/internal/servingmodel/overload.go
+++ b/internal/servingmodel/overload.go
@@ -53,7 +53,8 @@
 	Sent     int
 	Attempts int
 	Answered int
-	// WaitP99 is the 99th percentile of the waits of those that started.
+	// WaitP95 and WaitP99 are percentiles of the waits of those that started.
+	WaitP95 time.Duration
 	WaitP99 time.Duration
 }
 
@@ -262,6 +263,7 @@
 	r.result.Wasted = r.wasted.Seconds() / all
 	if len(r.waits) > 0 {
 		slices.Sort(r.waits)
+		r.result.WaitP95 = r.waits[len(r.waits)*95/100]
 		r.result.WaitP99 = r.waits[len(r.waits)*99/100]
 	}
 	return r.result
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -139,7 +139,7 @@
 	if e.draining {
 		return reason.EndpointLeaving
 	}
-	if e.refusedUntil > now {
+	if e.refused(now, request.Model) {
 		return reason.NoSlot
 	}
 	if e.running+e.foreign.running >= c.slotLimit(e, request) && !c.options.faults.ignoreSlots {
--- a/placement/core.go
+++ b/placement/core.go
@@ -16,6 +16,7 @@
 	tokens   int
 	bytes    int
 	marked   bool
+	model    api.ModelRef
 }
 
 // Core decides. It has no I/O, clock, goroutine or global randomness.
@@ -210,7 +211,12 @@
 
 func (c *Core) grant(now time.Duration, w *waiter, chosen *endpoint) {
 	request := &w.request
-	g := grant{endpoint: chosen, tokens: request.Tokens, marked: request.Isolation != api.IsolationNone}
+	g := grant{
+		endpoint: chosen,
+		tokens:   request.Tokens,
+		marked:   request.Isolation != api.IsolationNone,
+		model:    request.Model,
+	}
 	chosen.running++
 	chosen.outstanding += request.Tokens
 	if g.marked {
@@ -275,7 +281,7 @@
 		return
 	}
 	c.end(e.ID, g)
-	c.observe(now, g.endpoint, e.Outcome)
+	c.observe(now, g, e.Outcome)
 	c.wake(now, g.endpoint)
 }
 
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -187,6 +187,24 @@
 		}
 	})
 
+	// Guards the other models of an engine that has not loaded a new version yet.
+	It("pauses only the model that an engine refused", func() {
+		engine := engineAt("e1", "east", 8)
+		fresh := api.ModelRef{Model: "dream", Version: "2"}
+		engine.Models = append(engine.Models, fresh)
+		configure(engine)
+		request := interactive()
+		request.Model = fresh
+		grant, _ := place(request)
+		core.Step(now, Released{ID: grant.ID, Outcome: api.OutcomeRefused})
+		_, why := place(request)
+		Expect(why).To(BeEquivalentTo("waits"))
+		grant, _ = place(interactive())
+		Expect(grant.Endpoint.ID).To(Equal(api.EndpointID("e1")))
+		actions := core.Step(now+refusalPause, Tick{})
+		Expect(actions).To(ContainElement(BeAssignableToTypeOf(Granted{})))
+	})
+
 	// Guards other accounts against one that fills the queue.
 	It("bounds the part of a queue that one account fills", func() {
 		configure(engineAt("e1", "east", 1))
--- a/placement/health.go
+++ b/placement/health.go
@@ -52,16 +52,13 @@
 }
 
 // observe learns from the end of a grant.
-func (c *Core) observe(now time.Duration, e *endpoint, outcome api.Outcome) {
+func (c *Core) observe(now time.Duration, g grant, outcome api.Outcome) {
+	e := g.endpoint
 	switch outcome {
 	case api.OutcomeCompleted:
-		e.refusals = 0
-		e.refusedUntil = 0
+		delete(e.refusals, g.model)
 	case api.OutcomeRefused:
-		pause := min(refusalPause<<min(e.refusals, 10), refusalPauseMax)
-		e.refusals++
-		e.refusedUntil = now + pause
-		c.recheck = true
+		e.pause(now, g.model)
 	case api.OutcomeSuspected:
 		c.fail(now, e, StateSuspected, reason.EngineSilent)
 	case api.OutcomeDied:
@@ -69,6 +66,26 @@
 	}
 }
 
+// refusal is a pause for one model: an engine that has not loaded a new version
+// yet goes on serving the others.
+type refusal struct {
+	count int
+	until time.Duration
+}
+
+func (e *endpoint) pause(now time.Duration, model api.ModelRef) {
+	if e.refusals == nil {
+		e.refusals = make(map[api.ModelRef]refusal)
+	}
+	last := e.refusals[model]
+	length := min(refusalPause<<min(last.count, 10), refusalPauseMax)
+	e.refusals[model] = refusal{count: last.count + 1, until: now + length}
+}
+
+func (e *endpoint) refused(now time.Duration, model api.ModelRef) bool {
+	return len(e.refusals) > 0 && e.refusals[model].until > now
+}
+
 func (c *Core) silent(now time.Duration, id api.EndpointID) {
 	if e, ok := c.endpoints[id]; ok {
 		c.fail(now, e, StateSuspected, reason.EngineSilent)
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -333,7 +333,7 @@
 		if w.request.Priority != api.PriorityLookup || w.request.Kind != api.KindService {
 			continue
 		}
-		usable := service.dispatchable && service.health.state == StateAlive && service.refusedUntil <= o.now
+		usable := service.dispatchable && service.health.state == StateAlive && !service.refused(o.now, w.request.Model)
 		if usable && running["s1"] < 4 && !o.core.overdue(o.now, w) {
 			return fmt.Errorf("lookups: a lookup waits beside a free slot")
 		}
--- a/placement/table.go
+++ b/placement/table.go
@@ -43,8 +43,8 @@
 
 	recoveryWindow time.Duration
 	recoveries     int
-	refusals       int
-	refusedUntil   time.Duration
+	// refusals has the models that the endpoint refused last.
+	refusals map[api.ModelRef]refusal
 
 	health   health
 	foreign  use
@@ -127,6 +127,7 @@
 	for _, e := range c.endpoints {
 		e.dispatchable = false
 		e.heldFor = 0
+		clear(e.refusals)
 	}
 	if config != nil {
 		for _, id := range sortedIDs(config) {
