--- a/placement/health.go
+++ b/placement/health.go
@@ -24,7 +24,7 @@
 const (
 	// probeBackoff doubles with each further failure up to probeBackoffMax.
 	probeBackoff    = 250 * time.Millisecond
-	probeBackoffMax = 10 * time.Second
+	probeBackoffMax = 5 * time.Second
 	// failureMemory is how long an endpoint has to live for its earlier
 	// failures to be forgotten.
 	failureMemory = time.Minute
@@ -52,16 +52,13 @@
 }
 
 // observe learns from the end of a grant.
-func (c *Core) observe(now time.Duration, e *endpoint, outcome api.Outcome) {
+func (c *Core) observe(now time.Duration, g grant, outcome api.Outcome) {
+	e := g.endpoint
 	switch outcome {
 	case api.OutcomeCompleted:
-		e.refusals = 0
-		e.refusedUntil = 0
+		delete(e.refusals, g.model)
 	case api.OutcomeRefused:
-		pause := min(refusalPause<<min(e.refusals, 10), refusalPauseMax)
-		e.refusals++
-		e.refusedUntil = now + pause
-		c.recheck = true
+		e.pause(now, g.model)
 	case api.OutcomeSuspected:
 		c.fail(now, e, StateSuspected, reason.EngineSilent)
 	case api.OutcomeDied:
@@ -69,6 +66,26 @@
 	}
 }
 
+// refusal is a pause for one model: an engine that has not loaded a new version
+// yet goes on serving the others.
+type refusal struct {
+	count int
+	until time.Duration
+}
+
+func (e *endpoint) pause(now time.Duration, model api.ModelRef) {
+	if e.refusals == nil {
+		e.refusals = make(map[api.ModelRef]refusal)
+	}
+	last := e.refusals[model]
+	length := min(refusalPause<<min(last.count, 10), refusalPauseMax)
+	e.refusals[model] = refusal{count: last.count + 1, until: now + length}
+}
+
+func (e *endpoint) refused(now time.Duration, model api.ModelRef) bool {
+	return len(e.refusals) > 0 && e.refusals[model].until > now
+}
+
 func (c *Core) silent(now time.Duration, id api.EndpointID) {
 	if e, ok := c.endpoints[id]; ok {
 		c.fail(now, e, StateSuspected, reason.EngineSilent)
@@ -86,6 +103,7 @@
 		}
 		h.failures++
 		h.probeAt = now + c.backoff(h.failures)
+		c.failed = true
 	}
 	h.failedAt = now
 	if state > h.state {
@@ -123,6 +141,7 @@
 
 // probeDue starts the probes whose time has come.
 func (c *Core) probeDue(now time.Duration) {
+	c.failed = false
 	started := 0
 	for _, e := range c.ordered {
 		h := &e.health
