Refuse orders on an instance with another claim format

The two claim writers keep claims in different objects. Two instances with different settings could each claim and send the same order. The format is recorded in the store once, and an instance with another one refuses orders as not run.

--- a/order/batch.go
+++ b/order/batch.go
@@ -44,16 +44,20 @@
 }
 
 func newBatchClaims(api store.API, shards int, wall func() time.Time) *batchClaims {
-	if shards <= 0 {
-		shards = defaultBatchShards
-	}
-	b := &batchClaims{shards: make([]*shard, shards)}
+	b := &batchClaims{shards: make([]*shard, batchShards(shards))}
 	for i := range b.shards {
 		b.shards[i] = &shard{store: api, wall: wall, key: fmt.Sprintf("%s%03d", batchPrefix, i)}
 	}
 	return b
 }
 
+func batchShards(option int) int {
+	if option <= 0 {
+		return defaultBatchShards
+	}
+	return option
+}
+
 func (b *batchClaims) shard(id string) *shard {
 	number, err := strconv.ParseUint(id[:shardDigits], 16, 32)
 	if err != nil {
--- a/order/options.go
+++ b/order/options.go
@@ -46,7 +46,7 @@
 	MaxTimeout     time.Duration
 	MaxBodyBytes   int64
 	// Batch keeps many claims in one object per shard. All instances on one
-	// store have to use the same value.
+	// store have to use the same value; others refuse orders.
 	Batch bool
 	// BatchShards is the number of those objects; 0 is a default. All instances
 	// have to use the same value.
--- a/order/runner.go
+++ b/order/runner.go
@@ -37,6 +37,7 @@
 	core     *Core
 	events   *ring.Ring[Event]
 	metrics  *metrics
+	format   *format
 	accounts atomic.Pointer[accountIndex]
 	nextOp   atomic.Uint64
 	live     atomic.Int64 // operations of the core that have not ended
@@ -94,6 +95,7 @@
 		core:     NewCore(CoreOptions{Instance: o.Instance, Incarnation: o.Incarnation, Seed: seed.Sum64()}),
 		events:   ring.New[Event](eventRing),
 		metrics:  newMetrics(o.Scope.SubScope("order")),
+		format:   newFormat(o),
 		stopped:  make(chan struct{}),
 		waiting:  make(map[uint64]*pending),
 	}
@@ -106,6 +108,7 @@
 	defer close(r.stopped)
 	var background sync.WaitGroup
 	defer background.Wait()
+	background.Go(func() { r.format.run(ctx, r.options.Store) })
 	background.Go(func() { r.sweepLoop(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/order/submit.go
+++ b/order/submit.go
@@ -23,6 +23,9 @@
 	if err := r.mayStart(); err != nil {
 		return err
 	}
+	if err := r.format.wait(ctx); err != nil {
+		return err
+	}
 	admission, err := r.options.Admitter.Admit(ctx, api.AdmissionRequest{
 		Account: c.account.ID, Priority: api.PriorityOrder, Deadline: c.deadline,
 	})
@@ -124,11 +127,14 @@
 	return reason.DispatchWindow
 }
 
-func (r *Runner) getOrder(_ context.Context, c *call) error {
+func (r *Runner) getOrder(ctx context.Context, c *call) error {
 	key := c.r.PathValue("key")
 	if err := checkKey(key, "key"); err != nil {
 		return err
 	}
+	if err := r.format.wait(ctx); err != nil {
+		return reason.From(err).WithRun(reason.RunUnknown)
+	}
 	op := r.nextOp.Add(1)
 	p := &pending{reply: make(chan Reply, 1)}
 	reply, err := r.await(c, op, p, Query{Op: op, ID: ID(c.account.ID, key), Deadline: c.deadline})
