--- a/order/batch.go
+++ b/order/batch.go
@@ -46,7 +46,7 @@
 func newBatchClaims(api store.API, shards int, wall func() time.Time) *batchClaims {
 	b := &batchClaims{shards: make([]*shard, batchShards(shards))}
 	for i := range b.shards {
-		b.shards[i] = &shard{store: api, wall: wall, key: fmt.Sprintf("%s%03d", batchPrefix, i)}
+		b.shards[i] = &shard{store: api, wall: wall, kept: ClaimKept, key: fmt.Sprintf("%s%03d", batchPrefix, i)}
 	}
 	return b
 }
@@ -131,6 +131,7 @@
 type shard struct {
 	store store.API
 	wall  func() time.Time
+	kept  time.Duration // age above which a claim is dropped
 	key   string
 
 	mu      sync.Mutex
@@ -233,7 +234,7 @@
 	next = shardBody{Sequence: s.body.Sequence + 1, Claims: maps.Clone(s.body.Claims)}
 	if now := s.wall(); now.Sub(s.dropped) > dropInterval {
 		s.dropped = now
-		dropExpired(next.Claims, now)
+		dropExpired(next.Claims, now, s.kept)
 	}
 	size := sizeOf(next.Claims)
 	for _, c := range batch {
@@ -323,10 +324,10 @@
 	}
 }
 
-func dropExpired(claims map[string]json.RawMessage, wall time.Time) {
+func dropExpired(claims map[string]json.RawMessage, wall time.Time, kept time.Duration) {
 	for id, raw := range claims {
 		var claim Claim
-		if json.Unmarshal(raw, &claim) == nil && expired(claim, wall) {
+		if json.Unmarshal(raw, &claim) == nil && expired(claim, wall, kept) {
 			delete(claims, id)
 		}
 	}
--- a/order/claim.go
+++ b/order/claim.go
@@ -93,6 +93,6 @@
 	return hex.EncodeToString(sum[:idBytes])
 }
 
-func expired(claim Claim, wall time.Time) bool {
-	return wall.UnixMilli()-claim.UnixMilli > ClaimKept.Milliseconds()
+func expired(claim Claim, wall time.Time, kept time.Duration) bool {
+	return wall.UnixMilli()-claim.UnixMilli > kept.Milliseconds()
 }
--- a/order/sweep.go
+++ b/order/sweep.go
@@ -17,7 +17,7 @@
 	minSweepPause = 5 * time.Second
 )
 
-// sweeper deletes claims that are older than ClaimKept. The shard is chosen at
+// sweepLoop deletes claims that are older than ClaimKept. The shard is chosen at
 // random, so that instances need not agree on who sweeps what.
 func (r *Runner) sweepLoop(ctx context.Context) {
 	if r.options.Batch {
@@ -32,7 +32,9 @@
 			return
 		case <-timer.C:
 		}
-		r.sweep(ctx, rand.IntN(shardCount), time.Now())
+		sweep := sweeper{store: r.options.Store, kept: ClaimKept}
+		deleted := sweep.shard(ctx, shardPrefix(rand.IntN(shardCount)), time.Now())
+		r.metrics.swept.Inc(int64(deleted))
 	}
 }
 
@@ -51,21 +53,43 @@
 	return len(list)
 }
 
-// sweep deletes the old claims of one shard, each under the condition that it
-// did not change since it was read.
-func (r *Runner) sweep(ctx context.Context, shard int, wall time.Time) {
-	objects, _, err := r.options.Store.List(ctx, shardPrefix(shard))
+// sweeper deletes old claims of the single writer.
+type sweeper struct {
+	store store.API
+	kept  time.Duration
+	// unconditional is a fault that a test switches on: it deletes whatever has
+	// the key by then.
+	unconditional bool
+}
+
+// shard deletes the old claims of one shard, each under the condition that it
+// did not change since it was read, and returns their number.
+func (s sweeper) shard(ctx context.Context, prefix string, wall time.Time) (deleted int) {
+	objects, _, err := s.store.List(ctx, prefix)
 	if err != nil {
-		return
+		return 0
 	}
 	for _, object := range objects {
 		stored, err := decodeClaim(object)
-		if err != nil || !expired(stored.Claim, wall) {
+		if err != nil || !expired(stored.Claim, wall, s.kept) {
 			continue
 		}
-		if r.options.Store.Delete(ctx, object.Key, object.Version) != nil {
-			return // the next sweep of the shard continues
+		if s.remove(ctx, object) != nil {
+			return deleted // the next sweep of the shard continues
 		}
-		r.metrics.swept.Inc(1)
+		deleted++
+	}
+	return deleted
+}
+
+func (s sweeper) remove(ctx context.Context, object store.Object) error {
+	err := s.store.Delete(ctx, object.Key, object.Version)
+	if !s.unconditional || err == nil {
+		return err
+	}
+	current, err := s.store.Get(ctx, object.Key)
+	if err != nil {
+		return err
 	}
+	return s.store.Delete(ctx, object.Key, current.Version)
 }
