--- a/order/core.go
+++ b/order/core.go
@@ -97,6 +97,8 @@
 		c.submit(e)
 	case Query:
 		c.query(e)
+	case Found:
+		c.found(e)
 	case Written:
 		c.with(e.Op, func(o *op) { c.written(o, e) })
 	case Read:
@@ -172,6 +174,12 @@
 	c.readFor(o, phaseAnswering)
 }
 
+func (c *Core) found(e Found) {
+	if _, own := c.holders[e.ID]; !own {
+		c.observe(e.ID, e.Stored, e.Age)
+	}
+}
+
 func (c *Core) create(o *op) {
 	o.phase = phaseClaiming
 	c.do(CreateClaim{Op: o.id, ID: o.order, Claim: o.claim})
--- a/order/core_claim.go
+++ b/order/core_claim.go
@@ -245,5 +245,5 @@
 	if holder, ok := c.holders[o.order]; ok && holder != o {
 		return
 	}
-	c.observe(o.order, e)
+	c.observe(o.order, e.Stored, e.Age)
 }
--- a/order/core_outcome.go
+++ b/order/core_outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
@@ -187,8 +188,8 @@
 
 // observe takes care of a recorded claim whose outcome is open. The bounded
 // number of observers drops work that a later question repeats.
-func (c *Core) observe(order string, e Read) {
-	state := e.Stored.State
+func (c *Core) observe(order string, stored Stored, age time.Duration) {
+	state := stored.State
 	_, busy := c.observers[order]
 	if busy || state.Final() && state != StateUnknown || len(c.observers) >= maxObservers {
 		return
@@ -196,7 +197,7 @@
 	if state == StateUnknown && !c.mayRecheck(order) {
 		return
 	}
-	o := &op{id: internalOps + c.nextOwn, order: order, claim: e.Stored.Claim, revision: e.Stored.Revision, start: c.now}
+	o := &op{id: internalOps + c.nextOwn, order: order, claim: stored.Claim, revision: stored.Revision, start: c.now}
 	c.nextOwn++
 	c.ops[o.id] = o
 	c.observers[order] = o
@@ -208,7 +209,7 @@
 	}
 	o.phase = phaseObserving
 	o.wakeAt = c.now + DispatchWindow + resolveGrace
-	if state == StateClaimed && e.Age > DispatchWindow+resolveGrace+maxClockError {
+	if state == StateClaimed && age > DispatchWindow+resolveGrace+maxClockError {
 		o.wakeAt = c.now
 	}
 }
--- a/order/event.go
+++ b/order/event.go
@@ -31,6 +31,13 @@
 	Deadline time.Duration
 }
 
+// Found reports a claim without a certain outcome that a sweep came across.
+type Found struct {
+	ID     string
+	Stored Stored
+	Age    time.Duration
+}
+
 // WriteResult says what is known after a write to the store.
 type WriteResult int
 
@@ -114,6 +121,7 @@
 
 func (Submit) isEvent()  {}
 func (Query) isEvent()   {}
+func (Found) isEvent()   {}
 func (Written) isEvent() {}
 func (Read) isEvent()    {}
 func (Sent) isEvent()    {}
--- a/order/execute.go
+++ b/order/execute.go
@@ -145,7 +145,7 @@
 			return nil
 		},
 	})
-	p.body = nil // the outcome can take minutes to record
+	r.dropBody(p) // the outcome can take minutes to record
 	event := Sent{Op: a.Op, Result: result, Receipt: receipt, Reason: sendReason(result, err)}
 	if result == SendSkipped && errors.Is(err, errNotSent) && refused != "" {
 		event.Reason = refused
--- a/order/runner.go
+++ b/order/runner.go
@@ -27,6 +27,9 @@
 	sendTimeout = 30 * time.Second
 	// drainPoll is how often Drain looks whether all work has ended.
 	drainPoll = 20 * time.Millisecond
+	// maxBodies bounds the memory of orders that are not sent yet. An instance
+	// has 32 MB for everything.
+	maxBodies = 8 << 20
 )
 
 // Runner serves orders and lookups.
@@ -42,6 +45,7 @@
 	nextOp   atomic.Uint64
 	live     atomic.Int64 // operations of the core that have not ended
 	calls    atomic.Int64 // calls of callers under way
+	bodies   atomic.Int64 // bytes of orders that are not sent yet
 	draining atomic.Bool
 	stopped  chan struct{}
 
@@ -168,7 +172,16 @@
 func (r *Runner) forget(op uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.waiting, op)
+	if p, ok := r.waiting[op]; ok {
+		r.dropBody(p)
+		delete(r.waiting, op)
+	}
+}
+
+// dropBody frees the body of an order that is sent or never will be.
+func (r *Runner) dropBody(p *pending) {
+	r.bodies.Add(int64(-len(p.body)))
+	p.body = nil
 }
 
 func (r *Runner) pending(op uint64) *pending {
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -165,6 +165,8 @@
 	case 1:
 		w.outage = !w.outage
 		w.store.SetOutage(w.outage)
+	case 2:
+		w.sweep(n, w.choose.intn(simKeys))
 	default:
 		w.step(n, Tick{})
 	}
@@ -191,6 +193,14 @@
 	w.step(n, Query{Op: w.nextOp, ID: simOrder(key), Deadline: w.now + 5*time.Second})
 }
 
+// sweep hands the claims of one key to a node, as a sweep of its shard does.
+func (w *world) sweep(n *node, key int) {
+	stored, err := n.claims.Read(context.Background(), simOrder(key))
+	if err == nil && (!stored.State.Final() || stored.State == StateUnknown) {
+		w.step(n, Found{ID: simOrder(key), Stored: stored, Age: w.now - time.Duration(stored.UnixMilli)*time.Millisecond})
+	}
+}
+
 func (w *world) step(n *node, e Event) {
 	for _, action := range n.core.Step(w.now, e) {
 		switch a := action.(type) {
--- a/order/submit.go
+++ b/order/submit.go
@@ -78,6 +78,11 @@
 		Digest: bodyDigest(p.body), ClaimID: rand.Text(), Instance: r.options.Instance,
 		Incarnation: r.options.Incarnation, Endpoint: p.endpoint.ID, State: StateClaimed, UnixMilli: time.Now().UnixMilli(),
 	}
+	if r.bodies.Add(int64(len(p.body))) > maxBodies {
+		r.dropBody(p)
+		p.grant.release()
+		return Reply{}, reason.New(reason.Overloaded, "too many orders are waiting").WithRetryAfter(time.Second)
+	}
 	event := Submit{Op: op, ID: ID(c.account.ID, key), Claim: claim, Deadline: c.deadline, Refusal: refusal}
 	return r.await(c, op, p, event)
 }
--- a/order/sweep.go
+++ b/order/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/store"
@@ -15,6 +16,9 @@
 	shardCount = 1 << (4 * shardDigits)
 	// minSweepPause bounds the lists of one instance in a small fleet.
 	minSweepPause = 5 * time.Second
+	// openAfter is the age from which a sweep resolves a claim without an
+	// outcome. Until then its holder most likely still records it.
+	openAfter = time.Minute
 )
 
 // sweepLoop deletes claims that are older than ClaimKept. The shard is chosen at
@@ -32,7 +36,7 @@
 			return
 		case <-timer.C:
 		}
-		sweep := sweeper{store: r.options.Store, kept: ClaimKept}
+		sweep := sweeper{store: r.options.Store, kept: ClaimKept, open: r.found}
 		deleted := sweep.shard(ctx, shardPrefix(rand.IntN(shardCount)), time.Now())
 		r.metrics.swept.Inc(int64(deleted))
 	}
@@ -57,6 +61,8 @@
 type sweeper struct {
 	store store.API
 	kept  time.Duration
+	// open is called for each claim without a certain outcome.
+	open func(Found)
 	// unconditional is a fault that a test switches on: it deletes whatever has
 	// the key by then.
 	unconditional bool
@@ -71,7 +77,11 @@
 	}
 	for _, object := range objects {
 		stored, err := decodeClaim(object)
-		if err != nil || !expired(stored.Claim, wall, s.kept) {
+		if err != nil {
+			continue
+		}
+		if !expired(stored.Claim, wall, s.kept) {
+			s.report(object.Key, stored, wall)
 			continue
 		}
 		if s.remove(ctx, object) != nil {
@@ -82,6 +92,20 @@
 	return deleted
 }
 
+// report passes on a claim whose holder did not record an outcome in time.
+func (s sweeper) report(key string, stored Stored, wall time.Time) {
+	age := time.Duration(wall.UnixMilli()-stored.UnixMilli) * time.Millisecond
+	certain := stored.State.Final() && stored.State != StateUnknown
+	if s.open == nil || certain || age < openAfter {
+		return
+	}
+	s.open(Found{ID: key[strings.LastIndex(key, "/")+1:], Stored: stored, Age: age})
+}
+
+// found has the core take care of an open claim. A full ring drops it until the
+// next sweep of the shard.
+func (r *Runner) found(f Found) { _ = r.events.Offer(f) }
+
 func (s sweeper) remove(ctx context.Context, object store.Object) error {
 	err := s.store.Delete(ctx, object.Key, object.Version)
 	if !s.unconditional || err == nil {
