--- a/order/http_test.go
+++ b/order/http_test.go
@@ -285,11 +285,12 @@
 	})
 
 	It("does not send to an endpoint that left after the placement", func() {
-		left := *config.Load()
+		own := config // a late outcome write must not touch the next spec's
+		left := *own.Load()
 		left.Endpoints = map[api.EndpointID]api.Endpoint{}
 		objects.SetFault(func(c storetest.Call) storetest.Fault {
 			if claimWrite(c) {
-				config.Store(&left)
+				own.Store(&left)
 			}
 			return storetest.Fault{}
 		})
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -72,7 +72,7 @@
 
 // simDelays has mostly short times, so that many claims are sent in time.
 var simDelays = []time.Duration{
-	0, 0, 20 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond,
+	0, time.Second, 20 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond,
 	300 * time.Millisecond, 2 * time.Second, 5 * time.Second,
 }
 
