Raise the claim again when a service has a higher fencing number

A resolver whose number another one had overtaken asked the service for 30 s and gave up. It reads the claim and raises it again, or reports the outcome that the other resolver recorded.

--- a/order/core_outcome.go
+++ b/order/core_outcome.go
@@ -169,6 +169,8 @@
 		c.end(o, false)
 	case e.Result == AskFencedAbsent || e.Result == AskAbsent && c.options.trustAbsent:
 		c.conclude(o, StateNotRun, reason.DispatchWindow)
+	case e.Result == AskOutdated:
+		c.raisePause(o)
 	case e.Result == AskFailed:
 		c.askPause(o)
 	default:
--- a/order/event.go
+++ b/order/event.go
@@ -105,6 +105,8 @@
 	AskAbsent
 	// AskUnable means that the service cannot be asked.
 	AskUnable
+	// AskOutdated means that another resolver has set a higher fencing number.
+	AskOutdated
 	// AskFailed means that the service did not answer.
 	AskFailed
 )
--- a/order/execute.go
+++ b/order/execute.go
@@ -231,6 +231,9 @@
 // booked" holds for good.
 func (r *Runner) askFencing(ctx context.Context, a Ask, endpoint api.Endpoint) Event {
 	booked, err := r.services.fence(ctx, endpoint, a.ID, a.Fence)
+	if errors.Is(err, errFenceOutdated) {
+		return Asked{Op: a.Op, Result: AskOutdated}
+	}
 	if err != nil {
 		return Asked{Op: a.Op, Result: AskFailed}
 	}
--- a/order/http_test.go
+++ b/order/http_test.go
@@ -284,6 +284,15 @@
 		Expect(svc.total()).To(Equal(0))
 	})
 
+	// Guards against a caller that waits for a silent store until its deadline.
+	It("refuses orders as not run within the dispatch window while the store is silent", func() {
+		_, _ = post("k1", `{}`)
+		objects.SetLatency(time.Hour)
+		_, body := call("POST", "/v1/orders", "k2", `{}`, "Request-Timeout-Ms", "60000")
+		Expect(body).To(ContainSubstring(`"reason":"store_unavailable","run":"no"`))
+		Expect(svc.total()).To(Equal(1))
+	})
+
 	It("does not send to an endpoint that left after the placement", func() {
 		own := config // a late outcome write must not touch the next spec's
 		left := *own.Load()
--- a/order/service.go
+++ b/order/service.go
@@ -48,6 +48,9 @@
 // errNotSent is returned by the check that runs right before the send.
 var errNotSent = errors.New("order: the dispatch window has passed")
 
+// errFenceOutdated says that the service has a higher fencing number.
+var errFenceOutdated = errors.New("order: another resolver has set a higher fencing number")
+
 // services calls plain services.
 type services struct {
 	lookups *http.Client // reuses connections
@@ -239,6 +242,9 @@
 		return false, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusConflict {
+		return false, errFenceOutdated
+	}
 	if response.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("the service answered with status %d", response.StatusCode)
 	}
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -349,7 +349,7 @@
 	case w.oneIn(8):
 		return Asked{Op: a.Op, Result: AskFailed}
 	case fencing && a.Fence < w.fences[a.ID]:
-		return Asked{Op: a.Op, Result: AskFailed}
+		return Asked{Op: a.Op, Result: AskOutdated}
 	case fencing:
 		w.fences[a.ID] = a.Fence
 	case !w.offers:
