Let an instance stop while it looks for an abandoned claim

Drain waited up to 30 s for the search for a claim that was given up, which the resolver of any other instance covers. The metrics use the scope that the options pass; the slice's name was in it twice.

--- a/enginectl/runner.go
+++ b/enginectl/runner.go
@@ -41,8 +41,9 @@
 	// LoadsPerMinute paces weight loads over all engines of the half.
 	LoadsPerMinute int
 	Log            *slog.Logger
-	Scope          tally.Scope
-	Clock          bootclock.Func
+	// Scope is the scope of this slice.
+	Scope tally.Scope
+	Clock bootclock.Func
 }
 
 // Status is the state of the engine control on this instance.
@@ -90,7 +91,7 @@
 		}),
 		engines: newEngineClient(),
 		events:  ring.New[Event](eventRing),
-		metrics: newMetrics(o.Scope.SubScope("enginectl")),
+		metrics: newMetrics(o.Scope),
 	}
 	r.status.Store(&Status{})
 	return r, nil
--- a/order/core.go
+++ b/order/core.go
@@ -67,6 +67,7 @@
 	holders   map[string]*op           // submissions that hold or want a claim, by order
 	observers map[string]*op           // resolutions, by order
 	rechecked map[string]time.Duration // time of the last lookup of an unknown order
+	given     int                      // operations whose claim was given up
 	nextOwn   uint64
 	actions   []Action
 	now       time.Duration
@@ -113,9 +114,10 @@
 	return c.actions
 }
 
-// Live returns the number of operations that have not ended. Observers are not
+// Live returns the number of operations that have to end before the instance
+// may stop. Resolutions and the search for claims that were given up are not
 // counted: any other instance can do their work.
-func (c *Core) Live() int { return len(c.ops) - len(c.observers) }
+func (c *Core) Live() int { return len(c.ops) - len(c.observers) - c.given }
 
 func (c *Core) with(id uint64, handle func(*op)) {
 	if o, ok := c.ops[id]; ok {
@@ -218,6 +220,9 @@
 	}
 	o.phase = phaseEnded
 	delete(c.ops, o.id)
+	if o.given {
+		c.given--
+	}
 	if c.holders[o.order] == o {
 		delete(c.holders, o.order)
 	}
--- a/order/core_claim.go
+++ b/order/core_claim.go
@@ -167,6 +167,7 @@
 		return
 	}
 	o.given = true
+	c.given++
 	o.limit = c.now + abandonLimit
 	if !underWay {
 		c.forget(o)
--- a/order/options.go
+++ b/order/options.go
@@ -52,8 +52,9 @@
 	// have to use the same value.
 	BatchShards int
 	Log         *slog.Logger
-	Scope       tally.Scope
-	Clock       bootclock.Func
+	// Scope is the scope of this slice.
+	Scope tally.Scope
+	Clock bootclock.Func
 }
 
 // Defaults of options that are left zero.
--- a/order/runner.go
+++ b/order/runner.go
@@ -98,7 +98,7 @@
 		services: newServices(),
 		core:     NewCore(CoreOptions{Instance: o.Instance, Incarnation: o.Incarnation, Seed: seed.Sum64()}),
 		events:   ring.New[Event](eventRing),
-		metrics:  newMetrics(o.Scope.SubScope("order")),
+		metrics:  newMetrics(o.Scope),
 		format:   newFormat(o),
 		stopped:  make(chan struct{}),
 		waiting:  make(map[uint64]*pending),
