Wait for the store's rate within the dispatch window

A claim beyond the instance's share of the store's writes was refused at once. It is tried again within its 2 s window now, and new claims stop while 512 outcomes wait to be recorded.

--- a/order/core.go
+++ b/order/core.go
@@ -41,6 +41,9 @@
 const (
 	maxOrders    = 4096
 	maxObservers = 1024
+	// maxUnrecorded stops new claims when the store takes outcomes more slowly
+	// than claims.
+	maxUnrecorded = 512
 )
 
 // CoreOptions configures a Core.
@@ -69,8 +72,10 @@
 	rechecked map[string]time.Duration // time of the last lookup of an unknown order
 	given     int                      // operations whose claim was given up
 	nextOwn   uint64
-	actions   []Action
-	now       time.Duration
+	// unrecorded counts the operations whose outcome is being recorded.
+	unrecorded int
+	actions    []Action
+	now        time.Duration
 }
 
 // NewCore returns a core without any operation.
@@ -128,7 +133,7 @@
 func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Core) submit(e Submit) {
-	if len(c.holders) >= maxOrders {
+	if len(c.holders) >= maxOrders || c.unrecorded >= maxUnrecorded {
 		c.refuseSubmit(e.Op, reason.New(reason.Overloaded, "too many orders are under way").WithRetryAfter(time.Second))
 		return
 	}
@@ -223,6 +228,9 @@
 	if o.given {
 		c.given--
 	}
+	if o.concluded {
+		c.unrecorded--
+	}
 	if c.holders[o.order] == o {
 		delete(c.holders, o.order)
 	}
@@ -276,10 +284,13 @@
 		return
 	}
 	why := reason.StoreUnavailable
-	if c.now >= o.deadline {
+	switch {
+	case c.now >= o.deadline:
 		why = reason.DeadlineExceeded
+	case o.phase == phaseCreatePause:
+		why = reason.StoreRateLimited
 	}
-	c.giveUpClaim(o, why, o.phase != phaseClaimPause)
+	c.giveUpClaim(o, why, !o.phase.waits())
 }
 
 func (c *Core) writeToken(o *op) string {
--- a/order/core_claim.go
+++ b/order/core_claim.go
@@ -38,6 +38,8 @@
 
 func (c *Core) wake(o *op) {
 	switch o.phase {
+	case phaseCreatePause:
+		c.create(o)
 	case phaseClaimPause:
 		c.readFor(o, phaseCheckingClaim)
 	case phaseRaisePause:
@@ -74,10 +76,21 @@
 		o.mayExist = true
 		c.readFor(o, phaseCheckingClaim)
 	case WriteRefused:
-		c.giveUpClaim(o, e.Reason, false)
+		c.createRefused(o, e.Reason)
 	}
 }
 
+// createRefused tries again within the window if only the store's rate is used
+// up.
+func (c *Core) createRefused(o *op, why reason.Reason) {
+	if why != reason.StoreRateLimited || c.now >= o.notAfter {
+		c.giveUpClaim(o, why, false)
+		return
+	}
+	c.pause(o, phaseCreatePause)
+	o.wakeAt = min(o.wakeAt, o.notAfter)
+}
+
 // holds continues with a claim that is known to be the operation's own.
 func (c *Core) holds(o *op, revision uint64) {
 	o.revision = revision
--- a/order/core_outcome.go
+++ b/order/core_outcome.go
@@ -35,6 +35,10 @@
 
 // concludeWith answers the caller with the outcome and records it.
 func (c *Core) concludeWith(o *op, state State, why reason.Reason, receipt json.RawMessage) {
+	if !o.concluded {
+		o.concluded = true
+		c.unrecorded++
+	}
 	o.claim.State = state
 	o.claim.Reason = string(why)
 	o.claim.Receipt = receipt
--- a/order/op.go
+++ b/order/op.go
@@ -14,6 +14,9 @@
 	phaseAnswering phase = iota
 	// phaseClaiming creates the claim.
 	phaseClaiming
+	// phaseCreatePause waits to create the claim again after a refusal for the
+	// store's rate.
+	phaseCreatePause
 	// phaseCheckingClaim reads the claim back after a lost answer or a conflict.
 	phaseCheckingClaim
 	// phaseClaimPause waits to read the claim back again.
@@ -53,7 +56,7 @@
 // waits reports whether the operation waits for its time.
 func (p phase) waits() bool {
 	switch p {
-	case phaseClaimPause, phaseRaisePause, phaseAskPause, phaseRecordPause, phaseAbandonPause, phaseObserving:
+	case phaseCreatePause, phaseClaimPause, phaseRaisePause, phaseAskPause, phaseRecordPause, phaseAbandonPause, phaseObserving:
 		return true
 	}
 	return false
@@ -61,7 +64,7 @@
 
 // beforeSend reports whether the order was not handed to Send yet.
 func (p phase) beforeSend() bool {
-	return p == phaseClaiming || p == phaseCheckingClaim || p == phaseClaimPause
+	return p == phaseClaiming || p == phaseCreatePause || p == phaseCheckingClaim || p == phaseClaimPause
 }
 
 // op is one operation: an order of a caller, a question or a resolution.
@@ -85,6 +88,8 @@
 	conflicted bool
 	// recheck says that an order recorded as unknown is looked up again.
 	recheck bool
+	// concluded says that the outcome is known and being recorded.
+	concluded bool
 	// given says that the claim was given up while its create was under way.
 	given bool
 
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/store"
 	"github.com/hibiscusstair/hibiscusstair/store/storetest"
 )
 
@@ -238,6 +239,8 @@
 
 func (w *world) drawFault() {
 	switch w.choose.intn(8) {
+	case 2:
+		w.fault = storetest.Fault{Err: store.ErrRateLimited}
 	case 0:
 		w.fault = storetest.Fault{LoseAnswer: true}
 	case 1:
