--- a/enginectl/runner.go
+++ b/enginectl/runner.go
@@ -102,6 +102,7 @@
 
 // Run works until the context ends. It owns the core.
 func (r *Runner) Run(ctx context.Context) error {
+	defer r.engines.observer.CloseIdleConnections()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/order/runner.go
+++ b/order/runner.go
@@ -110,6 +110,7 @@
 // Run works until the context ends. It owns the core.
 func (r *Runner) Run(ctx context.Context) error {
 	defer close(r.stopped)
+	defer r.services.close()
 	var background sync.WaitGroup
 	defer background.Wait()
 	background.Go(func() { r.format.run(ctx, r.options.Store) })
--- a/order/service.go
+++ b/order/service.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// close ends the idle connections.
+func (s *services) close() { s.lookups.CloseIdleConnections() }
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // guardedConn runs a check right before the first byte is written. After a
