--- a/order/sweep.go
+++ b/order/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/store"
@@ -15,9 +16,12 @@
 	shardCount = 1 << (4 * shardDigits)
 	// minSweepPause bounds the lists of one instance in a small fleet.
 	minSweepPause = 5 * time.Second
+	// openAfter is the age from which a sweep resolves a claim without an
+	// outcome. Until then its holder most likely still records it.
+	openAfter = time.Minute
 )
 
-// sweeper deletes claims that are older than ClaimKept. The shard is chosen at
+// sweepLoop deletes claims that are older than ClaimKept. The shard is chosen at
 // random, so that instances need not agree on who sweeps what.
 func (r *Runner) sweepLoop(ctx context.Context) {
 	if r.options.Batch {
@@ -32,7 +36,9 @@
 			return
 		case <-timer.C:
 		}
-		r.sweep(ctx, rand.IntN(shardCount), time.Now())
+		sweep := sweeper{store: r.options.Store, kept: ClaimKept, open: r.found}
+		deleted := sweep.shard(ctx, shardPrefix(rand.IntN(shardCount)), time.Now())
+		r.metrics.swept.Inc(int64(deleted))
 	}
 }
 
@@ -51,21 +57,63 @@
 	return len(list)
 }
 
-// sweep deletes the old claims of one shard, each under the condition that it
-// did not change since it was read.
-func (r *Runner) sweep(ctx context.Context, shard int, wall time.Time) {
-	objects, _, err := r.options.Store.List(ctx, shardPrefix(shard))
+// sweeper deletes old claims of the single writer.
+type sweeper struct {
+	store store.API
+	kept  time.Duration
+	// open is called for each claim without a certain outcome.
+	open func(Found)
+	// unconditional is a fault that a test switches on: it deletes whatever has
+	// the key by then.
+	unconditional bool
+}
+
+// shard deletes the old claims of one shard, each under the condition that it
+// did not change since it was read, and returns their number.
+func (s sweeper) shard(ctx context.Context, prefix string, wall time.Time) (deleted int) {
+	objects, _, err := s.store.List(ctx, prefix)
 	if err != nil {
-		return
+		return 0
 	}
 	for _, object := range objects {
 		stored, err := decodeClaim(object)
-		if err != nil || !expired(stored.Claim, wall) {
+		if err != nil {
+			continue
+		}
+		if !expired(stored.Claim, wall, s.kept) {
+			s.report(object.Key, stored, wall)
 			continue
 		}
-		if r.options.Store.Delete(ctx, object.Key, object.Version) != nil {
-			return // the next sweep of the shard continues
+		if s.remove(ctx, object) != nil {
+			return deleted // the next sweep of the shard continues
 		}
-		r.metrics.swept.Inc(1)
+		deleted++
+	}
+	return deleted
+}
+
+// report passes on a claim whose holder did not record an outcome in time.
+func (s sweeper) report(key string, stored Stored, wall time.Time) {
+	age := time.Duration(wall.UnixMilli()-stored.UnixMilli) * time.Millisecond
+	certain := stored.State.Final() && stored.State != StateUnknown
+	if s.open == nil || certain || age < openAfter {
+		return
+	}
+	s.open(Found{ID: key[strings.LastIndex(key, "/")+1:], Stored: stored, Age: age})
+}
+
+// found has the core take care of an open claim. A full ring drops it until the
+// next sweep of the shard.
+func (r *Runner) found(f Found) { _ = r.events.Offer(f) }
+
+func (s sweeper) remove(ctx context.Context, object store.Object) error {
+	err := s.store.Delete(ctx, object.Key, object.Version)
+	if !s.unconditional || err == nil {
+		return err
+	}
+	current, err := s.store.Get(ctx, object.Key)
+	if err != nil {
+		return err
 	}
+	return s.store.Delete(ctx, object.Key, current.Version)
 }
