Wait for the registration before a store contact counts

A random plan of the new property test let an expelled instance that resumed after a pause confirm with the store and go on without a registration, so that the next ticket was accepted without it. A contact now counts only while the watch shows the instance's own registration, and a removed registration starts a new incarnation. A stale peer's answer no longer confirms for 5 s, and only the last head in a watch's answer does. Collectors pass reports on to the first ones. The properties run the real cores of both slices; each named wrong variant is caught.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -49,6 +49,12 @@
 	// maxEntries is the most member entries of one message that is not a whole
 	// table; an entry has about 70 bytes.
 	maxEntries = 16
+	// staleTrust is how long an instance without a confirmation waits for an
+	// answer of one that has a recent one. Two instances that resume after a
+	// pause together would otherwise confirm each other's old state. After it
+	// the answer of a stale peer is enough, because all may have been paused
+	// while the store is unavailable.
+	staleTrust = 5 * time.Second
 	// takeOverBound is the age of the watching instance's last contact with the
 	// store beyond which the next instance watches as well.
 	takeOverBound = 3 * time.Second
@@ -73,6 +79,8 @@
 
 	// mergeWithoutIncarnation is a wrong variant for the test of the merge rule.
 	mergeWithoutIncarnation bool
+	// confirmByStale is a wrong variant that trusts the answer of a stale peer.
+	confirmByStale bool
 	// confirmAtReceipt is a wrong variant that dates a confirmation when the
 	// answer is processed.
 	confirmAtReceipt bool
@@ -103,6 +111,7 @@
 	started      bool
 	startedAt    time.Duration
 	registered   bool
+	registeredAs uint64        // incarnation
 	countFrom    time.Duration // confirmations count if asked for after this
 	sponsored    bool          // serves without a registration
 	joined       bool          // a whole table was received
@@ -116,6 +125,7 @@
 	lastChange   time.Duration
 	confirmed    time.Duration // sending time of the last confirmed contact
 	waiting      []confirmation
+	staleSince   time.Duration // when the confirmation was found too old; 0: it is not
 	listAt       time.Duration
 	listed       map[api.InstanceID]bool
 	hash         uint64
@@ -177,7 +187,7 @@
 	case ExpelDone:
 		return c.expelDone(now, e)
 	case TicketProgress:
-		c.ticketProgress(e)
+		return c.ticketProgress(now, e)
 	case LeaveStart:
 		c.leaving = true
 		c.setSelf(now, api.MemberLeaving)
@@ -206,6 +216,7 @@
 }
 
 func (c *Core) tick(now time.Duration) []Action {
+	c.noteStale(now)
 	var actions []Action
 	if !c.registered && !c.leaving && now-c.lastRegister >= registerInterval {
 		c.lastRegister = now
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -31,6 +31,7 @@
 		Self:           c.selfProto(now),
 		Deltas:         &peerpb.Deltas{},
 		TableHash:      c.hash,
+		Stale:          c.stale(now),
 	}
 	if r.GetFull() {
 		response.Deltas.Members = c.allEntries()
@@ -77,7 +78,7 @@
 		actions = append(actions, NewerTickets{Address: self.Address, HeadVersion: r.GetHeadVersion()})
 	}
 	if !expelledIn(actions) && self.ID != c.self.ID {
-		c.confirm(now, e.SentAt, r.GetHeadVersion())
+		c.confirmBy(now, e.SentAt, r)
 	}
 	return append(actions, c.compareTables(now, self, r.GetTableHash())...)
 }
@@ -92,6 +93,29 @@
 	return false
 }
 
+// stale reports whether the last confirmation is too old for new work.
+func (c *Core) stale(now time.Duration) bool {
+	confirmed := c.lastConfirmed()
+	return confirmed < 0 || now-confirmed > isolationBound
+}
+
+func (c *Core) noteStale(now time.Duration) {
+	if !c.stale(now) {
+		c.staleSince = 0
+	} else if c.staleSince == 0 {
+		c.staleSince = now
+	}
+}
+
+// confirmBy uses an answer as a confirmation unless the peer is stale itself.
+func (c *Core) confirmBy(now, sentAt time.Duration, r *peerpb.ExchangeResponse) {
+	c.noteStale(now)
+	trusted := !r.GetStale() || c.options.confirmByStale || c.staleSince > 0 && now-c.staleSince >= staleTrust
+	if trusted {
+		c.confirm(now, sentAt, r.GetHeadVersion())
+	}
+}
+
 // confirm notes an answer of a peer. It is dated when the question was sent,
 // so that an answer that waited during a pause does not count as fresh, and it
 // counts only once the tickets that the peer knows are applied here.
@@ -108,8 +132,11 @@
 	}
 }
 
-func (c *Core) ticketProgress(p TicketProgress) {
+func (c *Core) ticketProgress(now time.Duration, p TicketProgress) []Action {
 	c.tickets = p
+	if c.registered && p.Expelled >= c.registeredAs {
+		return c.restart(now, c.self.Incarnation+1)
+	}
 	rest := c.waiting[:0]
 	for _, w := range c.waiting {
 		if w.headVersion <= p.HeadVersion {
@@ -119,6 +146,7 @@
 		}
 	}
 	c.waiting = rest
+	return nil
 }
 
 // compareTables asks for the peer's whole table when the hashes still differ
@@ -273,6 +301,7 @@
 		return nil
 	}
 	c.registered = true
+	c.registeredAs = e.Incarnation
 	if !c.ready() {
 		c.countFrom = now
 	}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -67,6 +67,8 @@
 	Accepted     uint64
 	Acknowledged uint64
 	StoreContact time.Duration // boot clock; negative: none yet
+	// Expelled is the highest incarnation whose registration was removed.
+	Expelled uint64
 }
 
 // LeaveStart announces a graceful end; the instance takes no new work.
--- /dev/null
+++ b/fleet/property_test.go
@@ -0,0 +1,234 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
+	"github.com/hibiscusstair/hibiscusstair/fleetsim"
+	_ "github.com/hibiscusstair/hibiscusstair/internal/testseed"
+	"github.com/hibiscusstair/hibiscusstair/ticket"
+)
+
+const planInstances = 6
+
+// step is one random event of a plan.
+type step struct {
+	Kind string
+	Node int
+	Wait int // tenths of a second after the step
+}
+
+func planGenerator() *rapid.Generator[[]step] {
+	one := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind: rapid.SampledFrom([]string{"kill", "restart", "pause", "resume", "partition", "heal", "loss"}).Draw(t, "kind"),
+			Node: rapid.IntRange(0, planInstances-1).Draw(t, "node"),
+			Wait: rapid.SampledFrom([]int{0, 1, 10, 40, 100}).Draw(t, "wait"),
+		}
+	})
+	return rapid.SliceOfN(one, 3, 12)
+}
+
+type world struct {
+	sim     *fleetsim.Sim
+	current []*fleetsim.Node
+
+	failure error
+}
+
+func newWorld(variant func(*fleet.CoreOptions)) *world {
+	o := fleetsim.DefaultOptions(planInstances)
+	o.DomainsPerRegion, o.StartSpread = 1, 0
+	o.Variant.Fleet = variant
+	w := &world{sim: fleetsim.New(o)}
+	w.current = append(w.current, w.sim.Nodes()...)
+	w.sim.RunUntil(time.Minute, w.sim.Ready)
+	w.sim.AfterEvent(w.check)
+	return w
+}
+
+// check: an instance that is not registered and whose removal is known to a
+// live peer for longer than the isolation bound does not take new work.
+func (w *world) check(*fleetsim.Node) {
+	head := w.sim.StoreHead()
+	for _, n := range w.current {
+		if w.failure != nil || !n.Running() || n.Gate() != nil {
+			continue
+		}
+		if n.Config().Ticket < head.Accepted && !w.sim.Registered(n.ID()) {
+			w.failure = fmt.Errorf("%s was expelled and takes work with ticket %d; %d is accepted\n%s",
+				n.ID(), n.Config().Ticket, head.Accepted, n.Describe())
+		}
+	}
+}
+
+func (w *world) do(s step) {
+	n := w.current[s.Node]
+	switch s.Kind {
+	case "kill":
+		if !n.Ended() {
+			w.sim.Kill(n)
+		}
+	case "restart":
+		if n.Ended() {
+			w.current[s.Node] = w.sim.Restart(n)
+		}
+	case "pause":
+		w.sim.Pause(n)
+	case "pause_delisted":
+		w.sim.Pause(n)
+		w.sim.Delist(n)
+	case "resume":
+		w.sim.Resume(n)
+	case "partition":
+		w.sim.SetSide(n, 1)
+	case "heal":
+		w.heal()
+	case "cut":
+		w.sim.CutStore(n, true)
+	case "loss":
+		w.sim.SetLoss(0.2)
+	case "ticket":
+		number := w.sim.StoreHead().Latest + 1
+		t := &ticket.Ticket{Number: number, Endpoints: []api.Endpoint{fleetsim.Engine(0, "north")}}
+		w.sim.Apply(n, t, func(error) {})
+	}
+}
+
+func (w *world) heal() {
+	for _, n := range w.current {
+		w.sim.SetSide(n, 0)
+		w.sim.CutStore(n, false)
+	}
+}
+
+// run returns the first violation, or a table that does not converge once all
+// faults have ended.
+func (w *world) run(plan []step) error {
+	for _, s := range plan {
+		if s.Kind == "shift" {
+			w.sim.Run(time.Duration(s.Wait) * 10 * time.Millisecond)
+			continue
+		}
+		w.do(s)
+		w.sim.Run(time.Duration(s.Wait) * 100 * time.Millisecond)
+	}
+	w.sim.SetLoss(0)
+	w.heal()
+	for i, n := range w.current {
+		w.sim.Resume(n)
+		if n.Ended() {
+			w.current[i] = w.sim.Restart(n)
+		}
+	}
+	converged := w.sim.RunUntil(time.Minute, func() bool { return w.failure != nil || w.converged() })
+	if w.failure == nil && !converged {
+		w.failure = fmt.Errorf("the member tables have not converged")
+		for _, n := range w.current {
+			w.failure = fmt.Errorf("%w\n%s %+v", w.failure, n.Describe(), n.Members())
+		}
+	}
+	return w.failure
+}
+
+// converged is the oracle: every process knows exactly the current processes,
+// alive, at their addresses.
+func (w *world) converged() bool {
+	for _, n := range w.current {
+		alive := 0
+		for _, m := range n.Members() {
+			if m.State == api.MemberAlive && w.isCurrent(m) {
+				alive++
+			} else if m.State.Reachable() {
+				return false
+			}
+		}
+		if alive != planInstances || n.Gate() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) isCurrent(m api.Member) bool {
+	for _, n := range w.current {
+		if n.ID() == m.ID {
+			return n.Address() == m.Address
+		}
+	}
+	return false
+}
+
+// TestMembershipConverges guards against tables that keep dead, resurrected or
+// lost instances after the faults have ended.
+func TestMembershipConverges(t *testing.T) {
+	plans := planGenerator()
+	rapid.Check(t, func(t *rapid.T) {
+		if err := newWorld(nil).run(plans.Draw(t, "plan")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestWrongVariantsAreCaught guards against properties that hold for any core.
+func TestWrongVariantsAreCaught(t *testing.T) {
+	// All of one failure domain pause, are expelled and resume together.
+	together := []step{
+		{Kind: "pause_delisted", Node: 0}, {Kind: "pause_delisted", Node: 3, Wait: 120},
+		{Kind: "ticket", Node: 1, Wait: 40}, {Kind: "partition", Node: 0}, {Kind: "partition", Node: 3},
+		{Kind: "cut", Node: 0}, {Kind: "cut", Node: 3}, {Kind: "resume", Node: 0}, {Kind: "resume", Node: 3, Wait: 20},
+	}
+	plans := map[string][][]step{
+		"mergeWithoutIncarnation": {{{Kind: "kill", Node: 1, Wait: 100}, {Kind: "restart", Node: 1, Wait: 100}}},
+		"confirmByStale":          {together},
+	}
+	// One of these pauses begins while an answer is on its way.
+	for shift := range 100 {
+		plans["confirmAtReceipt"] = append(plans["confirmAtReceipt"], []step{
+			{Kind: "shift", Wait: shift}, {Kind: "pause_delisted", Node: 0, Wait: 120}, {Kind: "ticket", Node: 1, Wait: 40},
+			{Kind: "partition", Node: 0}, {Kind: "cut", Node: 0}, {Kind: "resume", Node: 0, Wait: 5},
+		})
+	}
+	for name, variant := range fleet.WrongVariants {
+		t.Run(name, func(t *testing.T) {
+			caught := false
+			for _, plan := range plans[name] {
+				if err := newWorld(nil).run(plan); err != nil {
+					t.Fatalf("the real core fails: %v", err)
+				}
+				caught = caught || newWorld(variant).run(plan) != nil
+			}
+			if !caught {
+				t.Fatal("no property caught the variant")
+			}
+		})
+	}
+}
+
+func drawMember(t *rapid.T, label string) api.Member {
+	return api.Member{
+		ID:          "a",
+		Incarnation: rapid.Uint64Range(1, 3).Draw(t, label+" incarnation"),
+		Version:     rapid.Uint64Range(0, 3).Draw(t, label+" version"),
+		State:       api.MemberState(rapid.IntRange(int(api.MemberAlive), int(api.MemberExpelled)).Draw(t, label+" state")),
+	}
+}
+
+// TestMergeRuleIsAnOrder guards against a rule by which two instances that get
+// the same entries in another order keep different ones.
+func TestMergeRuleIsAnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawMember(t, "a"), drawMember(t, "b"), drawMember(t, "c")
+		if a != b && fleet.Newer(a, b) == fleet.Newer(b, a) {
+			t.Fatalf("no order between %+v and %+v", a, b)
+		}
+		if fleet.Newer(a, b) && fleet.Newer(b, c) && !fleet.Newer(a, c) {
+			t.Fatalf("the order is not transitive: %+v, %+v, %+v", a, b, c)
+		}
+	})
+}
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -49,6 +49,9 @@
 	// StoreContact is the boot clock time at which the last answered read of
 	// the ticket head was sent; negative: none yet.
 	StoreContact() time.Duration
+	// Expelled is the highest incarnation of this instance whose registration
+	// was seen to be removed from the store; 0 is none.
+	Expelled() uint64
 	// Offer says that the instance at the address applies a newer head.
 	Offer(address string, headVersion uint64)
 }
@@ -159,6 +162,7 @@
 		Accepted:     t.Accepted(),
 		Acknowledged: t.Acknowledged(),
 		StoreContact: t.StoreContact(),
+		Expelled:     t.Expelled(),
 	}
 }
 
--- a/fleetsim/measure.go
+++ b/fleetsim/measure.go
@@ -302,7 +302,7 @@
 	case FaultKilled:
 		m.sim.Kill(victim)
 		m.next++
-		m.sim.addNode(fmt.Sprintf("i%03d", m.next), victim.half, victim.place, nodeVariant{}, time.Second)
+		m.sim.addNode(fmt.Sprintf("i%03d", m.next), victim.half, victim.place, Variant{}, time.Second)
 	}
 }
 
--- a/fleetsim/node.go
+++ b/fleetsim/node.go
@@ -14,10 +14,10 @@
 	"github.com/hibiscusstair/hibiscusstair/ticket"
 )
 
-// nodeVariant lets a test replace the options of the cores.
-type nodeVariant struct {
-	fleet  func(*fleet.CoreOptions)
-	ticket func(*ticket.CoreOptions)
+// Variant lets a test change the options of the cores.
+type Variant struct {
+	Fleet  func(*fleet.CoreOptions)
+	Ticket func(*ticket.CoreOptions)
 }
 
 // Node is one simulated process.
@@ -29,10 +29,9 @@
 	address string
 	fleet   *fleet.Core
 	ticket  *ticket.Core
-	variant nodeVariant
+	variant Variant
 
 	dead     bool
-	leaving  bool
 	paused   bool
 	queued   []func() // events of a paused process
 	side     int      // of a partition
@@ -46,7 +45,7 @@
 }
 
 // addNode starts a process after a delay.
-func (s *Sim) addNode(id string, half api.Half, place api.Place, v nodeVariant, delay time.Duration) *Node {
+func (s *Sim) addNode(id string, half api.Half, place api.Place, v Variant, delay time.Duration) *Node {
 	s.starts++
 	n := &Node{
 		sim: s, id: api.InstanceID(id), half: half, place: place, variant: v,
@@ -69,11 +68,11 @@
 		AutoExpel: true, Seed: n.sim.options.Seed,
 	}
 	to := ticket.CoreOptions{Instance: n.id, Half: n.half, Address: n.address, Seed: n.sim.options.Seed}
-	if n.variant.fleet != nil {
-		n.variant.fleet(&fo)
+	if n.variant.Fleet != nil {
+		n.variant.Fleet(&fo)
 	}
-	if n.variant.ticket != nil {
-		n.variant.ticket(&to)
+	if n.variant.Ticket != nil {
+		n.variant.Ticket(&to)
 	}
 	n.fleet, n.ticket = fleet.NewCore(fo), ticket.NewCore(to)
 	n.listedTo = 0
@@ -113,7 +112,7 @@
 	head := n.ticket.Head()
 	return fleet.TicketProgress{
 		HeadVersion: n.ticket.HeadVersion(), Latest: head.Latest, Accepted: head.Accepted,
-		Acknowledged: head.Latest, StoreContact: n.ticket.StoreContact(),
+		Acknowledged: head.Latest, StoreContact: n.ticket.StoreContact(), Expelled: n.ticket.Expelled(),
 	}
 }
 
--- a/fleetsim/sim.go
+++ b/fleetsim/sim.go
@@ -39,6 +39,7 @@
 	Seed uint64
 	// StartSpread is the time over which the instances start.
 	StartSpread time.Duration
+	Variant     Variant
 }
 
 // DefaultOptions are the delays of Kitakyushu with a number of instances.
@@ -81,7 +82,7 @@
 		if o.StartSpread > 0 {
 			delay = time.Duration(s.random.Int64N(int64(o.StartSpread)))
 		}
-		s.addNode(fmt.Sprintf("i%03d", i), half, place, nodeVariant{}, delay)
+		s.addNode(fmt.Sprintf("i%03d", i), half, place, o.Variant, delay)
 	}
 	return s
 }
--- a/fleetsim/tickets.go
+++ b/fleetsim/tickets.go
@@ -101,7 +101,11 @@
 
 func (n *Node) acknowledge(a ticket.PeerAck) {
 	done := func(r *peerpb.AcknowledgeResponse) {
-		n.stepTicket(ticket.AckDone{To: a.To, Key: a.Key, Response: r}, nil)
+		ev := ticket.AckDone{To: a.To, Key: a.Key, Response: r}
+		if a.Forwarded {
+			ev.Forwarded = a.Request
+		}
+		n.stepTicket(ev, nil)
 	}
 	serve := func(to *Node) (int, func()) {
 		var answer ticket.Respond
--- a/ticket/ack.go
+++ b/ticket/ack.go
@@ -20,6 +20,9 @@
 	// ackPatience is how long a report may be unanswered before the next
 	// collector gets it as well.
 	ackPatience = 200 * time.Millisecond
+	// forwardInterval gathers the reports that a collector passes on, so that
+	// one message carries those of many instances.
+	forwardInterval = 50 * time.Millisecond
 	// collectorRetry is the pause before a collector that failed is tried again.
 	collectorRetry = 500 * time.Millisecond
 	// ackRefresh is the time between two reports without a change while a
@@ -65,6 +68,9 @@
 	sent      map[api.InstanceID]*ackSent
 	order     []api.InstanceID // of collectors, for orderFor
 	orderFor  uint64           // latest ticket
+	// forward are received reports that the first collectors may lack.
+	forward   map[api.InstanceID]bool
+	forwardAt time.Duration
 }
 
 func (a *acks) changed(now time.Duration) { a.changedAt = now }
@@ -89,10 +95,45 @@
 	c.mergeAck(c.acks.own)
 }
 
-func (c *Core) mergeAck(a Ack) {
+// mergeAck keeps the report if it is newer, and tells whether it is.
+func (c *Core) mergeAck(a Ack) bool {
 	have, known := c.acks.table[a.Instance]
-	if !known || a.newer(&have) {
-		c.acks.table[a.Instance] = a
+	if known && !a.newer(&have) {
+		return false
+	}
+	c.acks.table[a.Instance] = a
+	return true
+}
+
+// forwardAcks passes received reports on to the first collectors. A sender
+// that cannot reach those reports to a later one, and without this no collector
+// would hold the reports of all.
+func (c *Core) forwardAcks(now time.Duration) {
+	if len(c.acks.forward) == 0 || now-c.acks.forwardAt < forwardInterval {
+		return
+	}
+	c.acks.forwardAt = now
+	request := &peerpb.AcknowledgeRequest{}
+	for _, id := range sortedKeys(c.acks.forward) {
+		request.Acks = append(request.Acks, ackToProto(c.acks.table[id]))
+	}
+	clear(c.acks.forward)
+	sent := 0
+	for _, id := range c.collectorOrder() {
+		if sent == collectors {
+			return
+		}
+		sent++
+		if m, found := c.member(id); found && id != c.options.Instance {
+			c.emit(PeerAck{To: id, Address: m.Address, Forwarded: true, Request: request})
+		}
+	}
+}
+
+// forwardFailed sends lost reports again.
+func (c *Core) forwardFailed(request *peerpb.AcknowledgeRequest) {
+	for _, a := range request.GetAcks() {
+		c.acks.forward[api.InstanceID(a.GetInstance())] = true
 	}
 }
 
@@ -194,6 +235,12 @@
 }
 
 func (c *Core) ackDone(now time.Duration, e AckDone) {
+	if e.Forwarded != nil {
+		if e.Response == nil && c.outstanding() {
+			c.forwardFailed(e.Forwarded)
+		}
+		return
+	}
 	sent, known := c.acks.sent[e.To]
 	if !known || sent.key != e.Key {
 		return
@@ -205,8 +252,10 @@
 }
 
 func (c *Core) ackIn(now time.Duration, e AckIn) {
-	for _, a := range e.Request.GetAcks() {
-		c.mergeAck(ackFromProto(a))
+	for _, p := range e.Request.GetAcks() {
+		if a := ackFromProto(p); c.mergeAck(a) && a.Ticket > c.applied.head.Accepted {
+			c.acks.forward[a.Instance] = true
+		}
 	}
 	response := &peerpb.AcknowledgeResponse{CanWrite: c.storeReached(now)}
 	if e.Request.GetWantAll() {
--- a/ticket/apply.go
+++ b/ticket/apply.go
@@ -128,7 +128,7 @@
 }
 
 func (c *Core) sameOrConflict(number uint64, have, want *Ticket) error {
-	if have.digest() == want.digest() {
+	if have.digest() == want.digest() || c.options.skipCompare {
 		return nil
 	}
 	return reason.New(reason.TicketConflict, "ticket %d has another body", number)
--- a/ticket/catchup.go
+++ b/ticket/catchup.go
@@ -298,10 +298,10 @@
 	})
 }
 
-// headRead uses the result of a read of the head and reports success.
+// headRead uses the result of a read of the head and reports success. It is no
+// contact: only a watch also shows whether this instance is still registered.
 func (c *Core) headRead(now time.Duration, r StoreDone) bool {
 	if errors.Is(r.Err, store.ErrNotFound) {
-		c.contacted(r.SentAt, 0)
 		c.learn(now, known{}, "")
 		return true
 	}
@@ -313,7 +313,6 @@
 		c.emit(Note{Kind: NoteBroken, Err: err})
 		return false
 	}
-	c.contacted(r.SentAt, version(r.Object.Version))
 	c.learn(now, known{head: head, version: version(r.Object.Version)}, "")
 	return true
 }
--- a/ticket/core.go
+++ b/ticket/core.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -28,9 +29,8 @@
 	acceptOnWrite      bool // a written ticket is accepted at once
 	acceptUnregistered bool // acceptance does not look at the registrations
 	useHeldAtOnce      bool // the new half does not wait for the old one
+	skipCompare        bool // a stored body of the number is taken for the own one
 	adoptOlderHead     bool // a head replaces one with a higher version
-	ignorePending      bool // restrictions apply only after acceptance
-	foldByArrival      bool // a lower ticket replaces a higher one
 }
 
 // View is what the core publishes. It is immutable.
@@ -100,10 +100,10 @@
 		since:   make(map[uint64]time.Duration),
 		calls:   make(map[uint64]func(time.Duration, StoreDone)),
 	}
-	c.state.foldByArrival = o.foldByArrival
 	c.watch.contact = -1
 	c.watch.reached = -1
 	c.acks.table = make(map[api.InstanceID]Ack)
+	c.acks.forward = make(map[api.InstanceID]bool)
 	c.acks.sent = make(map[api.InstanceID]*ackSent)
 	return c
 }
@@ -153,6 +153,9 @@
 		return
 	}
 	delete(c.calls, r.ID)
+	if !errors.Is(r.Err, store.ErrUnavailable) && !errors.Is(r.Err, store.ErrUnknown) {
+		c.watch.reached = now
+	}
 	done(now, r)
 }
 
@@ -163,6 +166,7 @@
 	c.advance(now)
 	c.runTimers(now)
 	c.sendAcks(now)
+	c.forwardAcks(now)
 	c.tryAccept(now)
 	c.tryCompact(now)
 }
@@ -219,7 +223,6 @@
 	state := c.state
 	if reload {
 		state = c.base.clone()
-		state.foldByArrival = c.options.foldByArrival
 		accepted = next.Snapshot
 	}
 	changed := reload
@@ -250,9 +253,6 @@
 	config := &api.Config{Ticket: head.Accepted, Endpoints: c.config.Endpoints, Accounts: c.config.Accounts}
 	leaving := make(map[api.EndpointID]bool)
 	for _, number := range head.pending() {
-		if c.options.ignorePending {
-			break
-		}
 		touched := c.bodies[number].ticket.touches()
 		config.Pending = append(config.Pending, api.Pending{Ticket: number, Endpoints: touched})
 		for id, next := range touched {
@@ -330,6 +330,10 @@
 // negative: none yet.
 func (c *Core) StoreContact() time.Duration { return c.watch.contact }
 
+// Expelled returns the highest incarnation of this instance whose registration
+// was seen to be removed; 0 is none.
+func (c *Core) Expelled() uint64 { return c.watch.gone }
+
 // reachable returns the members that are expected to answer, without self.
 func (c *Core) reachable() []api.Member {
 	list := make([]api.Member, 0, len(c.members))
--- a/ticket/event.go
+++ b/ticket/event.go
@@ -71,9 +71,11 @@
 
 // AckDone is the result of a PeerAck; Response is nil after an error.
 type AckDone struct {
-	To       api.InstanceID
-	Key      ackKey
-	Response *peerpb.AcknowledgeResponse
+	To  api.InstanceID
+	Key ackKey
+	// Forwarded is the request of a PeerAck with other instances' reports.
+	Forwarded *peerpb.AcknowledgeRequest
+	Response  *peerpb.AcknowledgeResponse
 }
 
 func (Tick) event()           {}
@@ -130,7 +132,9 @@
 	To      api.InstanceID
 	Address string
 	Key     ackKey
-	Request *peerpb.AcknowledgeRequest
+	// Forwarded says that the request carries other instances' reports.
+	Forwarded bool
+	Request   *peerpb.AcknowledgeRequest
 }
 
 // Respond answers FetchIn or AckIn; one of the fields is set.
--- /dev/null
+++ b/ticket/fold_test.go
@@ -0,0 +1,129 @@
+package ticket_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/fleetsim"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/ticket"
+)
+
+// drawTickets returns tickets 1..n that set and remove endpoints.
+func drawTickets(t *rapid.T) []*ticket.Ticket {
+	count := rapid.IntRange(1, 8).Draw(t, "tickets")
+	tickets := make([]*ticket.Ticket, 0, count)
+	for number := 1; number <= count; number++ {
+		next := &ticket.Ticket{Number: uint64(number)}
+		for _, e := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 1, 3, rapid.ID).Draw(t, "endpoints") {
+			half := api.Half(rapid.SampledFrom([]string{"north", "south", ""}).Draw(t, "half"))
+			if half == "" {
+				next.RemoveEndpoints = append(next.RemoveEndpoints, endpointID(e))
+			} else {
+				next.Endpoints = append(next.Endpoints, fleetsim.Engine(e, half))
+			}
+		}
+		tickets = append(tickets, next)
+	}
+	return tickets
+}
+
+// lastWord is the oracle: the endpoints as the highest ticket of each says.
+func lastWord(tickets []*ticket.Ticket) map[api.EndpointID]api.Half {
+	halves := make(map[api.EndpointID]api.Half)
+	for _, t := range tickets {
+		for _, e := range t.Endpoints {
+			halves[e.ID] = e.Half
+		}
+		for _, id := range t.RemoveEndpoints {
+			delete(halves, id)
+		}
+	}
+	return halves
+}
+
+func halvesOf(s *ticket.State) map[api.EndpointID]api.Half {
+	halves := make(map[api.EndpointID]api.Half)
+	for id, item := range s.Endpoints {
+		if item.Endpoint != nil {
+			halves[id] = item.Endpoint.Half
+		}
+	}
+	return halves
+}
+
+func foldIn(state *ticket.State, order []*ticket.Ticket) map[api.EndpointID]api.Half {
+	for _, t := range order {
+		ticket.ApplyTo(state, t)
+	}
+	return halvesOf(state)
+}
+
+// TestFoldIgnoresOrder guards against a lower ticket that replaces a higher one
+// because it arrived later.
+func TestFoldIgnoresOrder(t *testing.T) {
+	caught := false
+	rapid.Check(t, func(t *rapid.T) {
+		tickets := drawTickets(t)
+		order := rapid.Permutation(tickets).Draw(t, "order")
+		want := lastWord(tickets)
+		if got := foldIn(ticket.NewState(), order); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		caught = caught || !reflect.DeepEqual(foldIn(ticket.FoldByArrival(), order), want)
+	})
+	if !caught {
+		t.Fatal("the wrong variant foldByArrival was not caught")
+	}
+}
+
+// offers delivers the heads of a history to one core in some order and reports
+// whether the accepted ticket ever fell.
+func offers(core *ticket.Core, tickets []*ticket.Ticket, order []uint64) error {
+	var bodies []*peerpb.Ticket
+	head := ticket.Head{}
+	for _, t := range tickets {
+		raw, _ := json.Marshal(t)
+		bodies = append(bodies, &peerpb.Ticket{Number: t.Number, Body: raw})
+	}
+	highest := uint64(0)
+	for i, version := range order {
+		head.Latest, head.Accepted = version, version
+		head.Tickets = nil
+		for number := uint64(1); number <= version; number++ {
+			head.Tickets = append(head.Tickets, number)
+		}
+		request := &peerpb.OfferRequest{Head: ticket.EncodeHead(head), HeadVersion: version, Tickets: bodies[:version]}
+		core.Step(time.Duration(i+1)*time.Second, ticket.Offered{Address: "a", HeadVersion: version, Request: request})
+		highest = max(highest, version)
+		if got := core.Config().Ticket; got != highest {
+			return fmt.Errorf("ticket %d is in force after heads up to %d", got, highest)
+		}
+	}
+	return nil
+}
+
+// TestHeadsInAnyOrder guards against an older head that reverts an accepted
+// ticket when it arrives late, for example from an instance that returns.
+func TestHeadsInAnyOrder(t *testing.T) {
+	caught := false
+	rapid.Check(t, func(t *rapid.T) {
+		tickets := drawTickets(t)
+		order := rapid.SliceOfN(rapid.Uint64Range(1, uint64(len(tickets))), 1, 12).Draw(t, "versions")
+		if err := offers(ticket.NewCore(ticket.CoreOptions{Instance: "a"}), tickets, order); err != nil {
+			t.Fatal(err)
+		}
+		wrong := ticket.CoreOptions{Instance: "a"}
+		ticket.AdoptOlderHead(&wrong)
+		caught = caught || offers(ticket.NewCore(wrong), tickets, order) != nil
+	})
+	if !caught {
+		t.Fatal("the wrong variant adoptOlderHead was not caught")
+	}
+}
--- a/ticket/io.go
+++ b/ticket/io.go
@@ -54,5 +54,9 @@
 	if err != nil {
 		response = nil
 	}
-	r.post(AckDone{To: a.To, Key: a.Key, Response: response})
+	done := AckDone{To: a.To, Key: a.Key, Response: response}
+	if a.Forwarded {
+		done.Forwarded = a.Request
+	}
+	r.post(done)
 }
--- a/ticket/runner.go
+++ b/ticket/runner.go
@@ -69,14 +69,15 @@
 	view    atomic.Pointer[View]
 	ready   atomic.Bool
 	// contact is the core's StoreContact.
-	contact atomic.Int64
-	metrics *metrics
-	replies map[uint64]chan Reply // by apply id; owned by Run
-	applyID atomic.Uint64
-	members []api.Member // last passed to the core
-	io      sync.WaitGroup
-	ctx     context.Context
-	cancel  context.CancelFunc
+	contact  atomic.Int64
+	expelled atomic.Uint64 // the core's Expelled
+	metrics  *metrics
+	replies  map[uint64]chan Reply // by apply id; owned by Run
+	applyID  atomic.Uint64
+	members  []api.Member // last passed to the core
+	io       sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // message is an event with the channel for a synchronous answer.
@@ -158,6 +159,7 @@
 	}
 	r.ready.Store(r.core.Ready())
 	r.contact.Store(int64(r.core.StoreContact()))
+	r.expelled.Store(r.core.Expelled())
 }
 
 func (r *Runner) do(m message, action Action) {
@@ -219,6 +221,10 @@
 // the ticket head was sent; negative: none yet.
 func (r *Runner) StoreContact() time.Duration { return time.Duration(r.contact.Load()) }
 
+// Expelled returns the highest incarnation of this instance whose registration
+// was seen to be removed; 0 is none.
+func (r *Runner) Expelled() uint64 { return r.expelled.Load() }
+
 // Offer says that the instance at the address applies a newer head.
 func (r *Runner) Offer(address string, headVersion uint64) {
 	if !r.events.Offer(message{event: Offered{Address: address, HeadVersion: headVersion}}) {
--- a/ticket/watch.go
+++ b/ticket/watch.go
@@ -44,20 +44,26 @@
 	shown uint64
 	// registered are the registrations that the watch has shown.
 	registered map[api.InstanceID]registration
+	// gone is the incarnation whose registration was removed by an expulsion.
+	gone uint64
 	// contact is when the last answered read of an applied head was sent.
 	contact time.Duration
 	// waiting is a contact that counts once its head applies.
 	waiting        time.Duration
 	waitingVersion uint64
-	// reached is when the store last answered.
+	// reached is when the store last answered, however old the question was.
 	reached time.Duration
 }
 
 // contacted notes that the store showed the version to a read sent at sentAt.
+// It counts only while this instance is registered: without a registration the
+// next ticket is accepted without it.
 func (c *Core) contacted(sentAt time.Duration, version uint64) {
 	w := &c.watch
-	w.reached = max(w.reached, sentAt)
 	w.seen = max(w.seen, version)
+	if _, registered := w.registered[c.options.Instance]; !registered {
+		return
+	}
 	if version <= c.applied.version && c.ready {
 		w.contact = max(w.contact, sentAt)
 		return
@@ -110,9 +116,16 @@
 	}
 	w.lastRead = now
 	w.confirms++
-	c.call(StoreCall{Op: StoreGet, Key: headKey}, func(now time.Duration, r StoreDone) {
+	c.call(StoreCall{Op: StoreList, Key: controlPrefix}, func(now time.Duration, r StoreDone) {
 		w.confirms--
-		c.headRead(now, r)
+		if r.Err != nil {
+			return
+		}
+		head, registered := c.listedControl(r)
+		c.headRead(now, head)
+		if registered[c.options.Instance].Incarnation > 0 {
+			c.contacted(r.SentAt, version(head.Object.Version))
+		}
 	})
 }
 
@@ -126,37 +139,57 @@
 	w.retry = 0
 	w.listed = true
 	w.revision = r.Revision
-	w.registered = make(map[api.InstanceID]registration, len(r.Objects))
-	found := StoreDone{SentAt: r.SentAt, Err: store.ErrNotFound}
-	for _, object := range r.Objects {
-		if object.Key == headKey {
-			found.Object, found.Err = object, nil
-			continue
-		}
-		c.registrationShown(store.Change{Object: object})
+	before, wasRegistered := w.registered[c.options.Instance]
+	var found StoreDone
+	found, w.registered = c.listedControl(r)
+	if _, registered := w.registered[c.options.Instance]; wasRegistered && !registered {
+		w.gone = before.Incarnation
 	}
 	w.shown = version(found.Object.Version)
 	c.headRead(now, found)
+	c.contacted(r.SentAt, w.shown)
 	c.tryAccept(now)
 }
 
+// listedControl divides a list into the head and the registrations.
+func (c *Core) listedControl(r StoreDone) (StoreDone, map[api.InstanceID]registration) {
+	head := StoreDone{SentAt: r.SentAt, Err: store.ErrNotFound}
+	registered := make(map[api.InstanceID]registration, len(r.Objects))
+	for _, object := range r.Objects {
+		if object.Key == headKey {
+			head.Object, head.Err = object, nil
+		} else if id, found := strings.CutPrefix(object.Key, memberPrefix); found {
+			registered[api.InstanceID(id)] = c.decodeRegistration(id, object.Value)
+		}
+	}
+	return head, registered
+}
+
+func (c *Core) decodeRegistration(id string, value []byte) registration {
+	var r registration
+	if err := json.Unmarshal(value, &r); err != nil {
+		// Acceptance waits for an instance that cannot be read, by its key.
+		c.emit(Note{Kind: NoteBroken, Err: Error.Wrap(err)})
+	}
+	r.Instance = api.InstanceID(id)
+	return r
+}
+
 // registrationShown uses a change of a registration.
 func (c *Core) registrationShown(change store.Change) {
 	id, found := strings.CutPrefix(change.Key, memberPrefix)
 	if !found {
 		return
 	}
-	if change.Deleted {
-		delete(c.watch.registered, api.InstanceID(id))
+	instance := api.InstanceID(id)
+	if !change.Deleted {
+		c.watch.registered[instance] = c.decodeRegistration(id, change.Value)
 		return
 	}
-	var r registration
-	if err := json.Unmarshal(change.Value, &r); err != nil {
-		// Acceptance waits for an instance that cannot be read, by its key.
-		c.emit(Note{Kind: NoteBroken, Err: Error.Wrap(err)})
+	if before, known := c.watch.registered[instance]; known && instance == c.options.Instance {
+		c.watch.gone = before.Incarnation
 	}
-	r.Instance = api.InstanceID(id)
-	c.watch.registered[r.Instance] = r
+	delete(c.watch.registered, instance)
 }
 
 func (c *Core) watched(now time.Duration, r StoreDone) {
@@ -172,18 +205,23 @@
 	}
 	w.retry = 0
 	w.revision = r.Revision
-	changed := false
-	for _, change := range r.Changes {
-		if change.Key == headKey && !change.Deleted {
-			changed = true
-			w.shown = version(change.Version)
-			c.headRead(now, StoreDone{SentAt: r.SentAt, Object: change.Object})
+	// Only the last head is the current one. After a pause an answer holds
+	// older ones too, which confirm nothing.
+	var last *store.Object
+	for i := range r.Changes {
+		if r.Changes[i].Key == headKey && !r.Changes[i].Deleted {
+			last = &r.Changes[i].Object
 			continue
 		}
-		c.registrationShown(change)
+		c.registrationShown(r.Changes[i])
 	}
-	if !changed {
+	switch {
+	case last == nil:
 		c.contacted(r.SentAt, w.seen)
+	default:
+		w.shown = version(last.Version)
+		c.headRead(now, StoreDone{SentAt: r.SentAt, Object: *last})
+		c.contacted(r.SentAt, w.shown)
 	}
 	c.tickWatch(now, w.wanted)
 	c.tryAccept(now)
