--- a/fleetsim/node.go
+++ b/fleetsim/node.go
@@ -30,6 +30,7 @@
 	fleet   *fleet.Core
 	ticket  *ticket.Core
 	variant Variant
+	seeds   []string
 
 	dead     bool
 	paused   bool
@@ -65,7 +66,7 @@
 			ID: n.id, Incarnation: uint64(n.sim.clock.now / time.Millisecond),
 			Address: n.address, Place: n.place, Half: n.half,
 		},
-		AutoExpel: true, Seed: n.sim.options.Seed,
+		Seeds: n.seeds, AutoExpel: true, Seed: n.sim.options.Seed,
 	}
 	to := ticket.CoreOptions{Instance: n.id, Half: n.half, Address: n.address, Seed: n.sim.options.Seed}
 	if n.variant.Fleet != nil {
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,122 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusstair/hibiscusstair/fleetsim"
+	"github.com/hibiscusstair/hibiscusstair/peer"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
+
+const secret = "a secret of instances"
+
+// server answers exchanges and probes; other calls are not served.
+type server struct {
+	peerpb.Peer
+	calls atomic.Int64
+}
+
+func (s *server) Exchange(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	s.calls.Add(1)
+	return &peerpb.ExchangeResponse{HeadVersion: 7}, nil
+}
+
+func (s *server) Probe(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeResponse, error) {
+	return &peerpb.ProbeResponse{Instance: "a"}, nil
+}
+
+var _ = Describe("messages between instances", func() {
+	var (
+		served      *server
+		listening   *httptest.Server
+		connections atomic.Int64
+		ctx         = context.Background()
+	)
+	BeforeEach(func() {
+		served = &server{}
+		connections.Store(0)
+		listening = httptest.NewUnstartedServer(peer.NewHandler(served, secret, tally.NoopScope))
+		listening.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		listening.Start()
+		DeferCleanup(listening.Close)
+	})
+	address := func() string { return listening.Listener.Addr().String() }
+
+	It("refuses a message that is signed with another secret", func() {
+		clients := peer.NewClients("another secret", tally.NoopScope)
+		defer clients.Close()
+		_, err := clients.Client(address()).Exchange(ctx, &peerpb.ExchangeRequest{})
+		Expect(err).To(HaveOccurred())
+		Expect(served.calls.Load()).To(BeZero())
+	})
+
+	It("refuses a message without a signature", func() {
+		response, err := http.Post(listening.URL+peer.PathPrefix+"/hibiscusstair.peer.Peer/Exchange", "application/protobuf", strings.NewReader(""))
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusUnauthorized))
+		Expect(served.calls.Load()).To(BeZero())
+	})
+
+	It("refuses an answer of a server that does not know the secret", func() {
+		stranger := httptest.NewServer(peer.NewHandler(served, "another secret", tally.NoopScope))
+		defer stranger.Close()
+		clients := peer.NewClients(secret, tally.NoopScope)
+		defer clients.Close()
+		_, err := clients.Client(stranger.Listener.Addr().String()).Exchange(ctx, &peerpb.ExchangeRequest{})
+		Expect(err).To(MatchError(ContainSubstring("signature")))
+	})
+
+	It("pools connections of exchanges and uses a new one for each probe", func() {
+		clients := peer.NewClients(secret, tally.NoopScope)
+		defer clients.Close()
+		client := clients.Client(address())
+		for range 3 {
+			_, err := client.Exchange(ctx, &peerpb.ExchangeRequest{})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(connections.Load()).To(BeEquivalentTo(1))
+		for range 2 {
+			_, err := client.Probe(ctx, &peerpb.ProbeRequest{})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(connections.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("adds no more bytes to an exchange than the simulation counts", func() {
+		scope := tally.NewTestScope("", nil)
+		clients := peer.NewClients(secret, scope)
+		defer clients.Close()
+		request := &peerpb.ExchangeRequest{From: "a", Deltas: &peerpb.Deltas{}}
+		response, err := clients.Client(address()).Exchange(ctx, request)
+		Expect(err).NotTo(HaveOccurred())
+		counted := int64(0)
+		for _, counter := range scope.Snapshot().Counters() {
+			counted += counter.Value()
+		}
+		overhead := counted - int64(proto.Size(request)+proto.Size(response))
+		GinkgoWriter.Println("overhead of an exchange in bytes:", overhead)
+		Expect(overhead).To(BeNumerically(">", 100))
+		Expect(overhead).To(BeNumerically("<=", fleetsim.ExchangeOverhead))
+	})
+})
--- a/ticket/watch.go
+++ b/ticket/watch.go
@@ -14,6 +14,10 @@
 	// watchWait is how long the store may hold a watch. With an answer a second
 	// a contact is never older than 2 s and the store's delay.
 	watchWait = time.Second
+	// watchWaitMax bounds the wait while the store is slow, when it follows the
+	// store's delay; slowDelay is when that begins.
+	watchWaitMax = 3 * time.Second
+	slowDelay    = 500 * time.Millisecond
 	// watchRetryMin and watchRetryMax bound the pause after a failed watch.
 	watchRetryMin = 200 * time.Millisecond
 	watchRetryMax = 2 * time.Second
@@ -28,8 +32,11 @@
 // watch follows the head in the store for the failure domain.
 type watch struct {
 	wanted   bool // this instance watches for its failure domain
-	running  bool
-	listed   bool // revision is valid
+	running  int
+	sentAt   time.Duration // of the last watch
+	wait     time.Duration // of the last watch
+	delay    time.Duration // of the store beyond the wait, from the last answer
+	listed   bool          // revision is valid
 	revision uint64
 	retryAt  time.Duration
 	retry    time.Duration
@@ -93,15 +100,35 @@
 	}
 	c.confirmAlone(now)
 	w := &c.watch
-	if w.running || now < w.retryAt {
+	if now < w.retryAt || !c.watchDue(now) {
 		return
 	}
-	w.running = true
 	if !w.listed {
+		w.running++
 		c.call(StoreCall{Op: StoreList, Key: controlPrefix}, c.headListed)
 		return
 	}
-	c.call(StoreCall{Op: StoreWatch, Key: controlPrefix, After: w.revision, Wait: watchWait}, c.watched)
+	w.running++
+	w.sentAt = now
+	w.wait = min(max(w.delay, watchWait), watchWaitMax)
+	wait := w.wait
+	c.call(StoreCall{Op: StoreWatch, Key: controlPrefix, After: w.revision, Wait: wait}, func(now time.Duration, r StoreDone) {
+		if r.Err == nil && len(r.Changes) == 0 {
+			w.delay = max(now-r.SentAt-wait, 0)
+		}
+		c.watched(now, r)
+	})
+}
+
+// watchDue reports whether another watch is to be sent. While the store is
+// slow two of them overlap: a single one waits at the store for only a part of
+// the time, and a change in between would be seen a whole delay later.
+func (c *Core) watchDue(now time.Duration) bool {
+	w := &c.watch
+	if w.running == 0 {
+		return true
+	}
+	return w.listed && w.running == 1 && w.delay >= slowDelay && now-w.sentAt >= (w.wait+w.delay)/2
 }
 
 // confirmAlone reads the head in parallel to a delayed watch, because an
@@ -131,7 +158,7 @@
 
 func (c *Core) headListed(now time.Duration, r StoreDone) {
 	w := &c.watch
-	w.running = false
+	w.running--
 	if r.Err != nil {
 		c.watchFailed(now)
 		return
@@ -194,7 +221,7 @@
 
 func (c *Core) watched(now time.Duration, r StoreDone) {
 	w := &c.watch
-	w.running = false
+	w.running--
 	if errors.Is(r.Err, store.ErrCompacted) {
 		w.listed = false
 		return
@@ -204,7 +231,10 @@
 		return
 	}
 	w.retry = 0
-	w.revision = r.Revision
+	if r.Revision < w.revision && len(r.Changes) > 0 {
+		return // the other watch has shown these changes
+	}
+	w.revision = max(w.revision, r.Revision)
 	// Only the last head is the current one. After a pause an answer holds
 	// older ones too, which confirm nothing.
 	var last *store.Object
