Add registered instances that nobody knows as suspects

After a restart of the whole fleet under new names the old registrations stayed in the store, no member table had their instances, and acceptance would have waited for them without an end. The first instance of each failure domain now reads the registrations every 10 s and adds unknown ones as suspects, which are expelled as any dead instance. Live no longer counts instances that leave.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -28,6 +28,9 @@
 	// listInterval is the time between two reads of the platform's list by the
 	// first instance of a failure domain.
 	listInterval = 2 * time.Second
+	// registrationsInterval is the time between two reads of the registrations
+	// by the first instance of a failure domain.
+	registrationsInterval = 10 * time.Second
 	// rejoinInterval is the time between two exchanges with a dead member or a
 	// seed, which heal the table after a partition.
 	rejoinInterval = 5 * time.Second
@@ -119,6 +122,7 @@
 	leaving      bool
 	lastBeat     time.Duration
 	lastList     time.Duration
+	lastRegs     time.Duration
 	lastRejoin   time.Duration
 	lastRegister time.Duration
 	lastFull     time.Duration
@@ -182,6 +186,8 @@
 		return c.probeDone(now, e)
 	case ListDone:
 		return c.listDone(now, e)
+	case RegistrationsDone:
+		return c.registrationsDone(now, e)
 	case RegisterDone:
 		return c.registerDone(now, e)
 	case ExpelDone:
@@ -229,6 +235,10 @@
 		c.lastList = now
 		actions = append(actions, ReadList{})
 	}
+	if now-c.lastRegs >= registrationsInterval && c.joinedOrAlone(now) && c.domainRank() == 0 {
+		c.lastRegs = now
+		actions = append(actions, ReadRegistrations{})
+	}
 	actions = append(actions, c.ageStates(now)...)
 	actions = append(actions, c.probes(now)...)
 	if now-c.lastBeat >= heartbeatInterval {
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -308,6 +308,27 @@
 	return nil
 }
 
+// joinedOrAlone reports whether the table is as complete as it gets at a start.
+func (c *Core) joinedOrAlone(now time.Duration) bool {
+	return now-c.startedAt >= startPhase
+}
+
+// registrationsDone adds registered instances that the table lacks, as
+// suspects. After a restart of the whole fleet nobody else knows them, and
+// tickets would wait for them without an end. One that runs refutes; one that
+// does not is expelled as any dead instance.
+func (c *Core) registrationsDone(now time.Duration, e RegistrationsDone) []Action {
+	var actions []Action
+	for _, r := range e.Registrations {
+		if _, known := c.members[r.Instance]; known || r.Instance == c.self.ID || r.Instance == "" {
+			continue
+		}
+		m := api.Member{ID: r.Instance, Incarnation: r.Incarnation, Address: r.Address, Half: r.Half, State: api.MemberSuspect}
+		actions = append(actions, c.set(now, m, true)...)
+	}
+	return actions
+}
+
 // farewell tells the neighbours that the instance has left.
 func (c *Core) farewell(now time.Duration) []Action {
 	var actions []Action
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -45,6 +45,9 @@
 	Address string
 }
 
+// RegistrationsDone are the registrations in the store.
+type RegistrationsDone struct{ Registrations []Registration }
+
 // RegisterDone is the end of an attempt to register in the store.
 type RegisterDone struct {
 	Incarnation uint64
@@ -77,16 +80,17 @@
 // LeaveEnd says that nothing runs any more.
 type LeaveEnd struct{}
 
-func (Tick) event()           {}
-func (ExchangeIn) event()     {}
-func (ExchangeDone) event()   {}
-func (ProbeDone) event()      {}
-func (ListDone) event()       {}
-func (RegisterDone) event()   {}
-func (ExpelDone) event()      {}
-func (TicketProgress) event() {}
-func (LeaveStart) event()     {}
-func (LeaveEnd) event()       {}
+func (Tick) event()              {}
+func (ExchangeIn) event()        {}
+func (ExchangeDone) event()      {}
+func (ProbeDone) event()         {}
+func (ListDone) event()          {}
+func (RegisterDone) event()      {}
+func (RegistrationsDone) event() {}
+func (ExpelDone) event()         {}
+func (TicketProgress) event()    {}
+func (LeaveStart) event()        {}
+func (LeaveEnd) event()          {}
 
 // Action is an output of the core.
 type Action interface{ action() }
@@ -111,6 +115,9 @@
 // ReadList asks for the platform's list.
 type ReadList struct{}
 
+// ReadRegistrations asks for the registrations in the store.
+type ReadRegistrations struct{}
+
 // Register asks to register the incarnation in the store.
 type Register struct{ Incarnation uint64 }
 
@@ -139,13 +146,14 @@
 // higher one and fetches tickets before it serves.
 type Reset struct{ Incarnation uint64 }
 
-func (SendExchange) action() {}
-func (Respond) action()      {}
-func (SendProbe) action()    {}
-func (ReadList) action()     {}
-func (Register) action()     {}
-func (Expel) action()        {}
-func (NewerTickets) action() {}
-func (Changed) action()      {}
-func (Duplicate) action()    {}
-func (Reset) action()        {}
+func (SendExchange) action()      {}
+func (Respond) action()           {}
+func (SendProbe) action()         {}
+func (ReadList) action()          {}
+func (Register) action()          {}
+func (ReadRegistrations) action() {}
+func (Expel) action()             {}
+func (NewerTickets) action()      {}
+func (Changed) action()           {}
+func (Duplicate) action()         {}
+func (Reset) action()             {}
--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -97,13 +97,14 @@
 	return nil
 }
 
-// Live returns the number of reachable instances of the half, this one included.
+// Live returns the number of instances of the half that take new work, this one
+// included. A suspect counts until it is declared dead.
 func (c *Core) Live(half api.Half) int { return live(c.Members(), half) }
 
 func live(members []api.Member, half api.Half) int {
 	count := 0
 	for _, m := range members {
-		if m.Half == half && m.State.Reachable() {
+		if m.Half == half && (m.State == api.MemberAlive || m.State == api.MemberSuspect) {
 			count++
 		}
 	}
--- a/fleet/io.go
+++ b/fleet/io.go
@@ -82,6 +82,24 @@
 	r.post(done)
 }
 
+// readRegistrations reads all registrations. Those that cannot be parsed are
+// left out; the operator sees them in the status of the tickets.
+func (r *Runner) readRegistrations() {
+	objects, _, err := r.options.Store.List(r.ctx, MemberPrefix)
+	if err != nil {
+		r.metrics.refused.Inc(reason.StoreUnavailable)
+		return
+	}
+	var done RegistrationsDone
+	for _, object := range objects {
+		var have Registration
+		if json.Unmarshal(object.Value, &have) == nil {
+			done.Registrations = append(done.Registrations, have)
+		}
+	}
+	r.post(done)
+}
+
 // registration reads the registration of an instance; version 0 is none.
 func (r *Runner) registration(ctx context.Context, id api.InstanceID) (Registration, store.Version, error) {
 	object, err := r.options.Store.Get(ctx, MemberPrefix+string(id))
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -198,6 +198,8 @@
 		r.start(func() { r.probe(a) })
 	case ReadList:
 		r.start(r.readList)
+	case ReadRegistrations:
+		r.start(r.readRegistrations)
 	case Register:
 		r.start(func() { r.register(a.Incarnation) })
 	case Expel:
@@ -232,7 +234,7 @@
 // not change it.
 func (r *Runner) Members() []api.Member { return *r.members.Load() }
 
-// Live returns the number of reachable instances of the half.
+// Live returns the number of instances of the half that take new work.
 func (r *Runner) Live(half api.Half) int { return live(r.Members(), half) }
 
 // Incarnation returns the current incarnation, which grows when the instance
--- a/fleetsim/http_test.go
+++ b/fleetsim/http_test.go
@@ -147,7 +147,6 @@
 		defer a.stop()
 		seeds := []string{a.peers.Listener.Addr().String()}
 		b := startProcess("b", "north", "f2", s, seeds, idle)
-		defer b.stop()
 		c := startProcess("c", "south", "k1", s, seeds, idle)
 		defer c.stop()
 		all := []*process{a, b, c}
@@ -162,5 +161,34 @@
 		}
 		Expect(a.tickets.Config().MayDispatch("e1", "north")).To(BeTrue())
 		Expect(c.tickets.Config().MayDispatch("e1", "south")).To(BeFalse())
+
+		By("refusing a ticket with errors and one with a taken number")
+		status, answer = b.call("PUT", "/v1/tickets/2", map[string]any{"number": 2, "remove_endpoints": []string{"x"}})
+		Expect(status).To(Equal(http.StatusUnprocessableEntity), "%v", answer)
+		Expect(answer["findings"]).To(HaveLen(1))
+		status, answer = b.call("PUT", "/v1/tickets/1", ticket.Ticket{Number: 1, Endpoints: []api.Endpoint{engine("e2", "north")}})
+		Expect(status).To(Equal(http.StatusConflict), "%v", answer)
+
+		By("letting an instance leave without blocking the next ticket")
+		b.fleet.Leave(context.Background())
+		Expect(b.fleet.Gate()).To(MatchError(ContainSubstring("shutting_down")))
+		b.stop()
+		Eventually(func() (api.MemberState, error) { return stateOf(a, "b"), nil }).WithTimeout(20 * time.Second).Should(Equal(api.MemberLeft))
+		status, answer = a.call("PUT", "/v1/tickets/2", ticket.Ticket{Number: 2, Endpoints: []api.Endpoint{engine("e1", "south")}})
+		Expect(status).To(BeElementOf(http.StatusOK, http.StatusAccepted), "%v", answer)
+		Eventually(func() uint64 { return c.tickets.Config().Ticket }).WithTimeout(20 * time.Second).Should(Equal(uint64(2)))
+		for _, path := range []string{"/v1/tickets", "/v1/tickets/1", "/v1/diff?from=1&to=2", "/v1/status", "/v1/instances"} {
+			status, answer = a.call("GET", path, nil)
+			Expect(status).To(Equal(http.StatusOK), "%s %v", path, answer)
+		}
 	})
 })
+
+func stateOf(p *process, id api.InstanceID) api.MemberState {
+	for _, m := range p.fleet.Members() {
+		if m.ID == id {
+			return m.State
+		}
+	}
+	return api.MemberUnknown
+}
--- a/fleetsim/measure_test.go
+++ b/fleetsim/measure_test.go
@@ -59,6 +59,20 @@
 		Expect(fresh.MayDispatch("e0001")).To(BeTrue())
 	})
 
+	It("accepts tickets after a restart of the whole fleet under new names", func() {
+		s := New(DefaultOptions(3))
+		Expect(s.RunUntil(readyBound, s.Ready)).To(BeTrue())
+		for _, n := range s.nodes {
+			s.Kill(n)
+		}
+		for _, id := range []string{"new0", "new1"} {
+			s.addNode(id, "north", s.place(0), Variant{}, time.Second)
+		}
+		Expect(s.RunUntil(readyBound, s.Ready)).To(BeTrue())
+		s.Apply(s.nodes[3], &ticket.Ticket{Number: 1, Endpoints: []api.Endpoint{simEngine(1, "north")}}, func(error) {})
+		Expect(s.RunUntil(time.Minute, func() bool { return s.nodes[4].Config().Ticket == 1 })).To(BeTrue())
+	})
+
 	It("takes no work alone without the store, and says why", func() {
 		s := newSim(DefaultOptions(1))
 		s.SetStoreDown(true)
--- a/fleetsim/node.go
+++ b/fleetsim/node.go
@@ -210,6 +210,8 @@
 		n.probe(a)
 	case fleet.ReadList:
 		n.readList()
+	case fleet.ReadRegistrations:
+		n.readRegistrations()
 	case fleet.Register:
 		n.register(a.Incarnation)
 	case fleet.Expel:
@@ -261,6 +263,24 @@
 	})
 }
 
+func (n *Node) readRegistrations() {
+	var done fleet.RegistrationsDone
+	operate := func() error {
+		for _, object := range n.sim.store.list(fleet.MemberPrefix) {
+			var have fleet.Registration
+			if json.Unmarshal(object.Value, &have) == nil {
+				done.Registrations = append(done.Registrations, have)
+			}
+		}
+		return nil
+	}
+	n.storeCall("list", operate, func(err error) {
+		if err == nil {
+			n.stepFleet(done, nil)
+		}
+	})
+}
+
 // storeCall calls the store for the process.
 func (n *Node) storeCall(method string, operate func() error, answer func(error)) {
 	n.sim.store.call(method, n.cutStore, operate, func(err error) { n.deliver(func() { answer(err) }) })
--- a/fleetsim/sim.go
+++ b/fleetsim/sim.go
@@ -11,8 +11,9 @@
 const (
 	fleetTick  = 100 * time.Millisecond
 	ticketTick = 25 * time.Millisecond
-	// ExchangeOverhead is what HTTP headers add to a request and its answer.
-	ExchangeOverhead = 310
+	// ExchangeOverhead is what HTTP headers add to a request and its answer: 220
+	// bytes on loopback, more with longer addresses.
+	ExchangeOverhead = 240
 	// storeTimeout is when a call to an unreachable store fails.
 	storeTimeout = 3 * time.Second
 	// peerTimeout, exchangeTimeout and probeTimeout are when a lost message is
@@ -128,7 +129,7 @@
 func (s *Sim) Ready() bool {
 	running := 0
 	for _, n := range s.nodes {
-		if n.fleet == nil {
+		if n.fleet == nil && !n.dead {
 			return false // not started yet
 		}
 		if n.running() {
