--- a/standins/faults/generation_test.go
+++ b/standins/faults/generation_test.go
@@ -134,8 +134,9 @@
 			last = caller.Open(b.ctx, g)
 			Eventually(last.Done()).WithTimeout(hangBound).Should(BeClosed())
 			Expect(last.Events()).To(BeEmpty())
+			Expect(last.Failure()).NotTo(BeNil())
+			GinkgoWriter.Println("send", n, last.Failure().Reason, last.Failure().Run)
 		}
-		Expect(last.Failure()).NotTo(BeNil())
 		Expect(last.Failure().Reason).To(Equal(reason.CrashSuspect))
 		dead := 0
 		for n := range 5 {
