--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -33,7 +33,7 @@
 		Recovery:     g.lostAt != 0,
 	}
 	request.Exclude = c.excluded(g)
-	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && now-g.lostAt < regionPatience && g.fruitless < 2
+	request.SameRegionOnly = c.o.Recovery == RecoverySparing && g.lostAt != 0 && now-g.lostAt < regionPatience
 	c.do(Place{Generation: r.Generation, Attempt: a.number, Digest: r.Digest, Request: request, Retry: retry, Deadline: r.Deadline})
 }
 
@@ -46,9 +46,8 @@
 			list = append(list, a.endpoint.ID)
 		}
 	}
-	// After several fruitless attempts the endpoint that was lost last may be
-	// the only one left, so it is allowed again.
-	if g.lastLost != "" && g.fruitless < maxFruitless/2 {
+	// The endpoint that was lost last is allowed again when there is no other.
+	if g.lastLost != "" && g.retryWaits == 0 {
 		list = append(list, g.lastLost)
 	}
 	return list
@@ -65,6 +64,7 @@
 		return
 	}
 	a.placing = false
+	a.stream = streamName(g.request.Salt, a.number)
 	a.opened = true
 	a.grant = ev.Grant.ID
 	a.endpoint = ev.Grant.Endpoint
@@ -76,7 +76,10 @@
 	g.recomputed += len(prefix)
 	c.note(g, a, "opened", "")
 	fresh := s.suspect || g.lostAt != 0
-	c.do(Open{Generation: ev.Generation, Attempt: a.number, Request: g.request, Endpoint: a.endpoint, Prefix: prefix, Fresh: fresh})
+	c.do(Open{
+		Generation: ev.Generation, Attempt: a.number, EngineID: engineID(ev.Generation, a.stream),
+		Request: g.request, Endpoint: a.endpoint, Prefix: prefix, Fresh: fresh,
+	})
 }
 
 // prefixFor sets where the attempt starts and returns the prefix to send. An
@@ -162,7 +165,10 @@
 	c.endpointOf(a).running++
 	g.sent++
 	c.note(g, a, "reattached", "")
-	c.do(Reattach{Generation: g.request.Generation, Attempt: a.number, Endpoint: a.endpoint, From: from})
+	c.do(Reattach{
+		Generation: g.request.Generation, Attempt: a.number, EngineID: engineID(g.request.Generation, a.stream),
+		Endpoint: a.endpoint, From: from,
+	})
 }
 
 // reattach replaces the connection of an attempt by a new one to the same
@@ -170,6 +176,7 @@
 func (c *Core) reattach(now time.Duration, g *generation, old *attempt) {
 	a := c.newAttempt(now, g)
 	a.endpoint = old.endpoint
+	a.stream = old.stream
 	a.grant, old.grant = old.grant, 0
 	a.unreported, old.unreported = old.unreported, 0
 	a.verify, a.tokens = old.verify, old.tokens
@@ -235,7 +242,7 @@
 // deliver.
 func (c *Core) lose(now time.Duration, g *generation, a *attempt, outcome api.Outcome, why reason.Reason, cancel bool) {
 	c.note(g, a, "lost", why)
-	if why == reason.EngineClosed {
+	if why == reason.EngineClosed && outcome == api.OutcomeDied {
 		c.rememberLost(now, g, a)
 	}
 	if g.lostAt == 0 {
@@ -252,4 +259,8 @@
 		return
 	}
 	c.requeue(now, g)
+	if s := c.endpointOf(a); s.probing && c.o.Baseline == "" && why != reason.EngineSilent {
+		g.awaits = a.endpoint.ID
+		g.awaitUntil = now + verdictWait
+	}
 }
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -14,6 +14,9 @@
 const (
 	ringCapacity = 8192
 	tickInterval = 20 * time.Millisecond
+	// aloneWait is how long content that has to run alone waits for the marks
+	// of the peers before it is placed; it is suspect's settle time.
+	aloneWait = 2500 * time.Millisecond
 )
 
 // Runner owns the core and does its I/O.
@@ -50,7 +53,6 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	scope := o.Scope.SubScope("generation")
 	r := &Runner{
 		o:      o,
 		events: ring.New[Event](ringCapacity),
@@ -59,7 +61,7 @@
 		}),
 		engines: newEngineClient(),
 		traces:  newTraces(),
-		metrics: newMetrics(scope),
+		metrics: newMetrics(o.Scope),
 		holder:  newHolder(),
 		conns:   make(map[uint64]*connection),
 		streams: make(map[streamKey]context.CancelFunc),
@@ -95,17 +97,14 @@
 	}
 }
 
-// takeoverQuery is TakenOver with an answer for the peer.
-type takeoverQuery struct {
-	TakenOver
-	ended chan<- bool
-}
+// call is an event that runs in the loop, for callers that need an answer.
+type call func(core *Core)
+
+func (call) event() {}
 
 func (r *Runner) handle(ev Event) {
-	if query, ok := ev.(takeoverQuery); ok {
-		before := r.core.Live()
-		r.apply(r.core.Step(r.o.Clock(), query.TakenOver))
-		query.ended <- r.core.Live() < before
+	if run, ok := ev.(call); ok {
+		run(r.core)
 		return
 	}
 	r.apply(r.core.Step(r.o.Clock(), ev))
@@ -120,7 +119,12 @@
 		return false
 	}
 	answer := make(chan bool, 1)
-	if !r.post(takeoverQuery{TakenOver{Generation: generation, Attempt: attempt}, answer}) {
+	takeover := call(func(core *Core) {
+		before := core.Live()
+		r.apply(core.Step(r.o.Clock(), TakenOver{Generation: generation, Attempt: attempt}))
+		answer <- core.Live() < before
+	})
+	if !r.post(takeover) {
 		return false
 	}
 	select {
@@ -171,7 +175,7 @@
 	case Reattach:
 		ctx := r.openStream(action.Generation, action.Attempt)
 		body := resumeRequest{Attempt: action.Attempt, From: action.From}
-		path := "/v1/streams/" + action.Generation + "/resume"
+		path := "/v1/streams/" + action.EngineID + "/resume"
 		r.spawn(func() { r.stream(ctx, action.Generation, action.Attempt, action.Endpoint.Address, path, body, true) })
 	case Probe:
 		r.spawn(func() {
@@ -239,7 +243,7 @@
 		delete(r.streams, key)
 	}
 	if action.Cancel {
-		r.spawn(func() { r.engines.cancel(r.ctx, action.Endpoint, action.Generation, action.Attempt) })
+		r.spawn(func() { r.engines.cancel(r.ctx, action.Endpoint, action.EngineID, action.Attempt) })
 	}
 }
 
@@ -259,6 +263,10 @@
 		r.post(PlaceFailed{Generation: action.Generation, Attempt: action.Attempt, Err: reason.From(err)})
 	}
 	level := r.o.Marks.Level(action.Digest)
+	if level == api.IsolationAlone {
+		r.pause(aloneWait)
+		level = r.o.Marks.Level(action.Digest)
+	}
 	if level == api.IsolationRefused {
 		fail(reason.New(reason.CrashSuspect, "engines died while they ran this content"))
 		return
@@ -281,6 +289,16 @@
 	}
 }
 
+// pause waits within the life of the runner.
+func (r *Runner) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Drain refuses new work and waits for the running answers.
 func (r *Runner) Drain(ctx context.Context) error {
 	r.draining.Store(true)
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -96,7 +96,10 @@
 	options := w.variant
 	options.Instance, options.Incarnation, options.Seed = api.InstanceID(n.name), n.incarnation, 7
 	n.core = NewCore(options)
-	n.claims = newClaims(w.store, w.batch)
+	n.claims = NewClaims(w.store)
+	if w.batch {
+		n.claims = NewBatchClaims(w.store, 0, w.wall)
+	}
 	n.pending, n.inbox, n.ops = nil, nil, make(map[uint64]*simOp)
 }
 
@@ -167,7 +170,7 @@
 	}
 }
 
-func simOrder(key int) string { return orderID("acct", fmt.Sprint("key", key)) }
+func simOrder(key int) string { return ID("acct", fmt.Sprint("key", key)) }
 
 func (w *world) submit(n *node, key, body int) {
 	w.nextOp++
@@ -257,9 +260,11 @@
 	return nil
 }
 
+func (w *world) wall() time.Time { return time.UnixMilli(w.now.Milliseconds()) }
+
 // read passes an age by a wall clock that is an hour wrong now and then.
 func (w *world) read(ctx context.Context, n *node, a ReadClaim) Event {
-	event := readEvent(ctx, n.claims, a, time.UnixMilli(w.now.Milliseconds()))
+	event := readEvent(ctx, n.claims, a, w.wall())
 	if w.oneIn(10) {
 		event.Age += time.Hour
 	}
