Wait until a ticket is in force at every instance before a spec starts

Four of 20 specs failed because an instance that had not learned of the acceptance answered unauthenticated.

--- a/standins/harness/admin.go
+++ b/standins/harness/admin.go
@@ -187,6 +187,10 @@
 	if _, err := f.Ctl(ctx, instance, "apply", "--wait", "7s", file); err != nil {
 		return err
 	}
+	// The ticket is accepted; instances learn that one after the other.
+	if err := f.WaitInForce(ctx, t.Number); err != nil {
+		return err
+	}
 	return f.WaitReady(ctx)
 }
 
