--- a/standins/cmd/cutproxy/main.go
+++ b/standins/cmd/cutproxy/main.go
@@ -27,7 +27,6 @@
 			if err != nil {
 				return err
 			}
-			go func() { _ = proxy.Serve() }()
 			return process.Serve(ctx, cmd.String("admin-listen"), proxy.Handler(), func() { _ = proxy.Close() })
 		},
 	}
--- a/standins/cutproxy/proxy.go
+++ b/standins/cutproxy/proxy.go
@@ -13,7 +13,11 @@
 	"golang.org/x/time/rate"
 )
 
-const dialTimeout = 2 * time.Second
+const (
+	dialTimeout = 2 * time.Second
+	// acceptPause is the wait after a failed accept.
+	acceptPause = 10 * time.Millisecond
+)
 
 // Bytes counts what passed through the proxy.
 type Bytes struct {
@@ -37,11 +41,12 @@
 // Proxy forwards connections to one target. Every call takes a source, the
 // name of the client's process; "" stands for all sources.
 type Proxy struct {
-	listener net.Listener
-	target   string
-	sources  *Sources
+	address string
+	target  string
+	sources *Sources
 
 	mu          sync.Mutex
+	listener    net.Listener // nil while connections are refused
 	links       map[*link]bool
 	rules       map[string]*rule
 	bytes       map[string]*Bytes
@@ -53,39 +58,74 @@
 // New returns a proxy that listens on the address. sources may be nil, then
 // all clients have the source "".
 func New(listen, target string, sources *Sources) (*Proxy, error) {
+	p := &Proxy{
+		target: target, sources: sources,
+		links: make(map[*link]bool), rules: make(map[string]*rule), bytes: make(map[string]*Bytes),
+	}
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	return &Proxy{
-		listener: listener, target: target, sources: sources,
-		links: make(map[*link]bool), rules: make(map[string]*rule), bytes: make(map[string]*Bytes),
-	}, nil
+	p.address = listener.Addr().String()
+	p.listener = listener
+	go p.serve(listener)
+	return p, nil
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
-// Serve forwards until Close.
-func (p *Proxy) Serve() error {
+// serve accepts connections until the listener is closed.
+func (p *Proxy) serve(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
-			return err
+			// Out of file descriptors, for example; a later accept can succeed.
+			time.Sleep(acceptPause)
+			continue
 		}
 		go p.accept(client)
 	}
 }
 
+// Refuse closes the listener, so that the kernel refuses connections as it does
+// for a target that has exited. Open connections stay.
+func (p *Proxy) Refuse() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return nil
+	}
+	err := p.listener.Close()
+	p.listener = nil
+	return err
+}
+
+// Listen accepts connections again after Refuse.
+func (p *Proxy) Listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.serve(listener)
+	return nil
+}
+
 // Close ends the listener and all connections.
 func (p *Proxy) Close() error {
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	err := p.listener.Close()
+	err := p.Refuse()
 	p.closeLinks("")
 	return err
 }
--- a/standins/cutproxy/proxy_test.go
+++ b/standins/cutproxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,7 +40,6 @@
 		sources.Set("self", os.Getpid())
 		proxy, err = cutproxy.New("127.0.0.1:0", echo.Addr().String(), sources)
 		Expect(err).NotTo(HaveOccurred())
-		go func() { _ = proxy.Serve() }()
 		dial = func() net.Conn {
 			GinkgoHelper()
 			connection, err := net.Dial("tcp", proxy.Address())
@@ -72,6 +72,19 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a dead target that looks like one that closes connections:
+	// instances take a refused connection as the death of an engine.
+	It("refuses connections like an address without a listener", func() {
+		old := dial()
+		Expect(exchange(old, time.Second)).To(Succeed())
+		Expect(proxy.Refuse()).To(Succeed())
+		_, err := net.Dial("tcp", proxy.Address())
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		Expect(exchange(old, time.Second)).To(Succeed())
+		Expect(proxy.Listen()).To(Succeed())
+		Expect(exchange(dial(), time.Second)).To(Succeed())
+	})
+
 	// Guards against a cut that concerns other processes too.
 	It("cuts one source only", func() {
 		proxy.Cut("other")
--- a/standins/harness/fleet.go
+++ b/standins/harness/fleet.go
@@ -66,6 +66,26 @@
 	Proxy  *cutproxy.Proxy
 	// Book is the file of a service's bookings.
 	Book string
+	// refused is closed when the proxy refuses connections after an exit.
+	refused chan struct{}
+}
+
+// listen lets connections through until the process exits.
+func (e *Endpoint) listen() error {
+	if e.refused != nil {
+		<-e.refused
+	}
+	refused, exited := make(chan struct{}), e.Exited()
+	e.refused = refused
+	if err := e.Proxy.Listen(); err != nil {
+		return err
+	}
+	go func() {
+		<-exited
+		_ = e.Proxy.Refuse()
+		close(refused)
+	}()
+	return nil
 }
 
 // Fleet is a set of processes of one run.
@@ -156,12 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
-	proxy, err := cutproxy.New(listen, target, f.Sources)
-	if err != nil {
-		return nil, err
-	}
-	go func() { _ = proxy.Serve() }()
-	return proxy, nil
+	return cutproxy.New(listen, target, f.Sources)
 }
 
 // StartEndpoint starts an engine or service, or starts it again at its address
@@ -188,7 +203,10 @@
 	f.mu.Lock()
 	f.endpoints[name] = e
 	f.mu.Unlock()
-	return e.waitOK(ctx, "http://"+e.Direct+"/healthz")
+	if err := e.waitOK(ctx, "http://"+e.Direct+"/healthz"); err != nil {
+		return err
+	}
+	return e.listen()
 }
 
 func (f *Fleet) endpointArguments(e *Endpoint) []string {
