--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -144,5 +144,5 @@
 		fmt.Fprintln(w, strings.Join([]string{r.request, r.promised, r.seen, r.resume, r.again, r.bytes}, "\t"))
 	}
 	_ = w.Flush()
-	fmt.Println()
+	fmt.Println("\nThe bytes are those between instances and endpoints of other regions, load polls included.")
 }
--- a/standins/engine/engine_test.go
+++ b/standins/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -136,6 +137,28 @@
 		Expect(tokens).To(Equal(Unbroken(request)))
 	})
 
+	// Guards against a batch beyond the slots, and against a queue that ignores
+	// priorities.
+	It("starts waiting streams by priority", func() {
+		engine := New(testOptions())
+		for i, priority := range []int{2, 3, 1} {
+			request := Request{RequestID: strconv.Itoa(i), Model: "m", MaxTokens: 2, Priority: priority}
+			engine.waiting = append(engine.waiting, newStream(request, uint64(i)))
+		}
+		var order []string
+		now := time.Now()
+		for len(engine.waiting)+len(engine.running) > 0 {
+			engine.step(now)
+			Expect(len(engine.running)).To(BeNumerically("<=", 1))
+			for _, s := range engine.running {
+				if s.ended {
+					order = append(order, s.request.RequestID)
+				}
+			}
+		}
+		Expect(order).To(Equal([]string{"2", "0", "1"}))
+	})
+
 	// Guards against refusals that a caller can't tell from a started request.
 	It("marks a refusal as not started", func() {
 		response, _ := open(ctx, server.URL+"/v1/completions", Request{RequestID: "r", Model: "other", MaxTokens: 1})
--- a/standins/faults/generation_test.go
+++ b/standins/faults/generation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +12,7 @@
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/standins/cutproxy"
 	"github.com/hibiscusstair/hibiscusstair/standins/harness"
+	"github.com/hibiscusstair/hibiscusstair/standins/service"
 )
 
 // modes runs a spec in both recovery modes.
@@ -170,8 +172,22 @@
 		b.caller.NoReconnect = true
 		streams := []*harness.Stream{b.from("instance-1").Open(b.ctx, generation(1))}
 		b.reach(streams, faultAt)
+		Expect(b.ServiceFaults(b.ctx, "desk", service.Faults{SlowMS: 1000})).To(Succeed())
+		address := b.Instance("instance-1").Caller
+		order, lookup := make(chan harness.OrderAnswer, 1), make(chan int, 1)
+		go func() { order <- b.caller.Order(b.ctx, address, "slow", harness.OrderBody("slow")) }()
+		go func() {
+			status, _, _ := b.caller.Lookup(b.ctx, address, "parcel")
+			lookup <- status
+		}()
+		time.Sleep(300 * time.Millisecond) // both are at the service by then
 		Expect(b.TerminateInstance(b.ctx, "instance-1")).To(Succeed())
 		b.expectWhole(streams)
+		Expect((<-order).State).To(Equal("done"))
+		Expect(<-lookup).To(Equal(http.StatusOK))
+		book, err := b.Bookings()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(book[harness.OrderBody("slow")]).To(Equal(1))
 		Eventually(b.Instance("instance-1").Exited()).WithTimeout(hangBound).Should(BeClosed())
 		Expect(b.Instance("instance-1").Status()).To(Succeed())
 	})
