--- a/standins/harness/admin.go
+++ b/standins/harness/admin.go
@@ -135,9 +135,9 @@
 // Ticket is the body of a change ticket.
 type Ticket struct {
 	Number          uint64           `json:"number"`
-	Endpoints       []api.Endpoint   `json:"endpoints"`
+	Endpoints       []api.Endpoint   `json:"endpoints,omitempty"`
 	RemoveEndpoints []api.EndpointID `json:"remove_endpoints,omitempty"`
-	Accounts        []api.Account    `json:"accounts"`
+	Accounts        []api.Account    `json:"accounts,omitempty"`
 	RemoveAccounts  []api.AccountID  `json:"remove_accounts,omitempty"`
 }
 
@@ -187,6 +187,10 @@
 	if _, err := f.Ctl(ctx, instance, "apply", "--wait", "7s", file); err != nil {
 		return err
 	}
+	// The ticket is accepted; instances learn that one after the other.
+	if err := f.WaitInForce(ctx, t.Number); err != nil {
+		return err
+	}
 	return f.WaitReady(ctx)
 }
 
