Connect the engine control; end at once on a second signal

Change: the instance builds and runs enginectl and shows its state at GET /v1/enginectl; the signal handler is removed once the drain has begun.

--- a/cmd/hibiscusstair/main.go
+++ b/cmd/hibiscusstair/main.go
@@ -47,6 +47,8 @@
 	log := telemetry.NewLogger(os.Stderr, checked.LogLevel).With("instance", checked.Instance)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	built, err := instance.New(checked, log)
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailed)
--- a/instance/build.go
+++ b/instance/build.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/enginectl"
 	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/generation"
 	"github.com/hibiscusstair/hibiscusstair/limits"
@@ -157,6 +158,21 @@
 	return err
 }
 
+func (i *Instance) buildEngineControl() (err error) {
+	i.enginectl, err = enginectl.New(enginectl.Options{
+		Instance:       i.settings.Instance,
+		Half:           i.settings.Half,
+		Config:         i.config,
+		Gate:           i.gate,
+		Store:          i.store,
+		LoadsPerMinute: i.settings.WeightLoadsPerMinute,
+		Log:            i.log,
+		Scope:          i.scope("enginectl"),
+		Clock:          clock,
+	})
+	return err
+}
+
 func (i *Instance) registerCaller() {
 	i.callerMux.Handle("POST /v1/completions", i.generation.Handler())
 	i.order.Register(i.callerMux)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/enginectl"
 	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/generation"
 	"github.com/hibiscusstair/hibiscusstair/limits"
@@ -46,6 +47,7 @@
 	suspect    *suspect.Runner
 	generation *generation.Runner
 	order      *order.Runner
+	enginectl  *enginectl.Runner
 
 	callerMux   *http.ServeMux
 	operatorMux *http.ServeMux
@@ -65,7 +67,7 @@
 	}
 	steps := []func() error{
 		i.buildStore, i.buildTicket, i.buildPlacement, i.buildLimits, i.buildSuspect,
-		i.buildFleet, i.buildGeneration, i.buildOrder,
+		i.buildFleet, i.buildGeneration, i.buildOrder, i.buildEngineControl,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -144,7 +146,7 @@
 	}{
 		{"ticket", i.ticket.Run}, {"fleet", i.fleet.Run}, {"placement", i.placement.Run},
 		{"limits", i.limits.Run}, {"suspect", i.suspect.Run}, {"generation", i.generation.Run},
-		{"order", i.order.Run},
+		{"order", i.order.Run}, {"enginectl", i.enginectl.Run},
 	}
 	for _, duty := range duties {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -62,12 +62,17 @@
 	httpapi.WriteJSON(w, http.StatusOK, i.placement.Endpoints())
 }
 
+func (i *Instance) engineControl(w http.ResponseWriter, _ *http.Request) {
+	httpapi.WriteJSON(w, http.StatusOK, i.enginectl.Status())
+}
+
 func (i *Instance) registerOperator() {
 	mux := i.operatorMux
 	mux.Handle("GET /metrics", i.metrics.Handler())
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", i.readyz)
 	mux.HandleFunc("GET /v1/endpoints", i.operatorOnly(i.endpoints))
+	mux.HandleFunc("GET /v1/enginectl", i.operatorOnly(i.engineControl))
 	mux.HandleFunc("GET /v1/streams", i.operatorOnly(i.generation.StreamsHandler().ServeHTTP))
 	mux.HandleFunc("GET /v1/requests/{id}", i.operatorOnly(i.generation.TraceHandler().ServeHTTP))
 	i.ticket.Register(mux)
