Print the findings of a refused ticket

Cause: the command looked for another field than the ticket slice sends. Change: hibiscusctl prints findings with path and message; a test.

--- a/cmd/hibiscusctl/main_test.go
+++ b/cmd/hibiscusctl/main_test.go
@@ -95,6 +95,22 @@
 		Expect(exitCode(err)).To(Equal(exitUnreachable))
 	})
 
+	// Guards against a refusal that does not say what is wrong with the ticket.
+	It("prints every finding of a refused ticket with its place", func() {
+		refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			httpapi.WriteJSON(w, http.StatusUnprocessableEntity, map[string]any{
+				"error":    httpapi.ErrorDetail{Reason: reason.TicketInvalid, Run: reason.RunNo, Message: "2 findings"},
+				"findings": []any{map[string]any{"path": "$.endpoints[0].slots", "message": "is negative"}},
+			})
+		}))
+		defer refusing.Close()
+		_, err := run("--server", serverAddress(refusing), "apply", ticketFile)
+		Expect(exitCode(err)).To(Equal(exitInvalid))
+		var out bytes.Buffer
+		printError(&out, err)
+		Expect(out.String()).To(MatchRegexp(`is negative +\$\.endpoints\[0\]\.slots`))
+	})
+
 	It("gives each kind of failure its exit code", func() {
 		pending := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			httpapi.WriteJSON(w, http.StatusOK, map[string]any{"accepted": 6})
--- a/cmd/hibiscusctl/output.go
+++ b/cmd/hibiscusctl/output.go
@@ -150,9 +150,9 @@
 		return
 	}
 	var body struct {
-		Errors []any `json:"errors"`
+		Findings []any `json:"findings"`
 	}
-	if json.Unmarshal(refused.body, &body) == nil && len(body.Errors) > 0 {
-		_ = printTable(w, body.Errors)
+	if json.Unmarshal(refused.body, &body) == nil && len(body.Findings) > 0 {
+		_ = printTable(w, body.Findings)
 	}
 }
