Add the models to the bench and make fuzz

Cause: sizes of 64 to 330 instances cannot be run as processes here, and the long random runs had no command. Change: the bench drives fleetsim, servingmodel and orderbench; make fuzz runs the properties with a printed random seed and the fuzz targets.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 # Shortened bench, at most one minute.
 bench-quick: build
 	out/bench run --quick --out out
+
+# Property tests and fuzzing with a random seed, which is printed.
+fuzz:
+	sh .ci/fuzz $(FUZZ_SECONDS)
--- a/standins/bench/bench.go
+++ b/standins/bench/bench.go
@@ -22,6 +22,14 @@
 	nodes       []int
 	controlTime time.Duration
 	baselines   bool
+
+	modelNodes     []int
+	modelTickets   int
+	modelEngines   int
+	modelAccounts  int
+	modelFaultFree bool
+	shareNodes     []int
+	claimTime      time.Duration
 }
 
 var (
@@ -29,10 +37,14 @@
 		rounds: 8, streams: 12, tokens: 200, faultAt: 50, orderTime: 6 * time.Second, ticketCount: 30,
 		loads: []float64{0.5, 1, 2, 4}, loadTime: 8 * time.Second, nodes: []int{3, 6, 12},
 		controlTime: 10 * time.Second, baselines: true,
+		modelNodes: []int{8, 64, 330}, modelTickets: 10, modelEngines: 200, modelAccounts: 100,
+		shareNodes: []int{8, 330}, claimTime: 2 * time.Second,
 	}
 	quickSizes = sizes{
 		rounds: 1, streams: 6, tokens: 120, faultAt: 30, orderTime: 1500 * time.Millisecond, ticketCount: 5,
 		loads: []float64{4}, loadTime: 3 * time.Second, nodes: []int{3}, controlTime: 3 * time.Second,
+		modelNodes: []int{8}, modelTickets: 5, modelEngines: 20, modelAccounts: 10, modelFaultFree: true,
+		shareNodes: []int{8}, claimTime: 100 * time.Millisecond,
 	}
 )
 
@@ -79,6 +91,9 @@
 	{"tickets", (*runner).tickets},
 	{"overload", (*runner).overload},
 	{"control", (*runner).control},
+	{"fleet-model", (*runner).fleetModel},
+	{"serving-models", (*runner).servingModels},
+	{"claim-writers", (*runner).claimWriters},
 }
 
 func chosen(name string, only []string) bool {
--- /dev/null
+++ b/standins/bench/model.go
@@ -0,0 +1,109 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/fleetsim"
+	"github.com/hibiscusstair/hibiscusstair/internal/servingmodel"
+	"github.com/hibiscusstair/hibiscusstair/order/orderbench"
+)
+
+// modelSeed makes the figures of the models repeatable.
+const modelSeed = 20261204
+
+// fleetModel drives the fleet and ticket cores of many instances in one
+// process, which shows sizes that the machine cannot run as processes.
+func (r *runner) fleetModel(ctx context.Context) error {
+	for _, nodes := range r.modelNodes {
+		for _, fault := range fleetsim.Faults() {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if r.modelFaultFree && fault != fleetsim.FaultNone {
+				continue
+			}
+			report, err := fleetsim.MeasureTickets(fleetsim.TicketOptions{
+				Instances: nodes, Fault: fault, Tickets: r.modelTickets,
+				Engines: r.modelEngines, Accounts: r.modelAccounts, Seed: modelSeed,
+			})
+			if err != nil {
+				return err
+			}
+			r.addFleetModel(report)
+		}
+	}
+	return nil
+}
+
+func (r *runner) addFleetModel(report fleetsim.TicketReport) {
+	variant := fmt.Sprintf("%d nodes (model), fault %s", report.Instances, report.Fault)
+	n := report.Tickets * report.Instances
+	r.add("ticket_in_force_p50_ms", variant, "ms", milliseconds(report.P50), n)
+	r.add("ticket_in_force_p99_ms", variant, "ms", milliseconds(report.P99), n)
+	r.add("ticket_in_force_max_ms", variant, "ms", milliseconds(report.Max), n)
+	r.add("ticket_restrict_max_ms", variant, "ms", milliseconds(report.RestrictMax), n)
+	r.add("ticket_missed", variant, "count", float64(report.Missed), n)
+	r.add("ticket_store_calls", variant, "calls/ticket", report.StoreCallsPerTicket, report.Tickets)
+	if report.Fault != fleetsim.FaultNone {
+		return
+	}
+	variant = fmt.Sprintf("%d nodes (model)", report.Instances)
+	r.add("control_bytes_per_s", variant, "bytes/s", report.IdleBytesPerSecond, report.Instances)
+	r.add("control_cpu_share", variant, "cores", report.CoreShare, report.Instances)
+	r.add("control_state_mb", variant, "MB", report.BytesPerMember/1e6, report.Instances)
+	r.add("control_store_calls_per_s", variant, "calls/s", report.StoreCallsPerSecond, report.Instances)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// servingModels drives the placement and limits cores with a simulated clock.
+func (r *runner) servingModels(context.Context) error {
+	for _, load := range r.loads {
+		for _, protected := range []bool{true, false} {
+			r.addOverloadModel(load, protected)
+		}
+	}
+	for _, instances := range r.shareNodes {
+		for _, skew := range servingmodel.Skews {
+			result := servingmodel.Share(servingmodel.DefaultShare(instances, skew, modelSeed))
+			variant := fmt.Sprintf("%d nodes (model), demand %s", instances, skew)
+			r.add("account_rate_error", variant, "share", result.Error, instances)
+			r.add("account_rate_error_highest_10s", variant, "share", result.Highest, instances)
+		}
+	}
+	for _, affinity := range []bool{true, false} {
+		result := servingmodel.Affinity(servingmodel.DefaultAffinity(affinity, modelSeed))
+		r.add("prefix_hit_share", fmt.Sprintf("affinity %t (model)", affinity), "share", result.HitShare, 1)
+	}
+	link := servingmodel.Link(servingmodel.DefaultLink(modelSeed))
+	r.add("link_peak_share", "recovery (model)", "share", link.PeakShare, link.Continued)
+	return nil
+}
+
+func (r *runner) addOverloadModel(load float64, protected bool) {
+	result := servingmodel.Overload(servingmodel.DefaultOverload(load, protected, modelSeed))
+	name := "goodput_share"
+	if load == 4 {
+		name = "goodput_share_at_4x"
+	}
+	variant := fmt.Sprintf("%gx (model), shedding and retry budget %t", load, protected)
+	r.add(name, variant, "share", result.Goodput, result.Offered)
+	r.add("attempts_per_request", variant, "attempts", float64(result.Attempts)/float64(result.Offered), result.Offered)
+}
+
+// claimWriters compares the two ways to write claims against a store in memory.
+func (r *runner) claimWriters(ctx context.Context) error {
+	return orderbench.All(ctx, r.claimTime, func(result orderbench.Result) {
+		writer := "one object per claim"
+		if result.Batch {
+			writer = "gathered claims"
+		}
+		variant := fmt.Sprintf("%s, %d callers, %d instances, store %s", writer, result.Callers, result.Instances, result.StoreLatency)
+		orders := int(result.Orders)
+		r.add("orders_per_second", variant, "orders/s", result.OrdersPerSecond, orders)
+		r.add("order_p99_ms", variant, "ms", milliseconds(result.P99), orders)
+		r.add("order_store_calls", variant, "calls/order", result.CallsPerOrder, orders)
+	})
+}
