generation: look at the isolation again while content waits for an endpoint

Cause: content that waited in placement's queue was neither refused nor kept apart when its level rose meanwhile; a wait for the peers' marks that was cut short could still place it. Change: isolated content asks placement for 1 s at a time and its level is checked before and after; a cut-short wait places nothing; callers get not_ready until a ticket is in force. Measured: tests pass with -race; content that is marked while it waits is refused with crash_suspect, not run.

--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -150,6 +151,12 @@
 	return api.Grant{}, reason.New(reason.NoEndpoint, "none")
 }
 
+func (p *fakePlacer) setEndpoints(endpoints []api.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endpoints = endpoints
+}
+
 func (p *fakePlacer) Progress(uint64, int)    {}
 func (p *fakePlacer) Silent(_ api.EndpointID) {}
 
@@ -170,9 +177,9 @@
 func (fakeAdmitter) Release(api.Admission)          {}
 func (a fakeAdmitter) AllowRetry(api.Priority) bool { return !a.noRetries }
 
-type fakeMarks struct{ level api.Isolation }
+type fakeMarks struct{ level atomic.Int32 }
 
-func (m *fakeMarks) Level(api.Digest) api.Isolation                             { return m.level }
+func (m *fakeMarks) Level(api.Digest) api.Isolation                             { return api.Isolation(m.level.Load()) }
 func (*fakeMarks) EndpointDied(api.EndpointID, api.FailureDomain, []api.Digest) {}
 func (*fakeMarks) Completed(api.Digest)                                         {}
 
@@ -199,7 +206,7 @@
 
 func newBench(change func(*Options), engines ...*fakeEngine) *bench {
 	b := &bench{placer: &fakePlacer{held: make(map[uint64]bool)}, marks: &fakeMarks{}}
-	config := &api.Config{Endpoints: make(map[api.EndpointID]api.Endpoint), Accounts: map[api.AccountID]api.Account{
+	config := &api.Config{Ticket: 1, Endpoints: make(map[api.EndpointID]api.Endpoint), Accounts: map[api.AccountID]api.Account{
 		"a1": {ID: "a1", Half: "h1", Priority: api.PriorityInteractive, CredentialSHA256: httpapi.CredentialSHA256(testToken)},
 	}}
 	for i, engine := range engines {
--- a/generation/http.go
+++ b/generation/http.go
@@ -29,8 +29,8 @@
 	unknown := reason.New(reason.Unauthenticated, "no or an unknown credential")
 	token := httpapi.BearerToken(request)
 	config := r.o.Config()
-	if config == nil {
-		return api.Account{}, reason.New(reason.NotReady, "the instance has no configuration yet").WithRetryAfter(drainRetryAfter)
+	if config == nil || config.Ticket == 0 {
+		return api.Account{}, reason.New(reason.NotReady, "no ticket is in force yet").WithRetryAfter(drainRetryAfter)
 	}
 	if token == "" {
 		return api.Account{}, unknown
--- a/generation/limits_test.go
+++ b/generation/limits_test.go
@@ -125,10 +125,28 @@
 
 	// Guards against running content that crashes engines.
 	It("refuses content that crashed engines", func() {
-		b.marks.level = api.IsolationRefused
+		b.marks.level.Store(int32(api.IsolationRefused))
 		refused(b.call(streamBody, nil), reason.CrashSuspect, "")
 	})
 
+	// Guards against content that goes on waiting for an endpoint, or gets one,
+	// after it was refused on another instance.
+	It("refuses content that is marked while it waits", func() {
+		b.placer.setEndpoints(nil)
+		b.marks.level.Store(int32(api.IsolationApart))
+		ended := make(chan *answer, 1)
+		go func() { ended <- b.call(streamBody, nil) }()
+		Eventually(b.runner.active64).Should(Equal(1))
+		Consistently(ended, "200ms").ShouldNot(Receive())
+		b.marks.level.Store(int32(api.IsolationRefused))
+		refused(<-ended, reason.CrashSuspect, "")
+	})
+
+	It("is not ready before a ticket is in force", func() {
+		b.runner.o.Config().Ticket = 0
+		refused(b.call(streamBody, nil), reason.NotReady, "")
+	})
+
 	// Guards against a refusal that leaves no trace for operators.
 	It("explains a request by its id", func() {
 		a := b.call(streamBody, nil)
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -17,6 +17,10 @@
 	// aloneWait is how long content that has to run alone waits for the marks
 	// of the peers before it is placed; it is suspect's settle time.
 	aloneWait = 2500 * time.Millisecond
+	// isolatedWait is how long isolated content waits for an endpoint before
+	// its level is looked at again; isolatedRetry is the least time between.
+	isolatedWait  = time.Second
+	isolatedRetry = 50 * time.Millisecond
 )
 
 // Runner owns the core and does its I/O.
@@ -293,36 +297,72 @@
 }
 
 // place asks placement for an endpoint. Content under suspicion carries its
-// level of isolation.
+// level of isolation, which is looked at again as long as the content waits.
 func (r *Runner) place(ctx context.Context, action Place) {
 	fail := func(err error) {
 		r.post(PlaceFailed{Generation: action.Generation, Attempt: action.Attempt, Err: reason.From(err)})
 	}
-	level := r.o.Marks.Level(action.Digest)
-	if level == api.IsolationAlone {
-		pause(ctx, aloneWait)
-		level = r.o.Marks.Level(action.Digest)
-	}
-	if level == api.IsolationRefused {
-		fail(reason.New(reason.CrashSuspect, "engines died while they ran this content"))
-		return
-	}
 	if action.Retry && !r.o.Admitter.AllowRetry(action.Request.Priority) {
 		fail(reason.New(reason.RetryBudget, "the retry budget is used up"))
 		return
 	}
-	request := action.Request
-	request.Isolation = level
-	grant, err := r.o.Placer.Place(ctx, request)
-	if err != nil {
-		fail(err)
-		return
+	for {
+		level := r.settledLevel(ctx, action.Digest)
+		if level == api.IsolationRefused {
+			fail(reason.New(reason.CrashSuspect, "engines died while they ran this content"))
+			return
+		}
+		grant, err := r.placeAt(ctx, action.Request, level)
+		switch {
+		case err == nil && r.o.Marks.Level(action.Digest) > level:
+			r.o.Placer.Release(grant.ID, api.OutcomeCancelled)
+		case err == nil:
+			r.placed(action, grant)
+			return
+		case level == api.IsolationNone || ctx.Err() != nil:
+			fail(err)
+			return
+		}
 	}
+}
+
+func (r *Runner) placed(action Place, grant api.Grant) {
 	if !r.post(Placed{Generation: action.Generation, Attempt: action.Attempt, Grant: grant}) {
 		r.o.Placer.Release(grant.ID, api.OutcomeCancelled)
 	}
 }
 
+// settledLevel returns the level of the content. Content that has to run alone
+// waits first for the marks of the peers.
+func (r *Runner) settledLevel(ctx context.Context, digest api.Digest) api.Isolation {
+	level := r.o.Marks.Level(digest)
+	if level != api.IsolationAlone {
+		return level
+	}
+	pause(ctx, aloneWait)
+	return r.o.Marks.Level(digest)
+}
+
+// placeAt asks for an endpoint at one level of isolation. A wait that was cut
+// short does not place the content, and isolated content asks again every
+// isolatedWait.
+func (r *Runner) placeAt(ctx context.Context, request api.PlacementRequest, level api.Isolation) (api.Grant, error) {
+	if ctx.Err() != nil {
+		return api.Grant{}, reason.New(reason.DeadlineExceeded, "no endpoint in time")
+	}
+	if level != api.IsolationNone {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, isolatedWait)
+		defer cancel()
+	}
+	request.Isolation = level
+	grant, err := r.o.Placer.Place(ctx, request)
+	if err != nil && level != api.IsolationNone {
+		pause(ctx, isolatedRetry)
+	}
+	return grant, err
+}
+
 // endPlace ends the wait of a placement that has its result or is not needed.
 func (r *Runner) endPlace(generation string, attempt uint64) {
 	key := streamKey{generation, attempt}
