--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -77,12 +77,12 @@
 
 // isolated reports whether the last confirmation is too old for new work.
 func (c *Core) isolated(now time.Duration) bool {
-	return c.Status(now).check(now) != nil
+	return c.Status(now).Check(now) != nil
 }
 
-// check returns nil if new work may start. A pause shows as an old
+// Check returns nil if new work may start. A pause shows as an old
 // confirmation, because the boot clock runs on.
-func (s Status) check(now time.Duration) error {
+func (s Status) Check(now time.Duration) error {
 	switch {
 	case s.Leaving:
 		return reason.New(reason.ShuttingDown, "the instance is draining")
@@ -97,13 +97,14 @@
 	return nil
 }
 
-// Live returns the number of reachable instances of the half, this one included.
+// Live returns the number of instances of the half that take new work, this one
+// included. A suspect counts until it is declared dead.
 func (c *Core) Live(half api.Half) int { return live(c.Members(), half) }
 
 func live(members []api.Member, half api.Half) int {
 	count := 0
 	for _, m := range members {
-		if m.Half == half && m.State.Reachable() {
+		if m.Half == half && (m.State == api.MemberAlive || m.State == api.MemberSuspect) {
 			count++
 		}
 	}
--- a/fleet/io.go
+++ b/fleet/io.go
@@ -14,8 +14,9 @@
 )
 
 // MemberPrefix is the store prefix of the registrations. A ticket is accepted
-// only when every registered instance has acknowledged it.
-const MemberPrefix = "members/"
+// only when every registered instance has acknowledged it. It lies below the
+// prefix of the ticket head, so that one watch shows both in their order.
+const MemberPrefix = "control/members/"
 
 // Registration is the stored value. An instance is registered from before it
 // serves until it left or was expelled.
@@ -81,6 +82,24 @@
 	r.post(done)
 }
 
+// readRegistrations reads all registrations. Those that cannot be parsed are
+// left out; the operator sees them in the status of the tickets.
+func (r *Runner) readRegistrations() {
+	objects, _, err := r.options.Store.List(r.ctx, MemberPrefix)
+	if err != nil {
+		r.metrics.refused.Inc(reason.StoreUnavailable)
+		return
+	}
+	var done RegistrationsDone
+	for _, object := range objects {
+		var have Registration
+		if json.Unmarshal(object.Value, &have) == nil {
+			done.Registrations = append(done.Registrations, have)
+		}
+	}
+	r.post(done)
+}
+
 // registration reads the registration of an instance; version 0 is none.
 func (r *Runner) registration(ctx context.Context, id api.InstanceID) (Registration, store.Version, error) {
 	object, err := r.options.Store.Get(ctx, MemberPrefix+string(id))
--- a/order/claims.go
+++ b/order/claims.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/store"
 )
@@ -36,9 +37,13 @@
 	return claimPrefix + id[:shardDigits] + "/" + id
 }
 
-// newClaims returns the writer of claims.
-func newClaims(api store.API, _ bool) Claims {
-	return &singleClaims{store: api}
+// NewClaims returns a writer that keeps each claim in an object of its own.
+func NewClaims(api store.API) Claims { return &singleClaims{store: api} }
+
+// NewBatchClaims returns a writer that keeps many claims in each of a number of
+// objects; 0 stands for the default number. wall is the wall clock.
+func NewBatchClaims(api store.API, shards int, wall func() time.Time) Claims {
+	return newBatchClaims(api, shards, wall)
 }
 
 // singleClaims keeps each claim in an object of its own.
--- a/order/http_test.go
+++ b/order/http_test.go
@@ -33,13 +33,18 @@
 	fences   map[string]bool
 	drop     string // "before" or "after" the booking
 	lookups  int
+	posts    int
 	status   int
+	silent   bool // the first lookup gets no answer
 }
 
 func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.Method == http.MethodPost {
+		s.posts++
+	}
 	key := strings.TrimSuffix(strings.TrimPrefix(r.URL.Path, "/orders/"), "/fence")
 	switch {
 	case r.Method == http.MethodPut:
@@ -56,6 +61,12 @@
 		httpapi.WriteJSON(w, http.StatusCreated, map[string]string{"receipt": string(body)})
 	case strings.HasPrefix(r.URL.Path, "/lookups/"):
 		s.lookups++
+		if s.silent && s.lookups == 1 {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			s.mu.Lock()
+			return
+		}
 		w.WriteHeader(s.status)
 	case s.bookings[key] > 0:
 		httpapi.WriteJSON(w, http.StatusOK, map[string]string{"receipt": "looked up"})
@@ -80,6 +91,11 @@
 	change()
 }
 
+// claimWrite selects the writes of claims.
+func claimWrite(c storetest.Call) bool {
+	return c.Method == storetest.Put && strings.HasPrefix(c.Key, "orders/")
+}
+
 func hangUp(w http.ResponseWriter) {
 	conn, _, _ := http.NewResponseController(w).Hijack()
 	_ = conn.Close()
@@ -208,6 +224,7 @@
 		status, _ := post("k1", `{}`)
 		Expect(status).To(Equal(http.StatusCreated))
 		Expect(svc.total()).To(Equal(1))
+		Expect(svc.posts).To(Equal(1))
 	})
 
 	It("reports an order as not run after the service was fenced", func() {
@@ -219,15 +236,44 @@
 		_, body = post("k1", `{}`)
 		Expect(body).To(ContainSubstring(`"run":"no"`))
 		Expect(svc.total()).To(Equal(0))
+		Expect(svc.posts).To(Equal(1))
 	})
 
 	It("recognises its own claim after a lost answer", func() {
-		objects.LoseWriteAnswers(1)
+		lost := false
+		objects.SetFault(func(c storetest.Call) storetest.Fault {
+			lose := claimWrite(c) && !lost
+			lost = lost || lose
+			return storetest.Fault{LoseAnswer: lose}
+		})
 		status, _ := post("k1", `{}`)
 		Expect(status).To(Equal(http.StatusCreated))
 		Expect(svc.total()).To(Equal(1))
 	})
 
+	// Guards against instances that claim the same order in different places.
+	It("refuses orders if the store has claims in another format", func() {
+		other, err := order.New(order.Options{
+			Instance: "i2", Half: "a", Config: config.Load, Store: objects, Batch: true,
+			Placer: desks, Admitter: openDoor{},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = post("k1", `{}`) // the first runner has written its format
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = other.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		mux := http.NewServeMux()
+		other.Register(mux)
+		request := httptest.NewRequest("POST", "/v1/orders", strings.NewReader(`{}`))
+		request.Header.Set("Authorization", "Bearer token")
+		request.Header.Set("Idempotency-Key", "k2")
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, request)
+		Expect(recorder.Body.String()).To(ContainSubstring(`"reason":"not_ready","run":"no"`))
+		Expect(svc.total()).To(Equal(1))
+	})
+
 	It("refuses orders as not run while the store is unavailable and serves lookups", func() {
 		objects.SetOutage(true)
 		status, body := post("k1", `{}`)
@@ -238,11 +284,23 @@
 		Expect(svc.total()).To(Equal(0))
 	})
 
+	// Guards against a caller that waits for a silent store until its deadline.
+	It("refuses orders as not run within the dispatch window while the store is silent", func() {
+		_, _ = post("k1", `{}`)
+		objects.SetLatency(time.Hour)
+		_, body := call("POST", "/v1/orders", "k2", `{}`, "Request-Timeout-Ms", "60000")
+		Expect(body).To(ContainSubstring(`"reason":"store_unavailable","run":"no"`))
+		Expect(svc.total()).To(Equal(1))
+	})
+
 	It("does not send to an endpoint that left after the placement", func() {
-		left := *config.Load()
+		own := config // a late outcome write must not touch the next spec's
+		left := *own.Load()
 		left.Endpoints = map[api.EndpointID]api.Endpoint{}
 		objects.SetFault(func(c storetest.Call) storetest.Fault {
-			config.Store(&left)
+			if claimWrite(c) {
+				own.Store(&left)
+			}
 			return storetest.Fault{}
 		})
 		_, body := post("k1", `{}`)
@@ -266,15 +324,50 @@
 		svc.set(func() { svc.status = http.StatusInternalServerError })
 		status, _ := call("GET", "/v1/lookups/x", "", "")
 		Expect(status).To(Equal(http.StatusBadGateway))
-		Expect(svc.lookups).To(Equal(2))
+		Expect(svc.lookups).To(Equal(4))
 		Eventually(func() int { desks.mu.Lock(); defer desks.mu.Unlock(); return desks.open }).Should(Equal(0))
 	})
 
-	DescribeTable("refuses a bad request before any store call",
+	It("asks another endpoint when a lookup gets no answer", func() {
+		svc.set(func() { svc.silent = true })
+		status, _ := call("GET", "/v1/lookups/x", "", "", "Request-Timeout-Ms", "1000")
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against a grant that is released twice or never when the caller
+	// goes away between the claim and the send.
+	It("finishes an order whose caller has gone", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		objects.SetFault(func(c storetest.Call) storetest.Fault {
+			if claimWrite(c) {
+				cancel()
+			}
+			return storetest.Fault{Delay: 100 * time.Millisecond}
+		})
+		request, err := http.NewRequestWithContext(ctx, "POST", url+"/v1/orders", strings.NewReader(`{}`))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Authorization", "Bearer token")
+		request.Header.Set("Idempotency-Key", "k1")
+		_, err = http.DefaultClient.Do(request)
+		Expect(err).To(HaveOccurred())
+		Eventually(svc.total).Should(Equal(1))
+		released := func() int { desks.mu.Lock(); defer desks.mu.Unlock(); return desks.open }
+		Eventually(released).Should(Equal(0))
+		Consistently(released, "100ms").Should(Equal(0))
+	})
+
+	DescribeTable("refuses a bad request before any store call for it",
 		func(key, body string, status int, header ...string) {
+			var calls atomic.Int32
+			objects.SetFault(func(c storetest.Call) storetest.Fault {
+				if strings.HasPrefix(c.Key, "orders/") {
+					calls.Add(1)
+				}
+				return storetest.Fault{}
+			})
 			got, _ := call("POST", "/v1/orders", key, body, header...)
 			Expect(got).To(Equal(status))
-			Expect(objects.TotalCalls() - objects.Calls(storetest.Instances)).To(Equal(0))
+			Expect(calls.Load()).To(BeZero())
 		},
 		Entry("no key", "", `{}`, 400),
 		Entry("key with a slash", "a/b", `{}`, 400),
--- a/order/options.go
+++ b/order/options.go
@@ -46,9 +46,13 @@
 	MaxTimeout     time.Duration
 	MaxBodyBytes   int64
 	// Batch keeps many claims in one object per shard. All instances on one
-	// store have to use the same value.
+	// store have to use the same value; others refuse orders.
 	Batch bool
-	Log   *slog.Logger
+	// BatchShards is the number of those objects; 0 is a default. All instances
+	// have to use the same value.
+	BatchShards int
+	Log         *slog.Logger
+	// Scope is the scope of this slice.
 	Scope tally.Scope
 	Clock bootclock.Func
 }
@@ -60,6 +64,13 @@
 	defaultMaxBodyBytes   = 256 << 10
 )
 
+func (o *Options) claims() Claims {
+	if o.Batch {
+		return NewBatchClaims(o.Store, o.BatchShards, time.Now)
+	}
+	return NewClaims(o.Store)
+}
+
 func (o *Options) complete() error {
 	if o.Config == nil || o.Store == nil || o.Placer == nil || o.Admitter == nil {
 		return errors.New("order: Config, Store, Placer and Admitter are required")
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/store"
 	"github.com/hibiscusstair/hibiscusstair/store/storetest"
 )
 
@@ -72,7 +73,7 @@
 
 // simDelays has mostly short times, so that many claims are sent in time.
 var simDelays = []time.Duration{
-	0, 0, 20 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond,
+	0, time.Second, 20 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond,
 	300 * time.Millisecond, 2 * time.Second, 5 * time.Second,
 }
 
@@ -96,7 +97,10 @@
 	options := w.variant
 	options.Instance, options.Incarnation, options.Seed = api.InstanceID(n.name), n.incarnation, 7
 	n.core = NewCore(options)
-	n.claims = newClaims(w.store, w.batch)
+	n.claims = NewClaims(w.store)
+	if w.batch {
+		n.claims = NewBatchClaims(w.store, 0, w.wall)
+	}
 	n.pending, n.inbox, n.ops = nil, nil, make(map[uint64]*simOp)
 }
 
@@ -162,12 +166,14 @@
 	case 1:
 		w.outage = !w.outage
 		w.store.SetOutage(w.outage)
+	case 2:
+		w.sweep(n, w.choose.intn(simKeys))
 	default:
 		w.step(n, Tick{})
 	}
 }
 
-func simOrder(key int) string { return orderID("acct", fmt.Sprint("key", key)) }
+func simOrder(key int) string { return ID("acct", fmt.Sprint("key", key)) }
 
 func (w *world) submit(n *node, key, body int) {
 	w.nextOp++
@@ -188,6 +194,14 @@
 	w.step(n, Query{Op: w.nextOp, ID: simOrder(key), Deadline: w.now + 5*time.Second})
 }
 
+// sweep hands the claims of one key to a node, as a sweep of its shard does.
+func (w *world) sweep(n *node, key int) {
+	stored, err := n.claims.Read(context.Background(), simOrder(key))
+	if err == nil && (!stored.State.Final() || stored.State == StateUnknown) {
+		w.step(n, Found{ID: simOrder(key), Stored: stored, Age: w.now - time.Duration(stored.UnixMilli)*time.Millisecond})
+	}
+}
+
 func (w *world) step(n *node, e Event) {
 	for _, action := range n.core.Step(w.now, e) {
 		switch a := action.(type) {
@@ -225,6 +239,8 @@
 
 func (w *world) drawFault() {
 	switch w.choose.intn(8) {
+	case 2:
+		w.fault = storetest.Fault{Err: store.ErrRateLimited}
 	case 0:
 		w.fault = storetest.Fault{LoseAnswer: true}
 	case 1:
@@ -257,9 +273,11 @@
 	return nil
 }
 
+func (w *world) wall() time.Time { return time.UnixMilli(w.now.Milliseconds()) }
+
 // read passes an age by a wall clock that is an hour wrong now and then.
 func (w *world) read(ctx context.Context, n *node, a ReadClaim) Event {
-	event := readEvent(ctx, n.claims, a, time.UnixMilli(w.now.Milliseconds()))
+	event := readEvent(ctx, n.claims, a, w.wall())
 	if w.oneIn(10) {
 		event.Age += time.Hour
 	}
@@ -334,7 +352,7 @@
 	case w.oneIn(8):
 		return Asked{Op: a.Op, Result: AskFailed}
 	case fencing && a.Fence < w.fences[a.ID]:
-		return Asked{Op: a.Op, Result: AskFailed}
+		return Asked{Op: a.Op, Result: AskOutdated}
 	case fencing:
 		w.fences[a.ID] = a.Fence
 	case !w.offers:
--- a/standins/harness/caller.go
+++ b/standins/harness/caller.go
@@ -63,6 +63,8 @@
 	StartOver bool
 	// NoReconnect ends a stream at its first break.
 	NoReconnect bool
+	// Deadline is the deadline that the caller names; 0 is one minute.
+	Deadline time.Duration
 	// Idle is how long the caller waits for the next token; 0 is the default.
 	Idle time.Duration
 }
@@ -167,6 +169,13 @@
 	return callerIdle
 }
 
+func (c *Caller) deadline() time.Duration {
+	if c.Deadline > 0 {
+		return c.Deadline
+	}
+	return time.Minute
+}
+
 func (c *Caller) request(ctx context.Context, s *Stream, instance string) (*http.Request, error) {
 	body := s.Request
 	events := s.Events()
@@ -183,7 +192,7 @@
 	}
 	request.GetBody = nil // the transport sends nothing twice
 	request.Header.Set("Authorization", "Bearer "+c.Token)
-	request.Header.Set("Request-Timeout-Ms", strconv.Itoa(60_000))
+	request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(c.deadline().Milliseconds(), 10))
 	if body.Key != "" {
 		request.Header.Set("Idempotency-Key", body.Key)
 	}
@@ -363,19 +372,30 @@
 	return nil
 }
 
-// ResumeLatency returns the time from a fault until the first token after the
-// longest gap that lasted beyond the fault. Tokens that were on their way at
-// the fault don't count.
+// ResumeLatency returns the time from a fault until the first token of another
+// attempt. Tokens that were on their way at the fault don't count. If the same
+// attempt went on, it is the longest gap after the fault.
 func (s *Stream) ResumeLatency(fault time.Time) time.Duration {
-	var longest, latency time.Duration
-	events := s.Events()
-	for i := 1; i < len(events); i++ {
-		gap := events[i].At.Sub(events[i-1].At)
-		if events[i].At.After(fault) && gap > longest {
-			longest, latency = gap, events[i].At.Sub(fault)
+	var longest time.Duration
+	var before Event
+	for _, event := range s.Events() {
+		if event.At.Before(fault) {
+			before = event
+			continue
+		}
+		if attemptOf(event.ID) != attemptOf(before.ID) {
+			return event.At.Sub(fault)
 		}
+		longest = max(longest, event.At.Sub(before.At))
+		before = event
 	}
-	return latency
+	return longest
+}
+
+// attemptOf returns the generation and attempt of an event id.
+func attemptOf(id string) string {
+	parts := strings.SplitN(id, ".", 4)
+	return strings.Join(parts[:min(3, len(parts))], ".")
 }
 
 // ServedBy returns the endpoint and the instance that an event id names.
