Do not suspect an engine that answers a poll without a report

The engine stand-in answers 503 to a load poll until it has a report. Placement took every failed poll as silence, so such an engine was suspected and probed in turns and got no work between. Only a missing answer counts now.

--- a/placement/poll.go
+++ b/placement/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -119,10 +120,18 @@
 		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 		defer cancel()
 		var report loadBody
-		if err := getJSON(ctx, p.polls, endpoint.Address, "/v1/load", nil, &report); err != nil {
+		body, err := get(ctx, p.polls, endpoint.Address, "/v1/load", nil)
+		if errors.Is(err, errAnswered) {
+			// An engine without a report is alive.
+			return
+		}
+		if err != nil {
 			p.post(PollFailed{Endpoint: endpoint.ID})
 			return
 		}
+		if err := json.Unmarshal(body, &report); err != nil {
+			return
+		}
 		p.post(LoadReported{
 			Endpoint: endpoint.ID,
 			Running:  max(0, report.Running) + max(0, report.Waiting),
@@ -147,11 +156,15 @@
 		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 		defer cancel()
 		query := url.Values{"after": {strconv.FormatUint(action.After, 10)}}
-		var body cacheBody
-		if err := getJSON(ctx, p.polls, action.Endpoint.Address, "/v1/cache/events", query, &body); err != nil {
+		answer, err := get(ctx, p.polls, action.Endpoint.Address, "/v1/cache/events", query)
+		if err != nil {
 			// Cache events are hints; the load poll judges the engine's health.
 			return
 		}
+		var body cacheBody
+		if err := json.Unmarshal(answer, &body); err != nil {
+			return
+		}
 		p.post(CacheReported{Endpoint: action.Endpoint.ID, Events: body.events()})
 	})
 }
@@ -169,14 +182,10 @@
 	return events
 }
 
-func getJSON(ctx context.Context, client *http.Client, address, path string, query url.Values, into any) error {
-	body, err := get(ctx, client, address, path, query)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(body, into)
-}
+// errAnswered is the error of an answer that is not the one asked for.
+var errAnswered = errors.New("unexpected answer")
 
+// get returns the body of a 200.
 func get(ctx context.Context, client *http.Client, address, path string, query url.Values) ([]byte, error) {
 	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
@@ -193,7 +202,7 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+		return nil, fmt.Errorf("%w: status %d", errAnswered, response.StatusCode)
 	}
 	return body, nil
 }
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -165,6 +165,8 @@
 	switch e := m.event.(type) {
 	case PlaceRequested:
 		r.asked[e.ID] = asked{reply: m.reply, request: e.Request}
+	case PollFailed:
+		r.metrics.pollFailed.Inc(1)
 	case LoadsMerged:
 		r.fleet.seen(r.options.Clock(), e.Loads)
 	}
--- a/placement/runner_test.go
+++ b/placement/runner_test.go
@@ -26,7 +26,8 @@
 // fakeEngine answers polls and probes.
 type fakeEngine struct {
 	server  *httptest.Server
-	load    atomic.Value // JSON
+	load    atomic.Value // JSON; empty for no report
+	polls   atomic.Int64
 	healthy atomic.Bool
 	events  atomic.Value // JSON
 }
@@ -37,7 +38,13 @@
 	e.events.Store(`{"events":[]}`)
 	e.healthy.Store(true)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(e.load.Load().(string))) })
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		e.polls.Add(1)
+		if e.load.Load() == "" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_, _ = w.Write([]byte(e.load.Load().(string)))
+	})
 	mux.HandleFunc("GET /v1/cache/events", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(e.events.Load().(string))) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
 		if !e.healthy.Load() {
@@ -227,6 +234,16 @@
 		Eventually(stateOf(r, "e2"), "5s").Should(Equal("leaving"))
 	})
 
+	// Guards a live engine against suspicion: it answers 503 until it has a
+	// report.
+	It("does not suspect an engine without a report", func() {
+		engines[0].load.Store("")
+		engines[0].healthy.Store(false)
+		r := start("i1")
+		Eventually(engines[0].polls.Load, "5s").Should(BeNumerically(">=", 2))
+		Consistently(stateOf(r, "e1"), "50ms").Should(Equal("alive"))
+	})
+
 	// Guards the way of a death from one instance to the next.
 	It("passes a death on to a peer, which probes before it believes", func() {
 		first, second := start("i1"), start("i2")
