Answer not_ready while no ticket is accepted

An instance without an accepted ticket knows no accounts and refused every caller as unauthenticated. It answers not_ready, as it does without any configuration.

--- a/order/http.go
+++ b/order/http.go
@@ -59,7 +59,7 @@
 
 func (r *Runner) serve(w http.ResponseWriter, request *http.Request, next handler) error {
 	config := r.options.Config()
-	if config == nil {
+	if config == nil || config.Ticket == 0 {
 		return reason.New(reason.NotReady, "the instance has no configuration yet").WithRetryAfter(time.Second)
 	}
 	account, ok := r.account(config, httpapi.CredentialSHA256(httpapi.BearerToken(request)))
--- a/order/http_test.go
+++ b/order/http_test.go
@@ -168,6 +168,7 @@
 		desks = &desk{endpoints: []api.Endpoint{endpoint, second}}
 		config = &atomic.Pointer[api.Config]{}
 		config.Store(&api.Config{
+			Ticket:    1,
 			Endpoints: map[api.EndpointID]api.Endpoint{"s1": endpoint, "s2": second},
 			Accounts:  map[api.AccountID]api.Account{"acct": {ID: "acct", Half: "a", CredentialSHA256: httpapi.CredentialSHA256("token")}},
 		})
@@ -239,6 +240,15 @@
 		Expect(svc.posts).To(Equal(1))
 	})
 
+	// Guards against "unauthenticated" for a caller of an instance that knows no
+	// accounts yet.
+	It("is not ready before a ticket is accepted", func() {
+		config.Store(&api.Config{})
+		status, body := post("k1", `{}`)
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(body).To(ContainSubstring(`"reason":"not_ready","run":"no"`))
+	})
+
 	It("recognises its own claim after a lost answer", func() {
 		lost := false
 		objects.SetFault(func(c storetest.Call) storetest.Fault {
--- a/order/orderbench/orderbench.go
+++ b/order/orderbench/orderbench.go
@@ -125,6 +125,7 @@
 		store:   storetest.New(),
 		service: service,
 		config: &api.Config{
+			Ticket:    1,
 			Endpoints: map[api.EndpointID]api.Endpoint{endpoint.ID: endpoint},
 			Accounts:  map[api.AccountID]api.Account{account.ID: account},
 		},
