--- a/generation/receive.go
+++ b/generation/receive.go
@@ -91,7 +91,7 @@
 // alive records a valid chunk as a sign of life.
 func (c *Core) alive(now time.Duration, a *attempt) {
 	s := c.endpointOf(a)
-	if a.gotChunk && !a.suspected {
+	if a.gotChunk {
 		s.add(now - a.lastAt)
 	}
 	a.gotChunk = true
@@ -158,7 +158,7 @@
 	}
 	g.recomputed = 0
 	g.fruitless, g.retryWaits, g.paced = 0, 0, false
-	g.lastLost = ""
+	g.lastLost, g.notStarted = "", false
 	a.reattaches = 0
 }
 
--- a/generation/state.go
+++ b/generation/state.go
@@ -51,6 +51,7 @@
 	queued     bool
 	readyAt    time.Duration
 	lastLost   api.EndpointID
+	notStarted bool           // the last loss was a refusal or a failure to connect
 	awaits     api.EndpointID // whose probe holds the continuation back
 	awaitUntil time.Duration
 	recomputed int
@@ -152,7 +153,9 @@
 		c.do(Release{Grant: a.grant, Outcome: outcome})
 		a.grant = 0
 	}
-	if !a.placing {
+	if a.placing {
+		c.do(CancelPlace{Generation: g.request.Generation, Attempt: a.number})
+	} else {
 		c.endpointOf(a).running--
 		c.do(CloseStream{
 			Generation: g.request.Generation, Attempt: a.number, EngineID: engineID(g.request.Generation, a.stream),
--- a/internal/servingmodel/overload.go
+++ b/internal/servingmodel/overload.go
@@ -53,7 +53,8 @@
 	Sent     int
 	Attempts int
 	Answered int
-	// WaitP99 is the 99th percentile of the waits of those that started.
+	// WaitP95 and WaitP99 are percentiles of the waits of those that started.
+	WaitP95 time.Duration
 	WaitP99 time.Duration
 }
 
@@ -175,7 +176,7 @@
 	r.calls[id] = c
 	r.asked[id] = r.time.now
 	e := placement.PlaceRequested{ID: id, Request: api.PlacementRequest{
-		Kind: api.KindEngine, Model: modelRef, Account: "a", Priority: api.PriorityInteractive, Tokens: tokens(c.service),
+		Kind: api.KindEngine, Model: modelRef, Account: modelAccount(id), Priority: api.PriorityInteractive, Tokens: tokens(c.service),
 	}}
 	if r.options.Protected {
 		e.Deadline = c.deadline
@@ -196,6 +197,9 @@
 	})
 }
 
+// modelAccount spreads the requests over ten accounts.
+func modelAccount(id uint64) api.AccountID { return api.AccountID(rune('a' + id%10)) }
+
 func (r *overloadRun) place(event placement.Event) {
 	actions := slices.Clone(r.placement.Step(r.time.now, event))
 	for _, action := range actions {
@@ -259,6 +263,7 @@
 	r.result.Wasted = r.wasted.Seconds() / all
 	if len(r.waits) > 0 {
 		slices.Sort(r.waits)
+		r.result.WaitP95 = r.waits[len(r.waits)*95/100]
 		r.result.WaitP99 = r.waits[len(r.waits)*99/100]
 	}
 	return r.result
--- a/placement/core.go
+++ b/placement/core.go
@@ -16,6 +16,7 @@
 	tokens   int
 	bytes    int
 	marked   bool
+	model    api.ModelRef
 }
 
 // Core decides. It has no I/O, clock, goroutine or global randomness.
@@ -37,6 +38,13 @@
 	// that all waiting requests are tried at the end of the step.
 	recheck bool
 	drained time.Duration
+	// failed says that a first probe may be due before the next tick.
+	failed bool
+
+	// queued counts the waiting requests of each account and queue.
+	queued   map[queueShare]int
+	arrivals arrivals
+	classes  classes
 
 	link       bucket
 	hints      hints
@@ -61,6 +69,9 @@
 		byModel:   make(map[api.ModelRef]*candidates),
 		grants:    make(map[uint64]grant),
 		waiting:   make(map[uint64]*waiter),
+		queued:    make(map[queueShare]int),
+		arrivals:  newArrivals(),
+		classes:   newClasses(),
 		random:    rand.New(rand.NewPCG(o.Seed, self)),
 		self:      self,
 		link:      newBucket(o.LinkBytesPerSecond),
@@ -77,6 +88,7 @@
 		c.tick(now)
 	case ConfigChanged:
 		c.configure(e.Config)
+		c.reclassify()
 		c.recheck = true
 	case PlaceRequested:
 		c.place(now, e)
@@ -96,6 +108,9 @@
 	if c.recheck {
 		c.drain(now)
 	}
+	if c.failed {
+		c.probeDue(now)
+	}
 	return c.actions
 }
 
@@ -118,6 +133,7 @@
 
 func (c *Core) tick(now time.Duration) {
 	c.sample(now)
+	c.arrivals.decay(now)
 	c.expireReports(now)
 	c.probeDue(now)
 	c.pollDue(now)
@@ -135,6 +151,7 @@
 		// Requests that wait go first.
 		c.drain(now)
 	}
+	c.arrivals.add(w.request.Model)
 	c.learn(&w.request)
 	if !c.try(now, w) {
 		c.enqueue(now, w)
@@ -194,7 +211,12 @@
 
 func (c *Core) grant(now time.Duration, w *waiter, chosen *endpoint) {
 	request := &w.request
-	g := grant{endpoint: chosen, tokens: request.Tokens, marked: request.Isolation != api.IsolationNone}
+	g := grant{
+		endpoint: chosen,
+		tokens:   request.Tokens,
+		marked:   request.Isolation != api.IsolationNone,
+		model:    request.Model,
+	}
 	chosen.running++
 	chosen.outstanding += request.Tokens
 	if g.marked {
@@ -259,7 +281,7 @@
 		return
 	}
 	c.end(e.ID, g)
-	c.observe(now, g.endpoint, e.Outcome)
+	c.observe(now, g, e.Outcome)
 	c.wake(now, g.endpoint)
 }
 
