--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -110,3 +110,6 @@
 	}
 	return count
 }
+
+// Member is the entry of one instance in the member table.
+type Member = api.Member
--- a/fleetsim/http_test.go
+++ b/fleetsim/http_test.go
@@ -184,6 +184,27 @@
 	})
 })
 
+var _ = Describe("an instance that ends without notice", func() {
+	It("blocks acceptance until it is expelled, and the status names it", func() {
+		s := newMemStore()
+		idle := func(api.EndpointID) int { return 0 }
+		a := startProcess("a", "north", "f1", s, nil, idle)
+		defer a.stop()
+		b := startProcess("b", "north", "f2", s, []string{a.peers.Listener.Addr().String()}, idle)
+		for _, p := range []*process{a, b} {
+			Eventually(p.fleet.Gate).WithTimeout(20 * time.Second).Should(Succeed())
+			Eventually(func() int { return len(p.fleet.Members()) }).WithTimeout(20 * time.Second).Should(Equal(2))
+		}
+		b.stop()
+		status, answer := a.call("PUT", "/v1/tickets/1", ticket.Ticket{Number: 1, Endpoints: []api.Endpoint{engine("e1", "north")}})
+		Expect(status).To(Equal(http.StatusAccepted), "%v", answer)
+		_, answer = a.call("GET", "/v1/status", nil)
+		Expect(fmt.Sprint(answer["pending"])).To(And(ContainSubstring("instance:b"), ContainSubstring("has not acknowledged")))
+		Eventually(func() uint64 { return a.tickets.Config().Ticket }).WithTimeout(40 * time.Second).Should(Equal(uint64(1)))
+		Expect(stateOf(a, "b")).To(Equal(api.MemberExpelled))
+	})
+})
+
 func stateOf(p *process, id api.InstanceID) api.MemberState {
 	for _, m := range p.fleet.Members() {
 		if m.ID == id {
--- a/fleetsim/measure_test.go
+++ b/fleetsim/measure_test.go
@@ -73,6 +73,18 @@
 		Expect(s.RunUntil(time.Minute, func() bool { return s.nodes[4].Config().Ticket == 1 })).To(BeTrue())
 	})
 
+	It("fences the older of two processes with one id", func() {
+		s := New(DefaultOptions(3))
+		Expect(s.RunUntil(readyBound, s.Ready)).To(BeTrue())
+		older := s.nodes[1]
+		newer := s.addNode(string(older.id), older.half, older.place, Variant{}, 0)
+		fenced := func() bool { return older.Gate() != nil && newer.fleet != nil && newer.Gate() == nil }
+		Expect(s.RunUntil(time.Minute, fenced)).To(BeTrue())
+		s.Run(20 * time.Second)
+		Expect(fenced()).To(BeTrue())
+		Expect(older.Gate()).To(MatchError(ContainSubstring("another process uses this instance id")))
+	})
+
 	It("takes no work alone without the store, and says why", func() {
 		s := newSim(DefaultOptions(1))
 		s.SetStoreDown(true)
