Confirm a stale instance only by a peer that sees its registration

A peer that had not yet heard of an expulsion could confirm an instance that returned after a pause, and the next ticket was accepted without it until its next exchange. An instance without a recent confirmation now asks the instances that watch the store, and for 5 s counts only an answer that says that its registration is there.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -52,11 +53,12 @@
 	// maxEntries is the most member entries of one message that is not a whole
 	// table; an entry has about 70 bytes.
 	maxEntries = 16
-	// staleTrust is how long an instance without a confirmation waits for an
-	// answer of one that has a recent one. Two instances that resume after a
-	// pause together would otherwise confirm each other's old state. After it
-	// the answer of a stale peer is enough, because all may have been paused
-	// while the store is unavailable.
+	// staleTrust is how long an instance without a confirmation waits for one by
+	// an instance that sees its registration in the store. Any other peer may
+	// not know yet that it was expelled, and two instances that resume after a
+	// pause together would confirm each other's old state. After it the answer
+	// of any peer is enough: news of an expulsion has spread by then, and while
+	// the store is unavailable nobody is expelled.
 	staleTrust = 5 * time.Second
 	// takeOverBound is the age of the watching instance's last contact with the
 	// store beyond which the next instance watches as well.
@@ -110,6 +112,8 @@
 	// ring and domain are derived from members and dropped when they change.
 	ring   []api.InstanceID
 	domain []api.InstanceID
+	// first are the first instances of the other failure domains.
+	first []api.InstanceID
 
 	started      bool
 	startedAt    time.Duration
@@ -257,6 +261,9 @@
 		targets = append(targets, other)
 	}
 	targets = append(targets, c.watchersBefore()...)
+	if c.staleSince > 0 {
+		targets = append(targets, c.watchers()...)
+	}
 	sent := make(map[api.InstanceID]bool, len(targets))
 	var actions []Action
 	for _, id := range targets {
@@ -320,6 +327,7 @@
 	}
 	ids := make([]api.InstanceID, 0, len(c.members))
 	domain := []api.InstanceID{c.self.ID}
+	first := make(map[api.FailureDomain]api.InstanceID)
 	for id, m := range c.members {
 		if !m.State.Reachable() {
 			continue
@@ -327,8 +335,18 @@
 		ids = append(ids, id)
 		if m.FailureDomain == c.self.FailureDomain {
 			domain = append(domain, id)
+			continue
+		}
+		best, seen := first[m.FailureDomain]
+		if !seen || peer.Score("watch", id) < peer.Score("watch", best) {
+			first[m.FailureDomain] = id
 		}
 	}
+	c.first = c.first[:0]
+	for _, id := range first {
+		c.first = append(c.first, id)
+	}
+	slices.Sort(c.first)
 	c.ring = peer.Rank("ring", ids)
 	c.domain = peer.Rank("watch", domain)
 }
@@ -352,6 +370,20 @@
 	return c.domain[:rank]
 }
 
+// watchers returns the instance that watches the store for the own failure
+// domain and those of two others.
+func (c *Core) watchers() []api.InstanceID {
+	c.derive()
+	var list []api.InstanceID
+	if c.domain[0] != c.self.ID {
+		list = append(list, c.domain[0])
+	}
+	for range min(2, len(c.first)) {
+		list = append(list, c.first[c.random.IntN(len(c.first))])
+	}
+	return list
+}
+
 func (c *Core) randomOtherRegion() api.InstanceID {
 	c.derive()
 	chosen, seen := api.InstanceID(""), 0
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -32,6 +32,7 @@
 		Deltas:         &peerpb.Deltas{},
 		TableHash:      c.hash,
 		Stale:          c.stale(now),
+		Registered:     c.seesRegistration(now, api.InstanceID(r.GetFrom())),
 	}
 	if r.GetFull() {
 		response.Deltas.Members = c.allEntries()
@@ -104,14 +105,29 @@
 		c.staleSince = 0
 	} else if c.staleSince == 0 {
 		c.staleSince = now
+		c.lastBeat = now - heartbeatInterval // ask at once
 	}
 }
 
-// confirmBy uses an answer as a confirmation unless the peer is stale itself.
+// seesRegistration reports whether this instance's watch shows that the other
+// one is registered.
+func (c *Core) seesRegistration(now time.Duration, id api.InstanceID) bool {
+	if c.tickets.StoreContact < 0 || now-c.tickets.StoreContact > isolationBound {
+		return false
+	}
+	_, registered := c.tickets.Registered[id]
+	return registered
+}
+
+// confirmBy uses an answer as a confirmation. An instance that has none needs
+// one by a peer that sees its registration.
 func (c *Core) confirmBy(now, sentAt time.Duration, r *peerpb.ExchangeResponse) {
 	c.noteStale(now)
-	trusted := !r.GetStale() || c.options.confirmByStale || c.staleSince > 0 && now-c.staleSince >= staleTrust
-	if trusted {
+	trusted := !r.GetStale()
+	if c.staleSince > 0 {
+		trusted = r.GetRegistered() || now-c.staleSince >= staleTrust
+	}
+	if trusted || c.options.confirmByStale {
 		c.confirm(now, sentAt, r.GetHeadVersion())
 	}
 }
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -70,6 +70,9 @@
 	Accepted     uint64
 	Acknowledged uint64
 	StoreContact time.Duration // boot clock; negative: none yet
+	// Registered are the registrations that this instance's watch of the store
+	// shows; nil if it does not watch. The map is not changed.
+	Registered map[api.InstanceID]uint64
 	// Expelled is the highest incarnation whose registration was removed.
 	Expelled uint64
 }
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -52,6 +52,10 @@
 	// Expelled is the highest incarnation of this instance whose registration
 	// was seen to be removed from the store; 0 is none.
 	Expelled() uint64
+	// Registrations are the instances that the watch of the store shows as
+	// registered, with their incarnations; nil without a watch. The map is not
+	// changed.
+	Registrations() map[api.InstanceID]uint64
 	// Offer says that the instance at the address applies a newer head.
 	Offer(address string, headVersion uint64)
 }
@@ -163,6 +167,7 @@
 		Acknowledged: t.Acknowledged(),
 		StoreContact: t.StoreContact(),
 		Expelled:     t.Expelled(),
+		Registered:   t.Registrations(),
 	}
 }
 
--- a/fleetsim/node.go
+++ b/fleetsim/node.go
@@ -114,6 +114,7 @@
 	return fleet.TicketProgress{
 		HeadVersion: n.ticket.HeadVersion(), Latest: head.Latest, Accepted: head.Accepted,
 		Acknowledged: head.Latest, StoreContact: n.ticket.StoreContact(), Expelled: n.ticket.Expelled(),
+		Registered: n.ticket.Registrations(),
 	}
 }
 
--- a/ticket/runner.go
+++ b/ticket/runner.go
@@ -71,13 +71,15 @@
 	// contact is the core's StoreContact.
 	contact  atomic.Int64
 	expelled atomic.Uint64 // the core's Expelled
-	metrics  *metrics
-	replies  map[uint64]chan Reply // by apply id; owned by Run
-	applyID  atomic.Uint64
-	members  []api.Member // last passed to the core
-	io       sync.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// registrations are the core's Registrations.
+	registrations atomic.Pointer[map[api.InstanceID]uint64]
+	metrics       *metrics
+	replies       map[uint64]chan Reply // by apply id; owned by Run
+	applyID       atomic.Uint64
+	members       []api.Member // last passed to the core
+	io            sync.WaitGroup
+	ctx           context.Context
+	cancel        context.CancelFunc
 }
 
 // message is an event with the channel for a synchronous answer.
@@ -160,6 +162,8 @@
 	r.ready.Store(r.core.Ready())
 	r.contact.Store(int64(r.core.StoreContact()))
 	r.expelled.Store(r.core.Expelled())
+	registrations := r.core.Registrations()
+	r.registrations.Store(&registrations)
 }
 
 func (r *Runner) do(m message, action Action) {
@@ -225,6 +229,15 @@
 // was seen to be removed; 0 is none.
 func (r *Runner) Expelled() uint64 { return r.expelled.Load() }
 
+// Registrations returns the instances that the watch of the store shows as
+// registered; nil without a watch. The map is not changed.
+func (r *Runner) Registrations() map[api.InstanceID]uint64 {
+	if registrations := r.registrations.Load(); registrations != nil {
+		return *registrations
+	}
+	return nil
+}
+
 // Offer says that the instance at the address applies a newer head.
 func (r *Runner) Offer(address string, headVersion uint64) {
 	if !r.events.Offer(message{event: Offered{Address: address, HeadVersion: headVersion}}) {
--- a/ticket/watch.go
+++ b/ticket/watch.go
@@ -51,6 +51,9 @@
 	shown uint64
 	// registered are the registrations that the watch has shown.
 	registered map[api.InstanceID]registration
+	// published is registered in the form that the fleet slice gets; nil after
+	// a change.
+	published map[api.InstanceID]uint64
 	// gone is the incarnation whose registration was removed by an expulsion.
 	gone uint64
 	// contact is when the last answered read of an applied head was sent.
@@ -169,6 +172,7 @@
 	before, wasRegistered := w.registered[c.options.Instance]
 	var found StoreDone
 	found, w.registered = c.listedControl(r)
+	w.published = nil
 	if _, registered := w.registered[c.options.Instance]; wasRegistered && !registered {
 		w.gone = before.Incarnation
 	}
@@ -209,6 +213,7 @@
 		return
 	}
 	instance := api.InstanceID(id)
+	c.watch.published = nil
 	if !change.Deleted {
 		c.watch.registered[instance] = c.decodeRegistration(id, change.Value)
 		return
@@ -257,6 +262,23 @@
 	c.tryAccept(now)
 }
 
+// Registrations returns the instances that the watch shows as registered, with
+// their incarnations; nil if this instance does not watch. The map is not
+// changed afterwards.
+func (c *Core) Registrations() map[api.InstanceID]uint64 {
+	w := &c.watch
+	if !w.wanted || !w.listed {
+		return nil
+	}
+	if w.published == nil {
+		w.published = make(map[api.InstanceID]uint64, len(w.registered))
+		for id, r := range w.registered {
+			w.published[id] = r.Incarnation
+		}
+	}
+	return w.published
+}
+
 func (c *Core) watchFailed(now time.Duration) {
 	w := &c.watch
 	w.retry = min(max(2*w.retry, watchRetryMin), watchRetryMax)
