--- a/fleetsim/measure_test.go
+++ b/fleetsim/measure_test.go
@@ -40,6 +40,7 @@
 			s.Run(300 * time.Millisecond)
 		}
 		Expect(s.StoreHead().Snapshot).To(BeNumerically(">", 100))
+		Expect(s.store.list("ticket-snapshots/")).To(HaveLen(s.StoreHead().SnapshotParts))
 		Expect(len(s.StoreHead().Tickets)).To(BeNumerically("<=", 129))
 		fresh := s.addNode("late", "north", s.place(0), Variant{}, 0)
 		Expect(s.RunUntil(readyBound, s.Ready)).To(BeTrue())
--- a/fleetsim/tickets.go
+++ b/fleetsim/tickets.go
@@ -47,6 +47,8 @@
 			return err
 		}
 		n.storeCall("put", operate, answer)
+	case ticket.StoreDelete:
+		n.storeCall("delete", func() error { return s.remove(a.Key, a.Expect) }, answer)
 	case ticket.StoreList:
 		operate := func() error {
 			done.Objects, done.Revision = s.list(a.Key), uint64(len(s.changes))
--- a/ticket/catchup.go
+++ b/ticket/catchup.go
@@ -86,6 +86,8 @@
 	}
 	if c.catchup.storeBusy == 0 {
 		c.readMissing(wanted.head, missing, needSnapshot)
+		// A newer head may name a newer snapshot than one that is gone.
+		c.readHead(now)
 	}
 }
 
--- a/ticket/compact.go
+++ b/ticket/compact.go
@@ -72,16 +72,31 @@
 		return
 	}
 	next.Held = slices.Clone(c.applied.head.Held)
+	previous := c.applied.head.clone()
 	c.call(StoreCall{Op: StorePut, Key: headKey, Value: next.encode(), Expect: expect}, func(now time.Duration, r StoreDone) {
 		c.compactEnded(now)
 		if r.Err == nil {
 			c.learn(now, known{head: next, version: version(r.Object.Version)}, "")
+			c.deleteSnapshot(&previous)
 			return
 		}
 		c.readHead(now)
 	})
 }
 
+// deleteSnapshot removes the parts that no head names any more. An instance that
+// is just reading them reads the head again. A failure leaves an unused object.
+func (c *Core) deleteSnapshot(head *Head) {
+	for part := range head.SnapshotParts {
+		key := snapshotKey(head.Snapshot, part)
+		c.call(StoreCall{Op: StoreGet, Key: key}, func(_ time.Duration, r StoreDone) {
+			if r.Err == nil {
+				c.call(StoreCall{Op: StoreDelete, Key: key, Expect: r.Object.Version}, func(time.Duration, StoreDone) {})
+			}
+		})
+	}
+}
+
 func (c *Core) compactEnded(now time.Duration) {
 	c.compact.busy = false
 	c.compact.retryAt = now + acceptRetry
--- a/ticket/event.go
+++ b/ticket/event.go
@@ -101,6 +101,7 @@
 	StorePut
 	StoreList
 	StoreWatch
+	StoreDelete
 )
 
 // StoreCall asks for a call to the store. The result carries the same ID.
--- a/ticket/io.go
+++ b/ticket/io.go
@@ -22,6 +22,8 @@
 		var version store.Version
 		version, done.Err = api.Put(r.ctx, s.Key, s.Value, s.Expect)
 		done.Object = store.Object{Key: s.Key, Version: version}
+	case StoreDelete:
+		done.Err = api.Delete(r.ctx, s.Key, s.Expect)
 	case StoreList:
 		done.Objects, done.Revision, done.Err = api.List(r.ctx, s.Key)
 	case StoreWatch:
