Refuse work until a configuration was read

When a whole fleet started without the store, peers confirmed each other with no tickets at all and the gate opened; requests were then refused as an unknown model instead of not_ready.

--- a/fleet/event.go
+++ b/fleet/event.go
@@ -65,6 +65,8 @@
 
 // TicketProgress tells the core how far the ticket slice is.
 type TicketProgress struct {
+	// Ready says that a configuration was read from the store or a peer.
+	Ready        bool
 	HeadVersion  uint64
 	Latest       uint64
 	Accepted     uint64
--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -16,9 +16,11 @@
 	Confirmed time.Duration
 	// Joined says that the incarnation is registered in the store, or known to
 	// a peer while the store is unavailable.
-	Joined    bool
-	Duplicate bool
-	Leaving   bool
+	Joined bool
+	// Configured says that a configuration was read.
+	Configured bool
+	Duplicate  bool
+	Leaving    bool
 	// Watch says that the instance watches the store for its failure domain.
 	Watch bool
 }
@@ -29,6 +31,7 @@
 		Incarnation: c.self.Incarnation,
 		Confirmed:   c.lastConfirmed(),
 		Joined:      c.ready(),
+		Configured:  c.tickets.Ready,
 		Duplicate:   c.duplicate,
 		Leaving:     c.leaving,
 		Watch:       c.watches(now),
@@ -88,6 +91,8 @@
 		return reason.New(reason.ShuttingDown, "the instance is draining")
 	case s.Duplicate:
 		return reason.New(reason.Fenced, "another process uses this instance id")
+	case !s.Configured:
+		return reason.New(reason.NotReady, "no configuration was read: neither the store nor a peer has answered").WithRetryAfter(time.Second)
 	case !s.Joined || s.Confirmed < 0:
 		return reason.New(reason.NotReady, "the instance has not joined the fleet").WithRetryAfter(time.Second)
 	case now-s.Confirmed > isolationBound:
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -52,8 +52,8 @@
 	return w
 }
 
-// check: an instance that is not registered and whose removal is known to a
-// live peer for longer than the isolation bound does not take new work.
+// check: an expelled instance takes no new work with a configuration that is
+// older than the accepted one.
 func (w *world) check(*fleetsim.Node) {
 	head := w.sim.StoreHead()
 	for _, n := range w.current {
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -41,6 +41,8 @@
 
 // TicketState is what the slice needs of the ticket slice.
 type TicketState interface {
+	// Ready says that a configuration was read from the store or a peer.
+	Ready() bool
 	// HeadVersion is the store version of the ticket head that is applied.
 	HeadVersion() uint64
 	Latest() uint64
@@ -161,6 +163,7 @@
 func (r *Runner) progress() TicketProgress {
 	t := r.options.Tickets
 	return TicketProgress{
+		Ready:        t.Ready(),
 		HeadVersion:  t.HeadVersion(),
 		Latest:       t.Latest(),
 		Accepted:     t.Accepted(),
--- a/fleetsim/measure_test.go
+++ b/fleetsim/measure_test.go
@@ -86,6 +86,19 @@
 		Expect(older.Gate()).To(MatchError(ContainSubstring("another process uses this instance id")))
 	})
 
+	It("takes no work when a whole fleet starts without the store", func() {
+		s := newSim(DefaultOptions(2))
+		s.SetStoreDown(true)
+		for i, id := range []string{"a", "b"} {
+			s.addNode(id, "north", s.place(i), Variant{}, 0).seeds = []string{"10.0.0.1:7000", "10.0.0.2:7000"}
+		}
+		s.Run(30 * time.Second)
+		for _, n := range s.nodes {
+			Expect(n.reachable()).To(Equal(2))
+			Expect(n.Gate()).To(MatchError(ContainSubstring("not_ready")))
+		}
+	})
+
 	It("takes no work alone without the store, and says why", func() {
 		s := newSim(DefaultOptions(1))
 		s.SetStoreDown(true)
--- a/fleetsim/node.go
+++ b/fleetsim/node.go
@@ -112,6 +112,7 @@
 func (n *Node) progress() fleet.TicketProgress {
 	head := n.ticket.Head()
 	return fleet.TicketProgress{
+		Ready:       n.ticket.Ready(),
 		HeadVersion: n.ticket.HeadVersion(), Latest: head.Latest, Accepted: head.Accepted,
 		Acknowledged: head.Latest, StoreContact: n.ticket.StoreContact(), Expelled: n.ticket.Expelled(),
 		Registered: n.ticket.Registrations(),
