--- a/fleet/event.go
+++ b/fleet/event.go
@@ -65,11 +65,16 @@
 
 // TicketProgress tells the core how far the ticket slice is.
 type TicketProgress struct {
+	// Ready says that a configuration was read from the store or a peer.
+	Ready        bool
 	HeadVersion  uint64
 	Latest       uint64
 	Accepted     uint64
 	Acknowledged uint64
 	StoreContact time.Duration // boot clock; negative: none yet
+	// Registered are the registrations that this instance's watch of the store
+	// shows; nil if it does not watch. The map is not changed.
+	Registered map[api.InstanceID]uint64
 	// Expelled is the highest incarnation whose registration was removed.
 	Expelled uint64
 }
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -41,6 +41,8 @@
 
 // TicketState is what the slice needs of the ticket slice.
 type TicketState interface {
+	// Ready says that a configuration was read from the store or a peer.
+	Ready() bool
 	// HeadVersion is the store version of the ticket head that is applied.
 	HeadVersion() uint64
 	Latest() uint64
@@ -52,6 +54,10 @@
 	// Expelled is the highest incarnation of this instance whose registration
 	// was seen to be removed from the store; 0 is none.
 	Expelled() uint64
+	// Registrations are the instances that the watch of the store shows as
+	// registered, with their incarnations; nil without a watch. The map is not
+	// changed.
+	Registrations() map[api.InstanceID]uint64
 	// Offer says that the instance at the address applies a newer head.
 	Offer(address string, headVersion uint64)
 }
@@ -157,12 +163,14 @@
 func (r *Runner) progress() TicketProgress {
 	t := r.options.Tickets
 	return TicketProgress{
+		Ready:        t.Ready(),
 		HeadVersion:  t.HeadVersion(),
 		Latest:       t.Latest(),
 		Accepted:     t.Accepted(),
 		Acknowledged: t.Acknowledged(),
 		StoreContact: t.StoreContact(),
 		Expelled:     t.Expelled(),
+		Registered:   t.Registrations(),
 	}
 }
 
--- a/fleetsim/measure_test.go
+++ b/fleetsim/measure_test.go
@@ -40,7 +40,8 @@
 			s.Run(300 * time.Millisecond)
 		}
 		Expect(s.StoreHead().Snapshot).To(BeNumerically(">", 100))
-		Expect(len(s.StoreHead().Tickets)).To(BeNumerically("<=", 257))
+		Expect(s.store.list("ticket-snapshots/")).To(HaveLen(s.StoreHead().SnapshotParts))
+		Expect(len(s.StoreHead().Tickets)).To(BeNumerically("<=", 129))
 		fresh := s.addNode("late", "north", s.place(0), Variant{}, 0)
 		Expect(s.RunUntil(readyBound, s.Ready)).To(BeTrue())
 		Expect(fresh.Config().Ticket).To(BeEquivalentTo(300))
@@ -73,6 +74,31 @@
 		Expect(s.RunUntil(time.Minute, func() bool { return s.nodes[4].Config().Ticket == 1 })).To(BeTrue())
 	})
 
+	It("fences the older of two processes with one id", func() {
+		s := New(DefaultOptions(3))
+		Expect(s.RunUntil(readyBound, s.Ready)).To(BeTrue())
+		older := s.nodes[1]
+		newer := s.addNode(string(older.id), older.half, older.place, Variant{}, 0)
+		fenced := func() bool { return older.Gate() != nil && newer.fleet != nil && newer.Gate() == nil }
+		Expect(s.RunUntil(time.Minute, fenced)).To(BeTrue())
+		s.Run(20 * time.Second)
+		Expect(fenced()).To(BeTrue())
+		Expect(older.Gate()).To(MatchError(ContainSubstring("another process uses this instance id")))
+	})
+
+	It("takes no work when a whole fleet starts without the store", func() {
+		s := newSim(DefaultOptions(2))
+		s.SetStoreDown(true)
+		for i, id := range []string{"a", "b"} {
+			s.addNode(id, "north", s.place(i), Variant{}, 0).seeds = []string{"10.0.0.1:7000", "10.0.0.2:7000"}
+		}
+		s.Run(30 * time.Second)
+		for _, n := range s.nodes {
+			Expect(n.reachable()).To(Equal(2))
+			Expect(n.Gate()).To(MatchError(ContainSubstring("not_ready")))
+		}
+	})
+
 	It("takes no work alone without the store, and says why", func() {
 		s := newSim(DefaultOptions(1))
 		s.SetStoreDown(true)
--- a/ticket/compact.go
+++ b/ticket/compact.go
@@ -10,11 +10,13 @@
 
 const (
 	// compactAbove is how many accepted tickets the head names before the older
-	// ones are folded into a snapshot: about two hours at 2,600 a day.
-	compactAbove = 256
+	// ones are folded into a snapshot: about 70 minutes at 2,600 a day. The head
+	// goes through each instance about 24 times per ticket, so that its list is
+	// kept short.
+	compactAbove = 128
 	// compactKeep is how many of them stay named, so that an instance that was
-	// away for an hour needs no snapshot, and a diff has some history.
-	compactKeep = 128
+	// away for half an hour needs no snapshot, and a diff has some history.
+	compactKeep = 64
 )
 
 // compaction writes a snapshot and moves the head to it.
@@ -70,16 +72,31 @@
 		return
 	}
 	next.Held = slices.Clone(c.applied.head.Held)
+	previous := c.applied.head.clone()
 	c.call(StoreCall{Op: StorePut, Key: headKey, Value: next.encode(), Expect: expect}, func(now time.Duration, r StoreDone) {
 		c.compactEnded(now)
 		if r.Err == nil {
 			c.learn(now, known{head: next, version: version(r.Object.Version)}, "")
+			c.deleteSnapshot(&previous)
 			return
 		}
 		c.readHead(now)
 	})
 }
 
+// deleteSnapshot removes the parts that no head names any more. An instance that
+// is just reading them reads the head again. A failure leaves an unused object.
+func (c *Core) deleteSnapshot(head *Head) {
+	for part := range head.SnapshotParts {
+		key := snapshotKey(head.Snapshot, part)
+		c.call(StoreCall{Op: StoreGet, Key: key}, func(_ time.Duration, r StoreDone) {
+			if r.Err == nil {
+				c.call(StoreCall{Op: StoreDelete, Key: key, Expect: r.Object.Version}, func(time.Duration, StoreDone) {})
+			}
+		})
+	}
+}
+
 func (c *Core) compactEnded(now time.Duration) {
 	c.compact.busy = false
 	c.compact.retryAt = now + acceptRetry
