--- a/fleet/core.go
+++ b/fleet/core.go
@@ -28,6 +28,9 @@
 	// listInterval is the time between two reads of the platform's list by the
 	// first instance of a failure domain.
 	listInterval = 2 * time.Second
+	// registrationsInterval is the time between two reads of the registrations
+	// by the first instance of a failure domain.
+	registrationsInterval = 10 * time.Second
 	// rejoinInterval is the time between two exchanges with a dead member or a
 	// seed, which heal the table after a partition.
 	rejoinInterval = 5 * time.Second
@@ -49,6 +52,12 @@
 	// maxEntries is the most member entries of one message that is not a whole
 	// table; an entry has about 70 bytes.
 	maxEntries = 16
+	// staleTrust is how long an instance without a confirmation waits for an
+	// answer of one that has a recent one. Two instances that resume after a
+	// pause together would otherwise confirm each other's old state. After it
+	// the answer of a stale peer is enough, because all may have been paused
+	// while the store is unavailable.
+	staleTrust = 5 * time.Second
 	// takeOverBound is the age of the watching instance's last contact with the
 	// store beyond which the next instance watches as well.
 	takeOverBound = 3 * time.Second
@@ -73,6 +82,8 @@
 
 	// mergeWithoutIncarnation is a wrong variant for the test of the merge rule.
 	mergeWithoutIncarnation bool
+	// confirmByStale is a wrong variant that trusts the answer of a stale peer.
+	confirmByStale bool
 	// confirmAtReceipt is a wrong variant that dates a confirmation when the
 	// answer is processed.
 	confirmAtReceipt bool
@@ -103,6 +114,7 @@
 	started      bool
 	startedAt    time.Duration
 	registered   bool
+	registeredAs uint64        // incarnation
 	countFrom    time.Duration // confirmations count if asked for after this
 	sponsored    bool          // serves without a registration
 	joined       bool          // a whole table was received
@@ -110,12 +122,14 @@
 	leaving      bool
 	lastBeat     time.Duration
 	lastList     time.Duration
+	lastRegs     time.Duration
 	lastRejoin   time.Duration
 	lastRegister time.Duration
 	lastFull     time.Duration
 	lastChange   time.Duration
 	confirmed    time.Duration // sending time of the last confirmed contact
 	waiting      []confirmation
+	staleSince   time.Duration // when the confirmation was found too old; 0: it is not
 	listAt       time.Duration
 	listed       map[api.InstanceID]bool
 	hash         uint64
@@ -172,12 +186,14 @@
 		return c.probeDone(now, e)
 	case ListDone:
 		return c.listDone(now, e)
+	case RegistrationsDone:
+		return c.registrationsDone(now, e)
 	case RegisterDone:
 		return c.registerDone(now, e)
 	case ExpelDone:
 		return c.expelDone(now, e)
 	case TicketProgress:
-		c.ticketProgress(e)
+		return c.ticketProgress(now, e)
 	case LeaveStart:
 		c.leaving = true
 		c.setSelf(now, api.MemberLeaving)
@@ -206,6 +222,7 @@
 }
 
 func (c *Core) tick(now time.Duration) []Action {
+	c.noteStale(now)
 	var actions []Action
 	if !c.registered && !c.leaving && now-c.lastRegister >= registerInterval {
 		c.lastRegister = now
@@ -218,6 +235,10 @@
 		c.lastList = now
 		actions = append(actions, ReadList{})
 	}
+	if now-c.lastRegs >= registrationsInterval && c.joinedOrAlone(now) && c.domainRank() == 0 {
+		c.lastRegs = now
+		actions = append(actions, ReadRegistrations{})
+	}
 	actions = append(actions, c.ageStates(now)...)
 	actions = append(actions, c.probes(now)...)
 	if now-c.lastBeat >= heartbeatInterval {
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -49,6 +49,9 @@
 	// StoreContact is the boot clock time at which the last answered read of
 	// the ticket head was sent; negative: none yet.
 	StoreContact() time.Duration
+	// Expelled is the highest incarnation of this instance whose registration
+	// was seen to be removed from the store; 0 is none.
+	Expelled() uint64
 	// Offer says that the instance at the address applies a newer head.
 	Offer(address string, headVersion uint64)
 }
@@ -159,6 +162,7 @@
 		Accepted:     t.Accepted(),
 		Acknowledged: t.Acknowledged(),
 		StoreContact: t.StoreContact(),
+		Expelled:     t.Expelled(),
 	}
 }
 
@@ -194,6 +198,8 @@
 		r.start(func() { r.probe(a) })
 	case ReadList:
 		r.start(r.readList)
+	case ReadRegistrations:
+		r.start(r.readRegistrations)
 	case Register:
 		r.start(func() { r.register(a.Incarnation) })
 	case Expel:
@@ -228,7 +234,7 @@
 // not change it.
 func (r *Runner) Members() []api.Member { return *r.members.Load() }
 
-// Live returns the number of reachable instances of the half.
+// Live returns the number of instances of the half that take new work.
 func (r *Runner) Live(half api.Half) int { return live(r.Members(), half) }
 
 // Incarnation returns the current incarnation, which grows when the instance
--- a/order/core.go
+++ b/order/core.go
@@ -41,6 +41,9 @@
 const (
 	maxOrders    = 4096
 	maxObservers = 1024
+	// maxUnrecorded stops new claims when the store takes outcomes more slowly
+	// than claims.
+	maxUnrecorded = 512
 )
 
 // CoreOptions configures a Core.
@@ -67,9 +70,12 @@
 	holders   map[string]*op           // submissions that hold or want a claim, by order
 	observers map[string]*op           // resolutions, by order
 	rechecked map[string]time.Duration // time of the last lookup of an unknown order
+	given     int                      // operations whose claim was given up
 	nextOwn   uint64
-	actions   []Action
-	now       time.Duration
+	// unrecorded counts the operations whose outcome is being recorded.
+	unrecorded int
+	actions    []Action
+	now        time.Duration
 }
 
 // NewCore returns a core without any operation.
@@ -97,6 +103,8 @@
 		c.submit(e)
 	case Query:
 		c.query(e)
+	case Found:
+		c.found(e)
 	case Written:
 		c.with(e.Op, func(o *op) { c.written(o, e) })
 	case Read:
@@ -111,9 +119,10 @@
 	return c.actions
 }
 
-// Live returns the number of operations that have not ended. Observers are not
+// Live returns the number of operations that have to end before the instance
+// may stop. Resolutions and the search for claims that were given up are not
 // counted: any other instance can do their work.
-func (c *Core) Live() int { return len(c.ops) - len(c.observers) }
+func (c *Core) Live() int { return len(c.ops) - len(c.observers) - c.given }
 
 func (c *Core) with(id uint64, handle func(*op)) {
 	if o, ok := c.ops[id]; ok {
@@ -124,7 +133,7 @@
 func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Core) submit(e Submit) {
-	if len(c.holders) >= maxOrders {
+	if len(c.holders) >= maxOrders || c.unrecorded >= maxUnrecorded {
 		c.refuseSubmit(e.Op, reason.New(reason.Overloaded, "too many orders are under way").WithRetryAfter(time.Second))
 		return
 	}
@@ -172,6 +181,12 @@
 	c.readFor(o, phaseAnswering)
 }
 
+func (c *Core) found(e Found) {
+	if _, own := c.holders[e.ID]; !own {
+		c.observe(e.ID, e.Stored, e.Age)
+	}
+}
+
 func (c *Core) create(o *op) {
 	o.phase = phaseClaiming
 	c.do(CreateClaim{Op: o.id, ID: o.order, Claim: o.claim})
@@ -210,6 +225,12 @@
 	}
 	o.phase = phaseEnded
 	delete(c.ops, o.id)
+	if o.given {
+		c.given--
+	}
+	if o.concluded {
+		c.unrecorded--
+	}
 	if c.holders[o.order] == o {
 		delete(c.holders, o.order)
 	}
@@ -263,10 +284,13 @@
 		return
 	}
 	why := reason.StoreUnavailable
-	if c.now >= o.deadline {
+	switch {
+	case c.now >= o.deadline:
 		why = reason.DeadlineExceeded
+	case o.phase == phaseCreatePause:
+		why = reason.StoreRateLimited
 	}
-	c.giveUpClaim(o, why, o.phase != phaseClaimPause)
+	c.giveUpClaim(o, why, !o.phase.waits())
 }
 
 func (c *Core) writeToken(o *op) string {
--- a/order/execute.go
+++ b/order/execute.go
@@ -145,7 +145,7 @@
 			return nil
 		},
 	})
-	p.body = nil // the outcome can take minutes to record
+	r.dropBody(p) // the outcome can take minutes to record
 	event := Sent{Op: a.Op, Result: result, Receipt: receipt, Reason: sendReason(result, err)}
 	if result == SendSkipped && errors.Is(err, errNotSent) && refused != "" {
 		event.Reason = refused
@@ -231,6 +231,9 @@
 // booked" holds for good.
 func (r *Runner) askFencing(ctx context.Context, a Ask, endpoint api.Endpoint) Event {
 	booked, err := r.services.fence(ctx, endpoint, a.ID, a.Fence)
+	if errors.Is(err, errFenceOutdated) {
+		return Asked{Op: a.Op, Result: AskOutdated}
+	}
 	if err != nil {
 		return Asked{Op: a.Op, Result: AskFailed}
 	}
--- a/order/options.go
+++ b/order/options.go
@@ -46,14 +46,15 @@
 	MaxTimeout     time.Duration
 	MaxBodyBytes   int64
 	// Batch keeps many claims in one object per shard. All instances on one
-	// store have to use the same value.
+	// store have to use the same value; others refuse orders.
 	Batch bool
 	// BatchShards is the number of those objects; 0 is a default. All instances
 	// have to use the same value.
 	BatchShards int
 	Log         *slog.Logger
-	Scope       tally.Scope
-	Clock       bootclock.Func
+	// Scope is the scope of this slice.
+	Scope tally.Scope
+	Clock bootclock.Func
 }
 
 // Defaults of options that are left zero.
--- a/order/runner.go
+++ b/order/runner.go
@@ -27,6 +27,9 @@
 	sendTimeout = 30 * time.Second
 	// drainPoll is how often Drain looks whether all work has ended.
 	drainPoll = 20 * time.Millisecond
+	// maxBodies bounds the memory of orders that are not sent yet. An instance
+	// has 32 MB for everything.
+	maxBodies = 8 << 20
 )
 
 // Runner serves orders and lookups.
@@ -37,10 +40,12 @@
 	core     *Core
 	events   *ring.Ring[Event]
 	metrics  *metrics
+	format   *format
 	accounts atomic.Pointer[accountIndex]
 	nextOp   atomic.Uint64
 	live     atomic.Int64 // operations of the core that have not ended
 	calls    atomic.Int64 // calls of callers under way
+	bodies   atomic.Int64 // bytes of orders that are not sent yet
 	draining atomic.Bool
 	stopped  chan struct{}
 
@@ -93,7 +98,8 @@
 		services: newServices(),
 		core:     NewCore(CoreOptions{Instance: o.Instance, Incarnation: o.Incarnation, Seed: seed.Sum64()}),
 		events:   ring.New[Event](eventRing),
-		metrics:  newMetrics(o.Scope.SubScope("order")),
+		metrics:  newMetrics(o.Scope),
+		format:   newFormat(o),
 		stopped:  make(chan struct{}),
 		waiting:  make(map[uint64]*pending),
 	}
@@ -104,8 +110,10 @@
 // Run works until the context ends. It owns the core.
 func (r *Runner) Run(ctx context.Context) error {
 	defer close(r.stopped)
+	defer r.services.close()
 	var background sync.WaitGroup
 	defer background.Wait()
+	background.Go(func() { r.format.run(ctx, r.options.Store) })
 	background.Go(func() { r.sweepLoop(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -165,7 +173,16 @@
 func (r *Runner) forget(op uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.waiting, op)
+	if p, ok := r.waiting[op]; ok {
+		r.dropBody(p)
+		delete(r.waiting, op)
+	}
+}
+
+// dropBody frees the body of an order that is sent or never will be.
+func (r *Runner) dropBody(p *pending) {
+	r.bodies.Add(int64(-len(p.body)))
+	p.body = nil
 }
 
 func (r *Runner) pending(op uint64) *pending {
--- a/order/sim_test.go
+++ b/order/sim_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/store"
 	"github.com/hibiscusstair/hibiscusstair/store/storetest"
 )
 
@@ -72,7 +73,7 @@
 
 // simDelays has mostly short times, so that many claims are sent in time.
 var simDelays = []time.Duration{
-	0, 0, 20 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond,
+	0, time.Second, 20 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond,
 	300 * time.Millisecond, 2 * time.Second, 5 * time.Second,
 }
 
@@ -165,6 +166,8 @@
 	case 1:
 		w.outage = !w.outage
 		w.store.SetOutage(w.outage)
+	case 2:
+		w.sweep(n, w.choose.intn(simKeys))
 	default:
 		w.step(n, Tick{})
 	}
@@ -191,6 +194,14 @@
 	w.step(n, Query{Op: w.nextOp, ID: simOrder(key), Deadline: w.now + 5*time.Second})
 }
 
+// sweep hands the claims of one key to a node, as a sweep of its shard does.
+func (w *world) sweep(n *node, key int) {
+	stored, err := n.claims.Read(context.Background(), simOrder(key))
+	if err == nil && (!stored.State.Final() || stored.State == StateUnknown) {
+		w.step(n, Found{ID: simOrder(key), Stored: stored, Age: w.now - time.Duration(stored.UnixMilli)*time.Millisecond})
+	}
+}
+
 func (w *world) step(n *node, e Event) {
 	for _, action := range n.core.Step(w.now, e) {
 		switch a := action.(type) {
@@ -228,6 +239,8 @@
 
 func (w *world) drawFault() {
 	switch w.choose.intn(8) {
+	case 2:
+		w.fault = storetest.Fault{Err: store.ErrRateLimited}
 	case 0:
 		w.fault = storetest.Fault{LoseAnswer: true}
 	case 1:
@@ -339,7 +352,7 @@
 	case w.oneIn(8):
 		return Asked{Op: a.Op, Result: AskFailed}
 	case fencing && a.Fence < w.fences[a.ID]:
-		return Asked{Op: a.Op, Result: AskFailed}
+		return Asked{Op: a.Op, Result: AskOutdated}
 	case fencing:
 		w.fences[a.ID] = a.Fence
 	case !w.offers:
--- a/order/submit.go
+++ b/order/submit.go
@@ -23,6 +23,9 @@
 	if err := r.mayStart(); err != nil {
 		return err
 	}
+	if err := r.format.wait(ctx); err != nil {
+		return err
+	}
 	admission, err := r.options.Admitter.Admit(ctx, api.AdmissionRequest{
 		Account: c.account.ID, Priority: api.PriorityOrder, Deadline: c.deadline,
 	})
@@ -75,6 +78,11 @@
 		Digest: bodyDigest(p.body), ClaimID: rand.Text(), Instance: r.options.Instance,
 		Incarnation: r.options.Incarnation, Endpoint: p.endpoint.ID, State: StateClaimed, UnixMilli: time.Now().UnixMilli(),
 	}
+	if r.bodies.Add(int64(len(p.body))) > maxBodies {
+		r.dropBody(p)
+		p.grant.release()
+		return Reply{}, reason.New(reason.Overloaded, "too many orders are waiting").WithRetryAfter(time.Second)
+	}
 	event := Submit{Op: op, ID: ID(c.account.ID, key), Claim: claim, Deadline: c.deadline, Refusal: refusal}
 	return r.await(c, op, p, event)
 }
@@ -124,11 +132,14 @@
 	return reason.DispatchWindow
 }
 
-func (r *Runner) getOrder(_ context.Context, c *call) error {
+func (r *Runner) getOrder(ctx context.Context, c *call) error {
 	key := c.r.PathValue("key")
 	if err := checkKey(key, "key"); err != nil {
 		return err
 	}
+	if err := r.format.wait(ctx); err != nil {
+		return reason.From(err).WithRun(reason.RunUnknown)
+	}
 	op := r.nextOp.Add(1)
 	p := &pending{reply: make(chan Reply, 1)}
 	reply, err := r.await(c, op, p, Query{Op: op, ID: ID(c.account.ID, key), Deadline: c.deadline})
--- a/placement/table.go
+++ b/placement/table.go
@@ -43,8 +43,8 @@
 
 	recoveryWindow time.Duration
 	recoveries     int
-	refusals       int
-	refusedUntil   time.Duration
+	// refusals has the models that the endpoint refused last.
+	refusals map[api.ModelRef]refusal
 
 	health   health
 	foreign  use
@@ -57,6 +57,8 @@
 	pollRound uint64
 	cacheAt   time.Duration
 	cacheLast uint64
+	// hintEpoch grows when the hints about the endpoint become invalid.
+	hintEpoch uint32
 	// pass marks the endpoint as usable in the current choice.
 	pass uint64
 }
@@ -125,6 +127,7 @@
 	for _, e := range c.endpoints {
 		e.dispatchable = false
 		e.heldFor = 0
+		clear(e.refusals)
 	}
 	if config != nil {
 		for _, id := range sortedIDs(config) {
--- a/ticket/watch.go
+++ b/ticket/watch.go
@@ -14,6 +14,10 @@
 	// watchWait is how long the store may hold a watch. With an answer a second
 	// a contact is never older than 2 s and the store's delay.
 	watchWait = time.Second
+	// watchWaitMax bounds the wait while the store is slow, when it follows the
+	// store's delay; slowDelay is when that begins.
+	watchWaitMax = 3 * time.Second
+	slowDelay    = 500 * time.Millisecond
 	// watchRetryMin and watchRetryMax bound the pause after a failed watch.
 	watchRetryMin = 200 * time.Millisecond
 	watchRetryMax = 2 * time.Second
@@ -28,8 +32,11 @@
 // watch follows the head in the store for the failure domain.
 type watch struct {
 	wanted   bool // this instance watches for its failure domain
-	running  bool
-	listed   bool // revision is valid
+	running  int
+	sentAt   time.Duration // of the last watch
+	wait     time.Duration // of the last watch
+	delay    time.Duration // of the store beyond the wait, from the last answer
+	listed   bool          // revision is valid
 	revision uint64
 	retryAt  time.Duration
 	retry    time.Duration
@@ -44,20 +51,26 @@
 	shown uint64
 	// registered are the registrations that the watch has shown.
 	registered map[api.InstanceID]registration
+	// gone is the incarnation whose registration was removed by an expulsion.
+	gone uint64
 	// contact is when the last answered read of an applied head was sent.
 	contact time.Duration
 	// waiting is a contact that counts once its head applies.
 	waiting        time.Duration
 	waitingVersion uint64
-	// reached is when the store last answered.
+	// reached is when the store last answered, however old the question was.
 	reached time.Duration
 }
 
 // contacted notes that the store showed the version to a read sent at sentAt.
+// It counts only while this instance is registered: without a registration the
+// next ticket is accepted without it.
 func (c *Core) contacted(sentAt time.Duration, version uint64) {
 	w := &c.watch
-	w.reached = max(w.reached, sentAt)
 	w.seen = max(w.seen, version)
+	if _, registered := w.registered[c.options.Instance]; !registered {
+		return
+	}
 	if version <= c.applied.version && c.ready {
 		w.contact = max(w.contact, sentAt)
 		return
@@ -87,15 +100,35 @@
 	}
 	c.confirmAlone(now)
 	w := &c.watch
-	if w.running || now < w.retryAt {
+	if now < w.retryAt || !c.watchDue(now) {
 		return
 	}
-	w.running = true
 	if !w.listed {
+		w.running++
 		c.call(StoreCall{Op: StoreList, Key: controlPrefix}, c.headListed)
 		return
 	}
-	c.call(StoreCall{Op: StoreWatch, Key: controlPrefix, After: w.revision, Wait: watchWait}, c.watched)
+	w.running++
+	w.sentAt = now
+	w.wait = min(max(w.delay, watchWait), watchWaitMax)
+	wait := w.wait
+	c.call(StoreCall{Op: StoreWatch, Key: controlPrefix, After: w.revision, Wait: wait}, func(now time.Duration, r StoreDone) {
+		if r.Err == nil && len(r.Changes) == 0 {
+			w.delay = max(now-r.SentAt-wait, 0)
+		}
+		c.watched(now, r)
+	})
+}
+
+// watchDue reports whether another watch is to be sent. While the store is
+// slow two of them overlap: a single one waits at the store for only a part of
+// the time, and a change in between would be seen a whole delay later.
+func (c *Core) watchDue(now time.Duration) bool {
+	w := &c.watch
+	if w.running == 0 {
+		return true
+	}
+	return w.listed && w.running == 1 && w.delay >= slowDelay && now-w.sentAt >= (w.wait+w.delay)/2
 }
 
 // confirmAlone reads the head in parallel to a delayed watch, because an
@@ -110,15 +143,22 @@
 	}
 	w.lastRead = now
 	w.confirms++
-	c.call(StoreCall{Op: StoreGet, Key: headKey}, func(now time.Duration, r StoreDone) {
+	c.call(StoreCall{Op: StoreList, Key: controlPrefix}, func(now time.Duration, r StoreDone) {
 		w.confirms--
-		c.headRead(now, r)
+		if r.Err != nil {
+			return
+		}
+		head, registered := c.listedControl(r)
+		c.headRead(now, head)
+		if registered[c.options.Instance].Incarnation > 0 {
+			c.contacted(r.SentAt, version(head.Object.Version))
+		}
 	})
 }
 
 func (c *Core) headListed(now time.Duration, r StoreDone) {
 	w := &c.watch
-	w.running = false
+	w.running--
 	if r.Err != nil {
 		c.watchFailed(now)
 		return
@@ -126,42 +166,62 @@
 	w.retry = 0
 	w.listed = true
 	w.revision = r.Revision
-	w.registered = make(map[api.InstanceID]registration, len(r.Objects))
-	found := StoreDone{SentAt: r.SentAt, Err: store.ErrNotFound}
-	for _, object := range r.Objects {
-		if object.Key == headKey {
-			found.Object, found.Err = object, nil
-			continue
-		}
-		c.registrationShown(store.Change{Object: object})
+	before, wasRegistered := w.registered[c.options.Instance]
+	var found StoreDone
+	found, w.registered = c.listedControl(r)
+	if _, registered := w.registered[c.options.Instance]; wasRegistered && !registered {
+		w.gone = before.Incarnation
 	}
 	w.shown = version(found.Object.Version)
 	c.headRead(now, found)
+	c.contacted(r.SentAt, w.shown)
 	c.tryAccept(now)
 }
 
+// listedControl divides a list into the head and the registrations.
+func (c *Core) listedControl(r StoreDone) (StoreDone, map[api.InstanceID]registration) {
+	head := StoreDone{SentAt: r.SentAt, Err: store.ErrNotFound}
+	registered := make(map[api.InstanceID]registration, len(r.Objects))
+	for _, object := range r.Objects {
+		if object.Key == headKey {
+			head.Object, head.Err = object, nil
+		} else if id, found := strings.CutPrefix(object.Key, memberPrefix); found {
+			registered[api.InstanceID(id)] = c.decodeRegistration(id, object.Value)
+		}
+	}
+	return head, registered
+}
+
+func (c *Core) decodeRegistration(id string, value []byte) registration {
+	var r registration
+	if err := json.Unmarshal(value, &r); err != nil {
+		// Acceptance waits for an instance that cannot be read, by its key.
+		c.emit(Note{Kind: NoteBroken, Err: Error.Wrap(err)})
+	}
+	r.Instance = api.InstanceID(id)
+	return r
+}
+
 // registrationShown uses a change of a registration.
 func (c *Core) registrationShown(change store.Change) {
 	id, found := strings.CutPrefix(change.Key, memberPrefix)
 	if !found {
 		return
 	}
-	if change.Deleted {
-		delete(c.watch.registered, api.InstanceID(id))
+	instance := api.InstanceID(id)
+	if !change.Deleted {
+		c.watch.registered[instance] = c.decodeRegistration(id, change.Value)
 		return
 	}
-	var r registration
-	if err := json.Unmarshal(change.Value, &r); err != nil {
-		// Acceptance waits for an instance that cannot be read, by its key.
-		c.emit(Note{Kind: NoteBroken, Err: Error.Wrap(err)})
+	if before, known := c.watch.registered[instance]; known && instance == c.options.Instance {
+		c.watch.gone = before.Incarnation
 	}
-	r.Instance = api.InstanceID(id)
-	c.watch.registered[r.Instance] = r
+	delete(c.watch.registered, instance)
 }
 
 func (c *Core) watched(now time.Duration, r StoreDone) {
 	w := &c.watch
-	w.running = false
+	w.running--
 	if errors.Is(r.Err, store.ErrCompacted) {
 		w.listed = false
 		return
@@ -171,19 +231,27 @@
 		return
 	}
 	w.retry = 0
-	w.revision = r.Revision
-	changed := false
-	for _, change := range r.Changes {
-		if change.Key == headKey && !change.Deleted {
-			changed = true
-			w.shown = version(change.Version)
-			c.headRead(now, StoreDone{SentAt: r.SentAt, Object: change.Object})
+	if r.Revision < w.revision && len(r.Changes) > 0 {
+		return // the other watch has shown these changes
+	}
+	w.revision = max(w.revision, r.Revision)
+	// Only the last head is the current one. After a pause an answer holds
+	// older ones too, which confirm nothing.
+	var last *store.Object
+	for i := range r.Changes {
+		if r.Changes[i].Key == headKey && !r.Changes[i].Deleted {
+			last = &r.Changes[i].Object
 			continue
 		}
-		c.registrationShown(change)
+		c.registrationShown(r.Changes[i])
 	}
-	if !changed {
+	switch {
+	case last == nil:
 		c.contacted(r.SentAt, w.seen)
+	default:
+		w.shown = version(last.Version)
+		c.headRead(now, StoreDone{SentAt: r.SentAt, Object: *last})
+		c.contacted(r.SentAt, w.shown)
 	}
 	c.tickWatch(now, w.wanted)
 	c.tryAccept(now)
