--- a/standins/bench/latency.go
+++ b/standins/bench/latency.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"regexp"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -12,7 +12,10 @@
 	"github.com/hibiscusstair/hibiscusstair/standins/harness"
 )
 
-var chunkPattern = regexp.MustCompile(`"request_id":"([^"]+)","attempt":\d+,"position":(\d+)`)
+// chunkPattern finds position and token of a chunk. The two identify it well
+// enough: another generation has the same token at the same position with a
+// probability of 1 in 50,000.
+var chunkPattern = regexp.MustCompile(`"position":(\d+),"token":(\d+)`)
 
 // sightings has the time at which each token left its engine.
 type sightings struct {
@@ -55,6 +58,9 @@
 				}
 				seen.compare(s, added)
 			}
+			if added.h.TotalCount() == 0 {
+				return errors.New("no chunk of an engine was recognised")
+			}
 			variant := strconv.Itoa(streams) + " streams"
 			r.results = append(r.results, added.quantile("added_token_latency_p95_ms", variant, 95))
 			return nil
@@ -70,8 +76,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, event := range stream.Events() {
-		generation := strings.Split(event.ID, ".")[1]
-		if at, found := s.at[generation+"/"+strconv.Itoa(event.Position)]; found {
+		if at, found := s.at[strconv.Itoa(event.Position)+"/"+strconv.Itoa(event.Token)]; found {
 			added.add(event.At.Sub(at))
 		}
 	}
