--- a/instance/build.go
+++ b/instance/build.go
@@ -39,7 +39,7 @@
 		Incarnation:         func() uint64 { return i.fleet.Incarnation() },
 		Watch:               func() bool { return i.fleet.Watch() },
 		Clients:             i.clients,
-		Busy:                func(id api.EndpointID) int { return i.placement.Running(id) },
+		Busy:                i.running,
 		Expel:               func(ctx context.Context, id api.InstanceID) error { return i.fleet.Expel(ctx, id) },
 		OperatorTokenSHA256: i.settings.OperatorTokenSHA256,
 		MaxBodyBytes:        i.settings.MaxBodyBytes,
@@ -51,6 +51,12 @@
 	return err
 }
 
+// running counts the work on an endpoint. A stream that was reattached after
+// another instance's death has no grant in placement.
+func (i *Instance) running(id api.EndpointID) int {
+	return max(i.placement.Running(id), i.generation.Running(id))
+}
+
 func (i *Instance) buildFleet() (err error) {
 	i.fleet, err = fleet.New(fleet.Options{
 		Instance:    i.settings.Instance,
@@ -79,6 +85,7 @@
 		Place:             i.settings.Place,
 		Config:            i.config,
 		LinkBitsPerSecond: i.settings.LinkBitsPerSec,
+		Instances:         i.liveInstances,
 		Log:               i.log,
 		Scope:             i.scope("placement"),
 		Clock:             clock,
@@ -87,14 +94,25 @@
 	return err
 }
 
+// liveInstances counts the live instances of the half. Placement asks while it
+// is built, before the fleet exists.
+func (i *Instance) liveInstances() int {
+	if i.fleet == nil {
+		return 1
+	}
+	return i.fleet.Live(i.settings.Half)
+}
+
 func (i *Instance) buildLimits() (err error) {
 	i.limits, err = limits.New(limits.Options{
 		Instance:  i.settings.Instance,
 		Config:    i.config,
-		Instances: func() int { return i.fleet.Live(i.settings.Half) },
-		Log:       i.log,
-		Scope:     i.scope("limits"),
-		Clock:     clock,
+		Instances: i.liveInstances,
+		// Without the delay nothing is shed.
+		QueueDelay: i.placement.QueueDelay,
+		Log:        i.log,
+		Scope:      i.scope("limits"),
+		Clock:      clock,
 	})
 	return err
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -128,13 +128,14 @@
 	defer cancel()
 	i.log.Info("draining")
 	i.draining.Store(true)
+	// Peers hear of it first, so that they stop counting on this instance.
+	i.fleet.Leave(ctx)
 	if err := i.generation.Drain(ctx); err != nil {
 		i.log.Warn("generations were still running at the end of the drain", "error", err)
 	}
 	if err := i.order.Drain(ctx); err != nil {
 		i.log.Warn("orders were still running at the end of the drain", "error", err)
 	}
-	i.fleet.Leave(ctx)
 	i.log.Info("drained")
 }
 
--- a/limits/metrics.go
+++ b/limits/metrics.go
@@ -22,7 +22,6 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	scope = scope.SubScope("limits")
 	return &metrics{
 		refusals:        telemetry.NewReasonCounters(scope, "refusals"),
 		admitted:        scope.Counter("admitted"),
--- a/placement/metrics.go
+++ b/placement/metrics.go
@@ -25,7 +25,6 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	scope = scope.SubScope("placement")
 	return &metrics{
 		refusals:    telemetry.NewReasonCounters(scope, "refusals"),
 		grants:      scope.Counter("grants"),
