Refuse empty tokens

Change: an empty token has no credential form; the settings refuse that hash. Measured: the new tests fail before and pass after the change.

--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -62,8 +62,13 @@
 	return strings.TrimSpace(token)
 }
 
-// CredentialSHA256 returns the form in which a bearer token is configured.
+// CredentialSHA256 returns the form in which a bearer token is configured. For
+// an empty token it returns "", which no configured credential equals: a hash
+// that was made from an unset variable must not let everybody in.
 func CredentialSHA256(token string) string {
+	if token == "" {
+		return ""
+	}
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -35,7 +35,7 @@
 		Instance: "i1", Half: "a", Place: api.Place{Region: "r", FailureDomain: "d"},
 		CallerListen: freeAddress(), OperatorListen: freeAddress(), PeerListen: freeAddress(),
 		StoreURL: "http://" + freeAddress().String(), StoreTimeout: time.Second,
-		OperatorTokenSHA256: "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
+		OperatorTokenSHA256: "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
 		PeerSecret:          "0123456789abcdef", Recovery: settings.RecoveryEager, Expel: settings.ExpelAuto,
 		LinkBitsPerSec: 30_000_000, RequestTimeout: time.Minute, MaxTimeout: time.Minute,
 		DrainTimeout: 10 * time.Second, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 14, MaxTokens: 1000,
--- a/settings/check.go
+++ b/settings/check.go
@@ -196,8 +196,14 @@
 	return nil
 }
 
+// emptySHA256 is the hash of an empty text, which a command line with an unset
+// variable produces.
+const emptySHA256 = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+var sha256Text = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 func applyOperatorToken(s *Settings, text string) error {
-	if !regexp.MustCompile(`^[0-9a-f]{64}$`).MatchString(text) {
+	if !sha256Text.MatchString(text) || text == emptySHA256 {
 		return errNotAllowed
 	}
 	s.OperatorTokenSHA256 = text
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -52,7 +52,7 @@
 	{name: "store-url", usage: "address of the platform's object API", allowed: "http://IP:PORT or https://IP:PORT", required: true, apply: applyStoreURL},
 	{name: "store-timeout", usage: "bound on each call to the store but a watch", value: "3s", allowed: "100ms to 30s", apply: applyStoreTimeout},
 	{name: "peers", usage: "addresses of other instances to start from", allowed: "comma-separated IP:PORT, may be empty", apply: applyPeers},
-	{name: "operator-token-sha256", usage: "SHA-256 of the operators' bearer token", allowed: "64 hexadecimal digits", required: true, apply: applyOperatorToken},
+	{name: "operator-token-sha256", usage: "SHA-256 of the operators' bearer token", allowed: "64 hexadecimal digits, not the hash of an empty token", required: true, apply: applyOperatorToken},
 	{name: "peer-secret", usage: "secret that instances authenticate each other with", allowed: "at least 16 characters", required: true, secret: true, apply: applyPeerSecret},
 	{name: "recovery", usage: "eager continues on suspicion, sparing probes first; the others are for comparison", value: "eager", allowed: "eager, sparing, start-over or fixed-timeout", apply: applyRecovery},
 	{name: "expel", usage: "who decides that a silent instance is gone: auto trusts the platform's list", value: "auto", allowed: "auto or manual", apply: applyExpel},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -19,7 +19,7 @@
 		"instance-id": "i1", "half": "kitakyushu", "region": "fukuoka", "failure-domain": "fukuoka-1",
 		"caller-listen": "127.0.0.1:8080", "operator-listen": "127.0.0.1:8081", "peer-listen": "127.0.0.1:8082",
 		"store-url": "http://127.0.0.1:7000", "store-timeout": "3s", "peers": "127.0.0.1:8083, 127.0.0.1:8084",
-		"operator-token-sha256": "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
+		"operator-token-sha256": "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
 		"peer-secret":           "0123456789abcdef",
 		"recovery":              "sparing", "expel": "auto", "link-bits-per-second": "30000000",
 		"request-timeout": "10m", "max-timeout": "1h", "drain-timeout": "15m",
@@ -36,6 +36,15 @@
 		Expect(checked.Recovery).To(Equal(settings.RecoverySparing))
 	})
 
+	// Guards against a hash that was made from an unset variable: the operator
+	// interface would be open to everybody without a token.
+	It("refuses the hash of an empty operators' token", func() {
+		texts := valid()
+		texts["operator-token-sha256"] = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+		_, err := settings.Check(texts, nil)
+		Expect(err).To(MatchError(ContainSubstring("--operator-token-sha256")))
+	})
+
 	// Guards against stopping at the first mistake, which makes an operator
 	// restart the process once per mistake.
 	It("reports all findings together, with name, value and what is allowed", func() {
