--- a/limits/runner.go
+++ b/limits/runner.go
@@ -183,20 +183,7 @@
 // post hands over an event that must not be dropped, and waits for room until
 // Run ends.
 func (r *Runner) post(event Event) {
-	m := message{event: event}
-	if r.ring.Offer(m) {
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		select {
-		case <-r.stopped:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	_ = r.ring.Put(ctx, m)
+	_ = r.ring.PutUntil(r.stopped, message{event: event})
 }
 
 // Release ends an admission. A second release has no effect.
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// PutUntil adds a message and waits for room until stopped is closed, which the
+// receiver does when it ends. It reports whether the message was added.
+func (r *Ring[T]) PutUntil(stopped <-chan struct{}, message T) bool {
+	select {
+	case r.slots <- message:
+		return true
+	case <-stopped:
+		return false
+	}
+}
+
 // C returns the channel to receive from.
 func (r *Ring[T]) C() <-chan T { return r.slots }
 
--- a/standins/bench/bench.go
+++ b/standins/bench/bench.go
@@ -93,6 +93,7 @@
 	{"tickets", (*runner).tickets},
 	{"overload", (*runner).overload},
 	{"control", (*runner).control},
+	{"cost", (*runner).cost},
 	{"fleet-model", (*runner).fleetModel},
 	{"serving-models", (*runner).servingModels},
 	{"claim-writers", (*runner).claimWriters},
--- a/standins/bench/result.go
+++ b/standins/bench/result.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return err
+	}
 	return os.WriteFile(filepath.Join(directory, "bench.json"), append(text, '\n'), 0o644)
 }
 
