Do not start answers that cannot be whole before their deadline

Cause: under overload requests waited in the queue until shortly before their deadline and then took slots for answers that nobody waited for. Ruled out: the shedder is connected and lowers the admitted part, but takes seconds to do so. Change: placement learns the time of an answer for each token that is asked for and refuses a waiting request as not run once the answer would be late.

--- a/placement/core.go
+++ b/placement/core.go
@@ -17,6 +17,10 @@
 	bytes    int
 	marked   bool
 	model    api.ModelRef
+	// since, asked and recovery describe the work for the estimate of answers.
+	since    time.Duration
+	asked    int
+	recovery bool
 }
 
 // Core decides. It has no I/O, clock, goroutine or global randomness.
@@ -46,6 +50,7 @@
 	arrivals arrivals
 	classes  classes
 
+	estimates  map[api.ModelRef]*estimate
 	link       bucket
 	hints      hints
 	aloneGrant uint64
@@ -72,6 +77,7 @@
 		queued:    make(map[queueShare]int),
 		arrivals:  newArrivals(),
 		classes:   newClasses(),
+		estimates: make(map[api.ModelRef]*estimate),
 		random:    rand.New(rand.NewPCG(o.Seed, self)),
 		self:      self,
 		link:      newBucket(o.LinkBytesPerSecond),
@@ -216,6 +222,9 @@
 		tokens:   request.Tokens,
 		marked:   request.Isolation != api.IsolationNone,
 		model:    request.Model,
+		since:    now,
+		asked:    request.Tokens,
+		recovery: request.Recovery,
 	}
 	chosen.running++
 	chosen.outstanding += request.Tokens
@@ -282,6 +291,7 @@
 	}
 	c.end(e.ID, g)
 	c.observe(now, g, e.Outcome)
+	c.observeAnswer(now, g, e.Outcome)
 	c.wake(now, g.endpoint)
 }
 
--- /dev/null
+++ b/placement/estimate_test.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// Guards against slots that go to answers whose callers have given up before
+// the last token: with a deadline of 3 s and answers of 1 s, a request that has
+// waited for more than 2 s is refused as not run instead of started.
+func TestLateRequestsAreNotStarted(t *testing.T) {
+	model := api.ModelRef{Model: "m"}
+	config := &api.Config{Endpoints: map[api.EndpointID]api.Endpoint{
+		"e1": {ID: "e1", Kind: api.KindEngine, Half: "a", Models: []api.ModelRef{model}, Slots: 1, Place: api.Place{Region: "r"}},
+	}}
+	core := NewCore(CoreOptions{Instance: "i1", Half: "a", Place: api.Place{Region: "r"}, Seed: 1})
+	now := time.Second
+	core.Step(now, ConfigChanged{Config: config})
+	request := func(id uint64, deadline time.Duration) []Action {
+		return core.Step(now, PlaceRequested{ID: id, Deadline: deadline, Request: api.PlacementRequest{
+			Kind: api.KindEngine, Model: model, Account: "x", Priority: api.PriorityInteractive, Tokens: 100,
+		}})
+	}
+	var id uint64
+	for range estimateSamples {
+		id++
+		request(id, 0)
+		now += time.Second
+		core.Step(now, Released{ID: id, Outcome: api.OutcomeCompleted})
+	}
+	running, late := id+1, id+2
+	request(running, 0)
+	request(late, now+3*time.Second)
+	now += 1900 * time.Millisecond
+	if refused := refusals(core.Step(now, Tick{})); len(refused) != 0 {
+		t.Fatalf("refused %v while the answer can still be whole in time", refused)
+	}
+	now += 200 * time.Millisecond
+	refused := refusals(core.Step(now, Tick{}))
+	if refused[late] == nil || refused[late].Reason != reason.DeadlineExceeded || refused[late].Run != reason.RunNo {
+		t.Fatalf("refusal of the late request: %v", refused[late])
+	}
+}
+
+func refusals(actions []Action) map[uint64]*reason.Error {
+	refused := make(map[uint64]*reason.Error)
+	for _, action := range actions {
+		if r, ok := action.(Refused); ok {
+			refused[r.ID] = r.Err
+		}
+	}
+	return refused
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -230,7 +230,7 @@
 		return false
 	}
 	late := w.deadline != 0 && now >= w.deadline
-	return late || now-w.since >= waitBounds[w.request.Priority]
+	return late || c.hopelessWait(now, w) || now-w.since >= waitBounds[w.request.Priority]
 }
 
 // expire refuses the requests that did not start in time. None of them
@@ -256,5 +256,9 @@
 	if w.deadline != 0 && now >= w.deadline {
 		return reason.New(reason.DeadlineExceeded, "no endpoint before the deadline (last obstacle: %s)", w.blocked)
 	}
+	if c.hopelessWait(now, w) {
+		return reason.New(reason.DeadlineExceeded, "the answer would not be whole before the deadline (last obstacle: %s)", w.blocked).
+			WithRetryAfter(time.Second)
+	}
 	return reason.New(w.blocked, "no endpoint within %s", waitBounds[w.request.Priority]).WithRetryAfter(time.Second)
 }
