Let the estimate of an answer's time rise faster

Cause: with a weight of 0.05 the estimate followed a growing wait in the engines too slowly, so that late answers were still started. Change: estimateRise is 0.2; it still falls faster than it rises.

--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -12,7 +12,7 @@
 	// estimateRise and estimateFall are the weights of an answer that took more
 	// or less time than the estimate. The estimate falls faster than it rises,
 	// because a request that is refused wrongly is worse than a late one.
-	estimateRise = 0.05
+	estimateRise = 0.2
 	estimateFall = 0.3
 )
 
