--- a/fleet/core.go
+++ b/fleet/core.go
@@ -21,6 +21,11 @@
 	ringNeighbours = 3
 	// silenceBound is how long a neighbour may be silent before it is probed.
 	silenceBound = 2 * time.Second
+	// probeRepeat is when an unanswered probe is sent a second time, within the
+	// 500 ms of the first one. With 5% of the messages lost each way, one lost
+	// probe would make about 0.9 false suspects a second at 330 instances, and
+	// each is gossiped together with its refutation.
+	probeRepeat = 250 * time.Millisecond
 	// suspectBound is the time that a suspect has to refute.
 	suspectBound = 3 * time.Second
 	// isolationBound is the age of the last confirmation beyond which the
@@ -29,6 +34,9 @@
 	// listInterval is the time between two reads of the platform's list by the
 	// first instance of a failure domain.
 	listInterval = 2 * time.Second
+	// listSoonInterval replaces listInterval after news of a death. It bounds the
+	// reads when many instances die together.
+	listSoonInterval = 250 * time.Millisecond
 	// registrationsInterval is the time between two reads of the registrations
 	// by the first instance of a failure domain.
 	registrationsInterval = 10 * time.Second
@@ -98,6 +106,11 @@
 	sentAt  time.Duration // last exchange sent
 	since   time.Duration // when the state was learned
 	probing bool
+	// probedAt is when the probe was sent; repeated says that it was sent twice.
+	probedAt time.Duration
+	repeated bool
+	// suspectedHere says that this instance's own probe made the member a suspect.
+	suspectedHere bool
 }
 
 // Core decides on membership. It has no I/O and no clock.
@@ -126,6 +139,7 @@
 	leaving      bool
 	lastBeat     time.Duration
 	lastList     time.Duration
+	listSoon     bool // a member was declared dead since the last read
 	lastRegs     time.Duration
 	lastRejoin   time.Duration
 	lastRegister time.Duration
@@ -235,8 +249,9 @@
 	if c.joined && !c.registered && now-c.startedAt >= sponsorAfter {
 		c.sponsored = true
 	}
-	if now-c.lastList >= listInterval && (c.domainRank() == 0 || len(c.members) == 0) {
+	if c.listDue(now) && (c.domainRank() == 0 || len(c.members) == 0) {
 		c.lastList = now
+		c.listSoon = false
 		actions = append(actions, ReadList{})
 	}
 	if now-c.lastRegs >= registrationsInterval && c.joinedOrAlone(now) && c.domainRank() == 0 {
@@ -252,6 +267,14 @@
 	return append(actions, c.rejoin(now)...)
 }
 
+func (c *Core) listDue(now time.Duration) bool {
+	interval := listInterval
+	if c.listSoon {
+		interval = listSoonInterval
+	}
+	return now-c.lastList >= interval
+}
+
 // heartbeat exchanges with the ring neighbours, with one member of another
 // region, and with the instances of the failure domain that watch the store
 // before this one does.
@@ -290,7 +313,7 @@
 		AcceptedTicket: c.tickets.Accepted,
 		HeadVersion:    c.tickets.HeadVersion,
 		Self:           c.selfProto(now),
-		Deltas:         &peerpb.Deltas{Members: c.changedEntries()},
+		Deltas:         &peerpb.Deltas{Members: c.changedEntries(nil)},
 		Full:           full,
 		TableHash:      c.hash,
 	}
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -37,7 +37,7 @@
 	if r.GetFull() {
 		response.Deltas.Members = c.allEntries()
 	} else {
-		response.Deltas.Members = c.changedEntries()
+		response.Deltas.Members = c.changedEntries(r.GetDeltas().GetMembers())
 	}
 	sender := fromProto(r.GetSelf())
 	if api.InstanceID(r.GetFrom()) == c.self.ID {
@@ -196,15 +196,29 @@
 	var actions []Action
 	for _, id := range append(c.neighbours(), c.watchersBefore()...) {
 		m := c.members[id]
-		if m.probing || m.State == api.MemberSuspect || now-m.heardAt < silenceBound || m.sentAt == 0 {
+		if m.State == api.MemberSuspect || now-m.heardAt < silenceBound || m.sentAt == 0 || !m.probeDue(now) {
 			continue
 		}
-		m.probing = true
 		actions = append(actions, SendProbe{To: id, Incarnation: m.Incarnation, Address: m.Address})
 	}
 	return actions
 }
 
+// probeDue reports whether a probe is to be sent, and notes it. The failure of
+// the first probe decides unless the second one was answered by then, so that
+// the repetition does not delay a suspicion.
+func (m *entry) probeDue(now time.Duration) bool {
+	switch {
+	case !m.probing:
+		m.probing, m.repeated, m.probedAt = true, false, now
+		return true
+	case !m.repeated && now-m.probedAt >= probeRepeat:
+		m.repeated = true
+		return true
+	}
+	return false
+}
+
 func (c *Core) probeDone(now time.Duration, e ProbeDone) []Action {
 	m, known := c.members[e.To]
 	if !known {
@@ -226,7 +240,9 @@
 	next := m.Member
 	next.State = api.MemberSuspect
 	next.Version++
-	return c.set(now, next, true)
+	actions := c.set(now, next, true)
+	m.suspectedHere = true
+	return actions
 }
 
 // ageStates moves suspects to dead, expels and forgets.
@@ -238,9 +254,11 @@
 			next := m.Member
 			next.State = api.MemberDead
 			next.Version++
+			report := m.suspectedHere
 			actions = append(actions, c.set(now, next, true)...)
-			// The list tells whether the member is to be expelled.
-			c.lastList = now - listInterval
+			if report {
+				actions = append(actions, c.reportDead(now)...)
+			}
 		case m.State.Gone() && now-m.since >= forgetAfter:
 			c.hash ^= entryHash(m.Member)
 			delete(c.members, id)
@@ -250,6 +268,23 @@
 	return actions
 }
 
+// reportDead exchanges at once with instances that expel. In a simulation of 330
+// instances gossip alone took 0.45 to 0.9 s to reach one of them. Only an instance
+// whose own probe failed reports, so that a death does not cause messages from
+// every instance.
+func (c *Core) reportDead(now time.Duration) []Action {
+	sent := make(map[api.InstanceID]bool)
+	var actions []Action
+	for _, id := range c.watchers() {
+		if sent[id] {
+			continue
+		}
+		sent[id] = true
+		actions = append(actions, c.exchangeWith(now, c.members[id]))
+	}
+	return actions
+}
+
 // listDone uses the platform's list: unknown addresses become contacts, and
 // dead members that are not on it are expelled. The list must have been read
 // after the member was declared dead, which takes 5 s of silence at least.
