Let marked content share an engine when no engine is free of it

Cause: IsolationApart allowed only engines without other marked content. One death marks about 17 contents, so with fewer such engines innocent callers waited beside free slots.

Change: content with one mark goes to the usable engine with the fewest marked contents: the own region first, another region only for fewer marks and within the link's budget, never to an engine that runs content with two marks. IsolationAlone is as strict as before.

When content that waits to run alone moved to another engine, requests that had been tried earlier in the same pass waited for the next tick beside the released engine.

--- a/api/contracts.go
+++ b/api/contracts.go
@@ -13,7 +13,8 @@
 const (
 	// IsolationNone puts no condition on the endpoint.
 	IsolationNone Isolation = iota
-	// IsolationApart allows only endpoints that run no other marked content.
+	// IsolationApart prefers endpoints that run no other marked content, then
+	// those with the fewest, and never one that runs content of IsolationAlone.
 	IsolationApart
 	// IsolationAlone allows one marked content at a time in the fleet, on an
 	// endpoint that runs nothing else of ours.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -74,17 +74,47 @@
 		return c.chooseAlone(now, w)
 	}
 	alive := c.gather(now, w, false)
-	if len(c.usable) > 0 {
+	shared := c.keepLeastMarked(w)
+	found := len(c.usable) > 0
+	if found && shared == 0 {
 		return c.pick(w)
 	}
-	if !c.maySpill(now, w, alive) {
+	if c.maySpill(now, w, alive) {
+		c.gather(now, w, true)
+		if fewest := c.keepLeastMarked(w); len(c.usable) > 0 && (!found || fewest < shared) {
+			return c.pick(w)
+		}
+	}
+	if !found {
 		return nil
 	}
-	c.gather(now, w, true)
-	if len(c.usable) > 0 {
-		return c.pick(w)
+	c.gather(now, w, false)
+	c.keepLeastMarked(w)
+	return c.pick(w)
+}
+
+// keepLeastMarked reduces the usable endpoints for marked content to those with
+// the fewest marked contents and returns that number. One death marks all
+// contents of an engine, which can be more than there are engines without
+// marked content.
+func (c *Core) keepLeastMarked(w *waiter) int {
+	if w.request.Isolation == api.IsolationNone || len(c.usable) == 0 || c.options.faults.skipMarkedCheck {
+		return 0
+	}
+	fewest := c.usable[0].marked
+	for _, e := range c.usable {
+		fewest = min(fewest, e.marked)
 	}
-	return nil
+	kept := c.usable[:0]
+	for _, e := range c.usable {
+		if e.marked > fewest {
+			e.pass = 0
+			continue
+		}
+		kept = append(kept, e)
+	}
+	c.usable = kept
+	return fewest
 }
 
 // maySpill decides whether the request may go to another region. A draft waits
@@ -145,10 +175,15 @@
 	if e.running+e.foreign.running >= c.slotLimit(e, request) && !c.options.faults.ignoreSlots {
 		return reason.NoSlot
 	}
-	if e.exclusive != 0 || (e.heldFor != 0 && e.heldFor != w.id) {
+	if e.exclusive != 0 && !c.options.faults.joinIsolated {
 		return reason.NoSlot
 	}
-	if request.Isolation != api.IsolationNone && e.marked > 0 && !c.options.faults.skipMarkedCheck {
+	if e.heldFor != 0 && e.heldFor != w.id {
+		return reason.NoSlot
+	}
+	strict := request.Isolation == api.IsolationAlone ||
+		(request.Isolation == api.IsolationApart && c.options.faults.neverShareMarked)
+	if strict && e.marked > 0 {
 		return reason.NoSlot
 	}
 	if request.Recovery && e.recoveryPaced(now) && !c.options.faults.noPacing {
@@ -264,13 +299,18 @@
 // alone, once it runs nothing else of ours. Every instance selects the same
 // one, so that such contents do not crash several engines.
 func (c *Core) chooseAlone(now time.Duration, w *waiter) *endpoint {
-	c.letGo(w)
+	former := c.letGo(w)
 	selected := c.selectAlone(&w.request)
+	if former != nil && former != selected {
+		// Requests that were tried before this one found the endpoint held.
+		c.recheck = true
+	}
 	if selected == nil {
 		w.blocked = reason.EndpointUnreachable
 		return nil
 	}
 	if selected.remote && !c.affords(now, &w.request) {
+		c.recheck = c.recheck || former != nil
 		w.blocked = reason.CrossRegionBudget
 		return nil
 	}
@@ -303,14 +343,17 @@
 	return best
 }
 
-// letGo ends the hold that a waiting request has on an endpoint.
-func (c *Core) letGo(w *waiter) {
+// letGo ends the hold that a waiting request has on an endpoint and returns
+// that endpoint, or nil if there was none.
+func (c *Core) letGo(w *waiter) *endpoint {
 	if w.request.Isolation != api.IsolationAlone {
-		return
+		return nil
 	}
 	for _, e := range c.list(&w.request).endpoints {
 		if e.heldFor == w.id {
 			e.heldFor = 0
+			return e
 		}
 	}
+	return nil
 }
--- a/placement/core.go
+++ b/placement/core.go
@@ -105,7 +105,8 @@
 	default:
 		c.report(now, event)
 	}
-	if c.recheck {
+	for c.recheck {
+		// A pass can end a hold and so make room for requests tried earlier.
 		c.drain(now)
 	}
 	if c.failed {
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -259,4 +259,52 @@
 		Expect(actions).To(HaveLen(1))
 		Expect(actions[0].(Granted).Grant.ID).To(Equal(uint64(2)))
 	})
+
+	// Guards against innocent content that waits although a healthy engine has a
+	// free slot: one death marks more contents than there are other engines.
+	It("spreads marked content evenly and makes none wait beside a free slot", func() {
+		var list []api.Endpoint
+		for i := range 4 {
+			list = append(list, engineAt(fmt.Sprintf("e%d", i), "east", 8))
+		}
+		configure(list...)
+		apart := withPrefix(1, 2, 3, 4)
+		apart.Isolation = api.IsolationApart
+		apart.Prefer = "e0"
+		taken := map[api.EndpointID]int{}
+		for i := range 17 {
+			grant, why := place(apart)
+			Expect(why).To(BeEmpty())
+			Expect(taken[grant.Endpoint.ID]).To(Equal(i / 4))
+			taken[grant.Endpoint.ID]++
+		}
+	})
+
+	// Guards the strict isolation of content with two marks.
+	It("places no marked content beside content that runs alone", func() {
+		configure(engineAt("e1", "east", 8))
+		alone := interactive()
+		alone.Isolation = api.IsolationAlone
+		_, why := place(alone)
+		Expect(why).To(BeEmpty())
+		apart := interactive()
+		apart.Isolation = api.IsolationApart
+		_, why = place(apart)
+		Expect(why).To(BeEquivalentTo("waits"))
+	})
+
+	// Guards isolation against a preference for the own region: an engine
+	// without marked content comes first while the link's budget lasts.
+	It("sends marked content to another region only for fewer marks", func() {
+		configure(engineAt("e1", "east", 8), engineAt("w1", "west", 8))
+		apart := interactive()
+		apart.Isolation = api.IsolationApart
+		var remote []bool
+		for range 4 {
+			grant, why := place(apart)
+			Expect(why).To(BeEmpty())
+			remote = append(remote, grant.CrossRegion)
+		}
+		Expect(remote).To(Equal([]bool{false, true, false, true}))
+	})
 })
--- a/placement/options.go
+++ b/placement/options.go
@@ -55,14 +55,16 @@
 
 // faults are the wrong variants that the property tests have to detect.
 type faults struct {
-	ignorePending   bool // uses endpoints that a pending ticket takes away
-	ignoreSlots     bool // grants without regard to slots
-	noKeptSlots     bool // lets drafts take the slots kept for others
-	ignoreReserve   bool // lets ordinary work spend the recovery reserve
-	unlimitedLink   bool // never charges the link
-	acceptOldLoads  bool // merges a delta whatever its version
-	noPacing        bool // sends all recoveries to one endpoint
-	useUnprobed     bool // uses a suspected endpoint before its probe
-	expireNothing   bool // keeps requests after their deadline
-	skipMarkedCheck bool // runs marked contents together
+	ignorePending    bool // uses endpoints that a pending ticket takes away
+	ignoreSlots      bool // grants without regard to slots
+	noKeptSlots      bool // lets drafts take the slots kept for others
+	ignoreReserve    bool // lets ordinary work spend the recovery reserve
+	unlimitedLink    bool // never charges the link
+	acceptOldLoads   bool // merges a delta whatever its version
+	noPacing         bool // sends all recoveries to one endpoint
+	useUnprobed      bool // uses a suspected endpoint before its probe
+	expireNothing    bool // keeps requests after their deadline
+	skipMarkedCheck  bool // ignores which endpoints run marked contents
+	joinIsolated     bool // places work beside content that runs alone
+	neverShareMarked bool // runs marked contents on endpoints without others only
 }
