--- a/placement/calls.go
+++ b/placement/calls.go
@@ -69,20 +69,7 @@
 // post hands over an event that must not be dropped, and waits for room until
 // Run ends.
 func (r *Runner) post(event Event) {
-	m := message{event: event}
-	if r.ring.Offer(m) {
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		select {
-		case <-r.stopped:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	_ = r.ring.Put(ctx, m)
+	_ = r.ring.PutUntil(r.stopped, message{event: event})
 }
 
 // query runs a function on the core and reports false if Run does not answer
