Send no entries to a member with the same table

Change: an answer to an exchange with the same table hash carries no entries and counts as sent; a test.

--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -34,9 +34,12 @@
 		Stale:          c.stale(now),
 		Registered:     c.seesRegistration(now, api.InstanceID(r.GetFrom())),
 	}
-	if r.GetFull() {
+	switch {
+	case r.GetFull():
 		response.Deltas.Members = c.allEntries()
-	} else {
+	case r.GetTableHash() == c.hash:
+		c.countAllSent()
+	default:
 		response.Deltas.Members = c.changedEntries(r.GetDeltas().GetMembers())
 	}
 	sender := fromProto(r.GetSelf())
--- a/fleet/detect_test.go
+++ b/fleet/detect_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -190,3 +191,32 @@
 		t.Fatalf("the answer to an old entry has %v", answer)
 	}
 }
+
+// TestSameTableGetsNoEntries guards against a backlog of entries after a start
+// that is sent for a minute to members that have all of them.
+func TestSameTableGetsNoEntries(t *testing.T) {
+	d := newDetector()
+	for i := range 100 {
+		d.receive("b", testMember(fmt.Sprintf("m%d", i), peerpb.MemberState_MEMBER_STATE_ALIVE))
+	}
+	self := testMember("b", peerpb.MemberState_MEMBER_STATE_ALIVE)
+	exchange := func(hash uint64) *peerpb.ExchangeResponse {
+		request := &peerpb.ExchangeRequest{From: "b", Incarnation: 1, Self: self, Deltas: &peerpb.Deltas{}, TableHash: hash}
+		for _, action := range d.core.Step(d.now, fleet.ExchangeIn{Request: request}) {
+			if answer, is := action.(fleet.Respond); is {
+				return answer.Response
+			}
+		}
+		t.Fatal("no answer")
+		return nil
+	}
+	hash := exchange(0).GetTableHash()
+	for range 30 {
+		if entries := exchange(hash).GetDeltas().GetMembers(); len(entries) != 0 {
+			t.Fatalf("an answer to the same table has %d entries", len(entries))
+		}
+	}
+	if entries := exchange(0).GetDeltas().GetMembers(); len(entries) != 0 {
+		t.Fatalf("%d entries still wait after 30 exchanges", len(entries))
+	}
+}
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -156,6 +156,15 @@
 	return entries
 }
 
+// countAllSent counts an exchange with a member that has the same table as a
+// message with every entry. After a start of 330 instances an entry for each may
+// wait in one instance, and at maxEntries a message they take over a minute.
+func (c *Core) countAllSent() {
+	for _, m := range c.members {
+		m.sends = max(m.sends-1, 0)
+	}
+}
+
 func (c *Core) allEntries() []*peerpb.Member {
 	entries := make([]*peerpb.Member, 0, len(c.members))
 	for _, m := range c.members {
