Aim at a queueing delay of 100 ms for interactive work

Cause: with a target of 400 ms the requests that start wait 2.3 to 2.7 s at p95 under 2 to 4 times the capacity; the first token is due within 1.8 s for 95%. Change: interactiveTarget is 100 ms; a test of the wait in the model.

--- a/internal/servingmodel/model_test.go
+++ b/internal/servingmodel/model_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// Guards the start of admitted requests under lasting overload. The run is as
+// long as the benchmark's, since shedding takes seconds to follow a sudden
+// overload and waits are longer until then.
+func TestWaitsUnderLastingOverload(t *testing.T) {
+	const firstTokenTarget = 1800 * time.Millisecond
+	for _, factor := range []float64{2, 4} {
+		r := Overload(DefaultOverload(factor, true, seed))
+		if r.WaitP95 > firstTokenTarget || r.Goodput < 0.9 {
+			t.Errorf("p95 of the waits %s, goodput %.3f at %.1f times the capacity", r.WaitP95, r.Goodput, factor)
+		}
+	}
+}
+
 // Guards an account's rate over the fleet: never far above the limit, and not
 // far below it under any skew.
 func TestShareErrors(t *testing.T) {
--- a/limits/shed.go
+++ b/limits/shed.go
@@ -8,8 +8,10 @@
 
 const (
 	// interactiveTarget is the queueing delay that shedding aims at for
-	// interactive work; the first token is due within 1.8 s.
-	interactiveTarget = 400 * time.Millisecond
+	// interactive work; the first token is due within 1.8 s. Under overload the
+	// 95th percentile of the waits is far above the target: with 400 ms it was
+	// 2.7 s at four times the capacity, with 100 ms it is 1.4 s.
+	interactiveTarget = 100 * time.Millisecond
 	// draftTarget is the same for drafts, which can wait.
 	draftTarget = 4 * time.Second
 	// controlInterval is the time between adjustments.
