Start several continuations at once on small engines

Ruled out as main cause: the silence bound (150 to 200 ms), the probe, failed reattachments (0 to 90 ms), the core's pace. Change: engines still take their share of continuations first; only if no engine of the region has a share left, one takes up to 4 in a window.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -23,6 +23,11 @@
 	// endpoint takes at once, since each starts with a prefill.
 	recoveryWindow = 250 * time.Millisecond
 	recoveryShare  = 8
+	// fewRecoveries may start at once on an engine whose share is smaller, if
+	// all other engines have taken theirs. Otherwise each further continuation
+	// on engines of 8 slots waits for a window of its own, and the third already
+	// exceeds the goal of 250 ms.
+	fewRecoveries = 4
 	// keptForRecovery and keptForOthers are the parts of the slots (1/n) that
 	// new generations, and drafts in particular, leave free. An engine with
 	// fewer slots than keptForRecovery keeps none: one of 8 would cost 12% of
@@ -73,14 +78,14 @@
 	if w.request.Isolation == api.IsolationAlone {
 		return c.chooseAlone(now, w)
 	}
-	alive := c.gather(now, w, false)
+	alive := c.gatherPaced(now, w, false)
 	shared := c.keepLeastMarked(w)
 	found := len(c.usable) > 0
 	if found && shared == 0 {
 		return c.pick(w)
 	}
 	if c.maySpill(now, w, alive) {
-		c.gather(now, w, true)
+		c.gatherPaced(now, w, true)
 		if fewest := c.keepLeastMarked(w); len(c.usable) > 0 && (!found || fewest < shared) {
 			return c.pick(w)
 		}
@@ -88,7 +93,7 @@
 	if !found {
 		return nil
 	}
-	c.gather(now, w, false)
+	c.gatherPaced(now, w, false)
 	c.keepLeastMarked(w)
 	return c.pick(w)
 }
@@ -136,6 +141,20 @@
 	return true
 }
 
+// gatherPaced collects the usable endpoints of one side of the link. A
+// continuation goes to an endpoint that has taken its share of them only if
+// there is no other.
+func (c *Core) gatherPaced(now time.Duration, w *waiter, remote bool) bool {
+	c.spread = true
+	alive := c.gather(now, w, remote)
+	c.spread = false
+	if len(c.usable) == 0 && w.blocked == reason.RecoveryPaced {
+		w.blocked = reason.NoEndpoint
+		alive = c.gather(now, w, remote)
+	}
+	return alive
+}
+
 // gather collects the usable endpoints of one side of the link and reports
 // whether any eligible endpoint there is alive.
 func (c *Core) gather(now time.Duration, w *waiter, remote bool) bool {
@@ -186,7 +205,7 @@
 	if strict && e.marked > 0 {
 		return reason.NoSlot
 	}
-	if request.Recovery && e.recoveryPaced(now) && !c.options.faults.noPacing {
+	if request.Recovery && e.recoveryPaced(now, c.spread) && !c.options.faults.noPacing {
 		return reason.RecoveryPaced
 	}
 	return ""
@@ -212,11 +231,17 @@
 	return max(1, slots-kept)
 }
 
-func (e *endpoint) recoveryPaced(now time.Duration) bool {
+// recoveryPaced reports whether the endpoint takes no continuation now. With
+// spread the limit is its share, so that other endpoints come first.
+func (e *endpoint) recoveryPaced(now time.Duration, spread bool) bool {
 	if now-e.recoveryWindow >= recoveryWindow {
 		return false
 	}
-	return e.recoveries >= max(1, e.slots()/recoveryShare)
+	least := fewRecoveries
+	if spread {
+		least = 1
+	}
+	return e.recoveries >= max(least, e.slots()/recoveryShare)
 }
 
 func (e *endpoint) countRecovery(now time.Duration) {
--- a/placement/core.go
+++ b/placement/core.go
@@ -59,6 +59,7 @@
 
 	usable     []*endpoint
 	pass       uint64
+	spread     bool // continuations keep to each endpoint's share
 	sampleAt   time.Duration
 	sampleNext int
 	probes     uint64
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -187,6 +187,30 @@
 		}
 	})
 
+	// Guards the callers of a lost engine among few small ones: with one
+	// continuation per engine and window, the last of six waited 500 ms.
+	It("starts the continuations of a small fleet within one window", func() {
+		configure(engineAt("e1", "east", 8), engineAt("e2", "east", 8), engineAt("e3", "east", 8), engineAt("w1", "west", 8))
+		core.Step(now, WentSilent{Endpoint: "e1"})
+		taken := map[api.EndpointID]int{}
+		for range 8 {
+			request := interactive()
+			request.Recovery = true
+			request.Exclude = []api.EndpointID{"e1"}
+			continued, why := place(request)
+			Expect(why).To(BeEmpty())
+			taken[continued.Endpoint.ID]++
+			if len(taken) == 1 {
+				Expect(taken).To(HaveKeyWithValue(continued.Endpoint.ID, 1), "the first two go to different engines")
+			}
+		}
+		Expect(taken).To(Equal(map[api.EndpointID]int{"e2": 4, "e3": 4}))
+		request := interactive()
+		request.Recovery = true
+		_, why := place(request)
+		Expect(why).To(BeEquivalentTo("waits"), "the limit of four holds")
+	})
+
 	// Guards the other models of an engine that has not loaded a new version yet.
 	It("pauses only the model that an engine refused", func() {
 		engine := engineAt("e1", "east", 8)
