Name other instances member in log lines

Cause: every line has the key instance for the process that writes it, and lines about another instance repeated the key. Change: the key member. Measured: go test ./fleet passes. Conclusion: kept.

--- a/fleet/io.go
+++ b/fleet/io.go
@@ -136,7 +136,7 @@
 	ok := r.deregister(ctx, a.ID, a.Incarnation)
 	if ok {
 		r.metrics.expelled.Inc(1)
-		r.options.Log.Warn("expelled an instance", "instance", string(a.ID), "incarnation", a.Incarnation)
+		r.options.Log.Warn("expelled an instance", "member", string(a.ID), "incarnation", a.Incarnation)
 	}
 	r.post(ExpelDone{ID: a.ID, Incarnation: a.Incarnation, OK: ok})
 	return ok
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -216,7 +216,7 @@
 		r.options.Tickets.Offer(a.Address, a.HeadVersion)
 	case Changed:
 		r.metrics.changed(a)
-		r.options.Log.Info("member changed state", "instance", string(a.Member.ID),
+		r.options.Log.Info("member changed state", "member", string(a.Member.ID),
 			"from", a.From.String(), "to", a.Member.State.String(), "incarnation", a.Member.Incarnation)
 	case Duplicate:
 		r.metrics.duplicate.Inc(1)
