Bound the time for a request body

Cause: only headers had a time limit; a sender that never finished its body held a connection and a goroutine for good. Change: 30 s for a body, set on the connection and cleared before the answer, so that long streams are not ended; two tests. Measured: the tests fail without the deadline and without its clearing; the tests of httpapi, order, generation, ticket and peer pass with -race.

--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -10,8 +10,10 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
@@ -73,15 +75,31 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// ReadBody reads a request body of at most limit bytes.
+// bodyTimeout bounds how long a sender may take for its body. A 4 MB body
+// passes at 140 KB a second.
+const bodyTimeout = 30 * time.Second
+
+// ReadBody reads a request body of at most limit bytes within bodyTimeout.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	return readBody(w, r, limit, bodyTimeout)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+	// The deadline is cleared again, since a read deadline that passes during
+	// the answer would end a stream. Writers without deadlines are for tests.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, reason.New(reason.TooLarge, "the body is larger than %d bytes", limit)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, reason.New(reason.BadRequest, "the body did not arrive within %s", timeout)
+	}
 	return nil, reason.New(reason.BadRequest, "the body could not be read")
 }
--- /dev/null
+++ b/httpapi/slow_test.go
@@ -0,0 +1,62 @@
+package httpapi
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against connections that are held for good by a sender that never
+// finishes its body.
+func TestSlowBodyIsRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := readBody(w, r, 1<<20, 50*time.Millisecond); err != nil {
+			WriteError(w, err)
+		}
+	}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nabc"); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(string(answer), "HTTP/1.1 400") || !strings.Contains(string(answer), "did not arrive") {
+		t.Fatalf("answer to an unfinished body: %q", answer)
+	}
+}
+
+// Guards against a read deadline that outlives the body and ends a stream.
+func TestDeadlineEndsWithTheBody(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := readBody(w, r, 1<<20, 20*time.Millisecond); err != nil {
+			WriteError(w, err)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			WriteJSON(w, http.StatusInternalServerError, nil)
+		case <-time.After(100 * time.Millisecond):
+			WriteJSON(w, http.StatusOK, nil)
+		}
+	}))
+	defer server.Close()
+	response, err := http.Post(server.URL, "application/json", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d: the request was cancelled while it was answered", response.StatusCode)
+	}
+}
