--- a/standins/cutproxy/source.go
+++ b/standins/cutproxy/source.go
@@ -7,11 +7,19 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 )
 
 // inodeField is the column of the socket's inode in /proc/net/tcp.
 const inodeField = 9
 
+// The kernel's table of sockets is not read in one piece: while other sockets
+// come and go a read can miss an entry, so that a lookup is tried again.
+const (
+	lookupTries = 5
+	lookupPause = time.Millisecond
+)
+
 // Sources tells which process is behind a connection on this machine. All
 // processes of a test share one IP address, so the address can't tell.
 type Sources struct {
@@ -35,6 +43,16 @@
 	if s == nil || !ok {
 		return ""
 	}
+	for range lookupTries {
+		if name := s.find(tcp); name != "" {
+			return name
+		}
+		time.Sleep(lookupPause)
+	}
+	return ""
+}
+
+func (s *Sources) find(tcp *net.TCPAddr) string {
 	link := "socket:[" + inode(tcp) + "]"
 	s.mu.Lock()
 	defer s.mu.Unlock()
