Serve routed requests on the platform

Cause: the product's generation slice replays tokens by position, which the platform's engines do not offer, so routed requests need a path of their own.

--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,410 @@
+// Package balance chooses the endpoint of a request and the engine that keeps
+// the copy of a running generation. It knows the work of its own instance, how
+// each endpoint has answered lately, and which endpoints are suspected of being
+// down. Core has no I/O and no clock.
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+const (
+	// firstSuspicion and longestSuspicion bound how long an endpoint gets no
+	// new work after it failed to connect or broke off; the time doubles with
+	// each failure in a row. An engine that crashes is back after a second or
+	// more.
+	firstSuspicion   = 400 * time.Millisecond
+	longestSuspicion = 3 * time.Second
+	// domainWindow is the time within which failures of several endpoints of
+	// one failure domain put the rest of the domain under suspicion.
+	domainWindow = 700 * time.Millisecond
+	// domainDeaths endpoints of one service and domain are taken for a failure
+	// of the whole domain.
+	domainDeaths = 2
+	// domainSuspicion is how long the other endpoints of the domain are then
+	// avoided.
+	domainSuspicion = time.Second
+	// outcomeWeight is the weight of one outcome in the moving averages.
+	outcomeWeight = 0.1
+)
+
+// Costs that decide between endpoints. The unit is one running generation, or
+// for a plain service one request.
+const (
+	prefillCost   = 2.5  // a prompt that is being read delays all tokens
+	foreignCost   = 0.25 // another failure domain
+	remoteCost    = 0.75 // another region; its link is narrow and billed
+	affinityCost  = 1.0  // at most; spreads the choices of several instances
+	copyCost      = 0.15 // a copy kept for another engine's generation
+	coldCost      = 1.0
+	errorCost     = 12.0 // for a share of failures of 1
+	suspectCost   = 1000.0
+	domainOutCost = 100.0
+)
+
+// Work is what an endpoint is chosen for.
+type Work struct {
+	Service string
+	// Tokens is the memory that a generation needs; 0 for a plain request.
+	Tokens int
+	// Exclude lists endpoints that were tried.
+	Exclude []api.EndpointID
+	// Continuation says that the work goes on from another endpoint.
+	Continuation bool
+}
+
+// Outcome says how the work at an endpoint ended.
+type Outcome int
+
+// Outcomes.
+const (
+	// Completed is a complete answer.
+	Completed Outcome = iota
+	// Cancelled is an end by our own choice; it says nothing of the endpoint.
+	Cancelled
+	// Refused is a refusal before the request ran.
+	Refused
+	// Failed is an answer that reports a failure of the endpoint.
+	Failed
+	// Broken is an answer that broke off or belonged to another request.
+	Broken
+	// Unreachable is a failure to connect.
+	Unreachable
+	// Silent is the lack of an answer.
+	Silent
+)
+
+// endpoint is the state of one endpoint.
+type endpoint struct {
+	registry.Endpoint
+	hash       float64 // affinity of this instance, 0 to 1
+	running    int
+	prefilling int
+	tokens     int // of running generations and of copies
+	copies     int
+
+	failures     int // in a row
+	suspectUntil time.Duration
+	probing      bool // one request tests a suspected endpoint
+	failedAt     time.Duration
+	heardAt      time.Duration
+	errorShare   float64
+	latency      float64 // milliseconds, moving average
+	refusedUntil time.Duration
+}
+
+// CoreOptions configures a Core.
+type CoreOptions struct {
+	Instance api.InstanceID
+	Place    api.Place
+	Regions  map[api.FailureDomain]api.Region
+}
+
+// Core holds the endpoints. It is not safe for concurrent use.
+type Core struct {
+	o         CoreOptions
+	endpoints map[api.EndpointID]*endpoint
+	byService map[string][]*endpoint
+	// domainUntil is when the suspicion against a domain of a service ends.
+	domainUntil map[domainKey]time.Duration
+	capacity    map[string]int // tokens of an engine, by service
+}
+
+type domainKey struct {
+	service string
+	domain  api.FailureDomain
+}
+
+// NewCore returns a core without endpoints.
+func NewCore(o CoreOptions) *Core {
+	return &Core{
+		o:           o,
+		endpoints:   make(map[api.EndpointID]*endpoint),
+		byService:   make(map[string][]*endpoint),
+		domainUntil: make(map[domainKey]time.Duration),
+		capacity:    make(map[string]int),
+	}
+}
+
+// SetCapacity sets the memory of the engines of a service in tokens.
+func (c *Core) SetCapacity(service string, tokens int) { c.capacity[service] = tokens }
+
+// Apply takes over a change of the registry.
+func (c *Core) Apply(change registry.Change) {
+	known, ok := c.endpoints[change.Endpoint.ID]
+	switch change.Kind {
+	case registry.Gone:
+		if ok && known.Incarnation == change.Endpoint.Incarnation {
+			delete(c.endpoints, change.Endpoint.ID)
+			c.unlist(known)
+		}
+	default:
+		if ok && known.Incarnation == change.Endpoint.Incarnation && known.Address == change.Endpoint.Address {
+			known.Endpoint = change.Endpoint
+			return
+		}
+		if ok {
+			c.unlist(known)
+		}
+		added := &endpoint{Endpoint: change.Endpoint, hash: affinity(c.o.Instance, change.Endpoint.ID)}
+		c.endpoints[added.ID] = added
+		c.byService[added.Service] = append(c.byService[added.Service], added)
+	}
+}
+
+func (c *Core) unlist(gone *endpoint) {
+	c.byService[gone.Service] = slices.DeleteFunc(c.byService[gone.Service], func(e *endpoint) bool { return e == gone })
+}
+
+// affinity differs by instance, so that instances that know only their own work
+// do not all choose the same endpoint.
+func affinity(instance api.InstanceID, id api.EndpointID) float64 {
+	return float64(xxhash.Sum64String(string(instance)+"/"+string(id))) / math.MaxUint64
+}
+
+// Choose returns the endpoint for the work and counts the work there.
+func (c *Core) Choose(now time.Duration, work Work) (*Lease, *reason.Error) {
+	best, bestCost := (*endpoint)(nil), math.Inf(1)
+	leaving, excluded := 0, 0
+	for _, e := range c.byService[work.Service] {
+		switch {
+		case e.Draining:
+			leaving++
+			continue
+		case slices.Contains(work.Exclude, e.ID):
+			excluded++
+			continue
+		case c.full(e, work):
+			continue
+		}
+		if cost := c.cost(now, e, work); cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil, c.refusal(work, leaving, excluded)
+	}
+	return c.lease(now, best, work), nil
+}
+
+func (c *Core) refusal(work Work, leaving, excluded int) *reason.Error {
+	total := len(c.byService[work.Service])
+	switch {
+	case total == 0:
+		return reason.New(reason.NoEndpoint, "no endpoint of the service is registered")
+	case leaving == total:
+		return reason.New(reason.EndpointLeaving, "all endpoints of the service are leaving")
+	case leaving+excluded == total:
+		return reason.New(reason.AttemptsExhausted, "all endpoints of the service were tried")
+	}
+	return reason.New(reason.NoSlot, "all endpoints of the service are full")
+}
+
+// full reports whether the endpoint cannot take the work because of what this
+// instance alone has placed there.
+func (c *Core) full(e *endpoint, work Work) bool {
+	if work.Tokens == 0 {
+		return false
+	}
+	capacity := c.capacity[work.Service]
+	return e.running+e.copies >= e.Slots || (capacity > 0 && e.tokens+work.Tokens > capacity)
+}
+
+func (c *Core) cost(now time.Duration, e *endpoint, work Work) float64 {
+	cost := c.distance(e.Domain) + errorCost*e.errorShare
+	if work.Tokens > 0 {
+		cost += float64(e.running) + prefillCost*float64(e.prefilling) + copyCost*float64(e.copies) + affinityCost*e.hash
+	} else {
+		cost += float64(e.running) + e.latency/plainLatencyUnit
+	}
+	if e.Cold > 0 {
+		cost += coldCost
+	}
+	if now < e.refusedUntil {
+		cost += domainOutCost / 2
+	}
+	if now < e.suspectUntil || e.probing {
+		cost += suspectCost
+	} else if now < c.domainUntil[domainKey{e.Service, e.Domain}] && e.heardAt < c.domainUntil[domainKey{e.Service, e.Domain}]-domainSuspicion {
+		cost += domainOutCost
+	}
+	return cost
+}
+
+// plainLatencyUnit is the average latency in milliseconds that costs as much as
+// one request that is running.
+const plainLatencyUnit = 60.0
+
+func (c *Core) distance(domain api.FailureDomain) float64 {
+	switch {
+	case domain == c.o.Place.FailureDomain:
+		return 0
+	case c.o.Regions[domain] == c.o.Place.Region:
+		return foreignCost
+	}
+	return foreignCost + remoteCost
+}
+
+// Lease is a place at an endpoint. Every lease is released once.
+type Lease struct {
+	Endpoint registry.Endpoint
+	endpoint *endpoint
+	tokens   int
+	started  time.Duration
+	prefill  bool
+	copy     bool
+	released bool
+	// Suspected says that the endpoint was chosen although it is suspected of
+	// being down.
+	Suspected bool
+}
+
+func (c *Core) lease(now time.Duration, e *endpoint, work Work) *Lease {
+	l := &Lease{Endpoint: e.Endpoint, endpoint: e, tokens: work.Tokens, started: now}
+	l.Suspected = now < e.suspectUntil
+	if e.failures > 0 {
+		e.probing = true
+	}
+	e.running++
+	e.tokens += work.Tokens
+	if work.Tokens > 0 && !work.Continuation {
+		l.prefill = true
+		e.prefilling++
+	}
+	return l
+}
+
+// ChooseCopy returns the engine that keeps the copy of a generation which runs
+// on the primary, or nil if no engine outside the primary's failure domain has
+// room.
+func (c *Core) ChooseCopy(now time.Duration, work Work, primary registry.Endpoint) *Lease {
+	best, bestCost := (*endpoint)(nil), math.Inf(1)
+	for _, e := range c.byService[work.Service] {
+		if e.Draining || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(work.Exclude, e.ID) {
+			continue
+		}
+		cost := c.cost(now, e, work)
+		if cost >= domainOutCost || c.full(e, work) {
+			continue
+		}
+		if cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.copies++
+	best.tokens += work.Tokens
+	return &Lease{Endpoint: best.Endpoint, endpoint: best, tokens: work.Tokens, started: now, copy: true}
+}
+
+// Promote turns the lease of a copy into the lease of the running generation.
+func (c *Core) Promote(now time.Duration, l *Lease) {
+	if l.released || !l.copy {
+		return
+	}
+	l.copy = false
+	l.started = now
+	l.endpoint.copies--
+	l.endpoint.running++
+}
+
+// Alive reports whether an endpoint is registered in the same lifetime and not
+// suspected.
+func (c *Core) Alive(now time.Duration, e registry.Endpoint) bool {
+	known, ok := c.endpoints[e.ID]
+	return ok && known.Incarnation == e.Incarnation && known.Address == e.Address && now >= known.suspectUntil
+}
+
+// Heard notes a sign of life of the endpoint of a lease.
+func (c *Core) Heard(now time.Duration, l *Lease) {
+	e := l.endpoint
+	e.heardAt = now
+	e.failures = 0
+	e.suspectUntil = 0
+	e.probing = false
+	if l.prefill {
+		l.prefill = false
+		e.prefilling--
+	}
+}
+
+// LastHeard returns the last sign of life of the endpoint of a lease.
+func (c *Core) LastHeard(l *Lease) time.Duration { return l.endpoint.heardAt }
+
+// Release ends a lease.
+func (c *Core) Release(now time.Duration, l *Lease, outcome Outcome) {
+	if l.released {
+		return
+	}
+	l.released = true
+	e := l.endpoint
+	e.tokens -= l.tokens
+	if l.prefill {
+		e.prefilling--
+	}
+	if l.copy {
+		e.copies--
+		return
+	}
+	e.running--
+	c.observe(now, e, l, outcome)
+}
+
+func (c *Core) observe(now time.Duration, e *endpoint, l *Lease, outcome Outcome) {
+	switch outcome {
+	case Completed:
+		e.failures, e.suspectUntil, e.probing = 0, 0, false
+		e.heardAt = now
+		e.errorShare *= 1 - outcomeWeight
+		e.latency += outcomeWeight * (float64((now - l.started).Milliseconds()) - e.latency)
+	case Failed, Refused:
+		e.heardAt = now
+		e.failures, e.probing = 0, false
+		if outcome == Refused {
+			e.refusedUntil = now + firstSuspicion/2
+		}
+		e.errorShare += outcomeWeight * (1 - e.errorShare)
+	case Broken, Silent, Unreachable:
+		e.errorShare += outcomeWeight * (1 - e.errorShare)
+		if l.tokens > 0 || outcome == Unreachable {
+			c.suspect(now, e)
+		}
+	case Cancelled:
+		e.probing = false
+		if elapsed := float64((now - l.started).Milliseconds()); l.tokens == 0 && elapsed > e.latency {
+			e.latency += outcomeWeight * (elapsed - e.latency)
+		}
+	}
+}
+
+// Suspect notes that the endpoint of a lease does not take new connections.
+func (c *Core) Suspect(now time.Duration, l *Lease) { c.suspect(now, l.endpoint) }
+
+func (c *Core) suspect(now time.Duration, e *endpoint) {
+	if now-e.failedAt < firstSuspicion/4 && e.failures > 0 {
+		return // several requests saw the same failure
+	}
+	e.probing = false
+	e.failures++
+	e.failedAt = now
+	e.suspectUntil = now + min(longestSuspicion, firstSuspicion<<min(e.failures-1, 8))
+	deaths := 0
+	for _, other := range c.byService[e.Service] {
+		if other.Domain == e.Domain && other.failures > 0 && now-other.failedAt <= domainWindow {
+			deaths++
+		}
+	}
+	if deaths >= domainDeaths {
+		c.domainUntil[domainKey{e.Service, e.Domain}] = now + domainSuspicion
+	}
+}
--- a/cmd/hibiscusstair/main.go
+++ b/cmd/hibiscusstair/main.go
@@ -31,6 +31,7 @@
 		Version:               version,
 		Flags:                 settings.Flags(),
 		EnableShellCompletion: true,
+		Commands:              []*cli.Command{gatewayCommand(), checkCommand()},
 		Action:                serve,
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,474 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/balance"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+	"github.com/hibiscusstair/hibiscusstair/upstream"
+)
+
+const (
+	// eventBuffer is the number of events that a run may be ahead of the caller.
+	eventBuffer = 16
+	// writeTimeout bounds one write to a caller that does not read.
+	writeTimeout = 5 * time.Second
+	// noEngineWait bounds how long a stream looks for an engine while all are
+	// down; engines that crash are back after a second or more.
+	noEngineWait = 2500 * time.Millisecond
+	// noEnginePause is the pause between two looks.
+	noEnginePause = 60 * time.Millisecond
+)
+
+// stream is a streamed answer in progress.
+type stream struct {
+	h   *Handler
+	req *request
+	ctx context.Context
+	w   http.ResponseWriter
+	out *http.ResponseController
+
+	begun bool  // the header was written
+	last  int64 // last event delivered
+	// ran says that an engine may have run a part of the request.
+	ran bool
+	// backup holds the copy of the current run; nil is none.
+	backup *balance.Lease
+	lostAt time.Duration // when the last run was lost; 0 is not lost
+	moves  int
+	lost   *reason.Error // why the last run ended
+	broken bool          // the caller's connection failed
+}
+
+// step is a message from a run: its answer's header, an event, or its end.
+type step struct {
+	response *http.Response
+	event    event
+	complete bool // the answer has ended after a whole event
+	err      error
+}
+
+// run is one attempt at one engine.
+type run struct {
+	lease  *balance.Lease
+	cancel context.CancelFunc
+	steps  chan step
+	fromID int64
+	quiet  silence
+	copied bool // reads the copy that the engine keeps
+	conn   chan *upstream.Conn
+}
+
+// serveStream serves a request whose answer is a series of events. The answer
+// goes on at another engine when one is lost, if the route allows it.
+func (h *Handler) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
+	h.o.Budget.Request(h.o.Clock(), req.service.Name)
+	if engine := req.service.Engine; engine != nil {
+		h.o.Balance.SetCapacity(req.service.Name, engine.KVCapacity)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &stream{h: h, req: req, ctx: ctx, w: w, out: http.NewResponseController(w)}
+	s.last, _ = strconv.ParseInt(req.call.LastEvent, 10, 64)
+	err := s.serve()
+	s.dropBackup()
+	s.finish(err)
+}
+
+// serve runs attempts until the answer is complete or cannot go on.
+func (s *stream) serve() *reason.Error {
+	for {
+		r, err := s.start()
+		if err != nil {
+			return err
+		}
+		done, err := s.follow(r)
+		if done || err != nil {
+			return err
+		}
+		if err := s.mayMove(); err != nil {
+			return err
+		}
+	}
+}
+
+// mayMove decides whether the answer goes on at another engine.
+func (s *stream) mayMove() *reason.Error {
+	refused := s.lost.Run == reason.RunNo
+	switch {
+	case s.ctx.Err() != nil:
+		return s.expired()
+	case !refused && s.req.route.Repeat == routing.RepeatNever:
+		return s.lost
+	case s.req.attempts >= s.req.route.MaxAttempts || s.moves >= maxMoves:
+		return s.lost
+	case !s.h.o.Budget.Repeat(s.h.o.Clock(), s.req.service.Name):
+		s.h.refusals.Inc(reason.RetryBudget)
+		return s.lost
+	}
+	s.moves++
+	s.h.retries.Inc(s.lost.Reason)
+	return nil
+}
+
+// maxMoves bounds the engines that one answer goes to, those included that
+// were down.
+const maxMoves = 8
+
+// start opens a run at the engine that holds the copy of the last one, or at a
+// new engine.
+func (s *stream) start() (*run, *reason.Error) {
+	lease, copied, err := s.place()
+	if err != nil {
+		return nil, err
+	}
+	h, now := s.h, s.h.o.Clock()
+	attempt := Attempt{LastEvent: s.req.call.LastEvent}
+	if s.last > 0 {
+		attempt.LastEvent = strconv.FormatInt(s.last, 10)
+	}
+	if copied {
+		attempt.CopyAt, attempt.CopyOf = lease.Endpoint.Address, s.req.call.ID
+	}
+	if engine := s.req.service.Engine; engine != nil && engine.Backups && s.req.route.Repeat == routing.RepeatFromEvent {
+		work := s.req.work()
+		work.Continuation = true
+		if s.backup = h.o.Balance.ChooseCopy(work, lease.Endpoint); s.backup != nil {
+			attempt.BackupTo = s.backup.Endpoint.Address
+		}
+	}
+	s.req.attempts++
+	ctx, cancel := context.WithCancel(s.ctx)
+	r := &run{
+		lease: lease, cancel: cancel, steps: make(chan step, eventBuffer), fromID: s.last, copied: copied,
+		quiet: silence{gap: s.req.route.TargetGap, firstEvent: s.req.route.TargetLatency, since: now, started: copied},
+	}
+	s.req.log.Info("run started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
+		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "copied", copied,
+		"backup", attempt.BackupTo, "after_event", s.last, "age_ms", (now - s.req.received).Milliseconds())
+	go h.readRun(ctx, r, h.outbound(ctx, s.req, lease.Endpoint, attempt))
+	return r, nil
+}
+
+// place returns the lease of the next run and whether it uses a copy.
+func (s *stream) place() (*balance.Lease, bool, *reason.Error) {
+	if backup := s.backup; backup != nil {
+		s.backup = nil
+		if s.h.o.Balance.Alive(backup.Endpoint) {
+			s.h.o.Balance.Promote(backup)
+			return backup, true, nil
+		}
+		s.h.o.Balance.Release(backup, balance.Cancelled)
+	}
+	until := s.h.o.Clock() + noEngineWait
+	for {
+		work := s.req.work()
+		lease, err := s.h.o.Balance.Choose(work)
+		if err == nil {
+			return lease, false, nil
+		}
+		if err.Reason == reason.AttemptsExhausted && len(s.req.tried) > 0 {
+			// Engines that were lost may be back.
+			s.req.tried = nil
+			continue
+		}
+		if s.h.o.Clock() >= until || s.ctx.Err() != nil || !s.begun {
+			if s.ran {
+				err = err.WithRun(reason.RunUnknown)
+			}
+			return nil, false, err.WithRetryAfter(busyPause)
+		}
+		sleep(s.ctx, noEnginePause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// readRun sends the request and hands the answer over event by event.
+func (h *Handler) readRun(ctx context.Context, r *run, out *http.Request) {
+	defer close(r.steps)
+	send := func(s step) bool {
+		select {
+		case r.steps <- s:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	conn, err := h.o.Pool.Get(ctx, r.lease.Endpoint, true)
+	if err != nil {
+		send(step{err: errConnect})
+		return
+	}
+	defer conn.Close()
+	response, err := conn.RoundTrip(out)
+	if err != nil {
+		send(step{err: err})
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if !send(step{response: response}) {
+		return
+	}
+	events := newEventReader(response.Body)
+	for {
+		next, err := events.next()
+		if errors.Is(err, io.EOF) {
+			send(step{complete: true})
+			return
+		}
+		if !send(step{event: next, err: err}) || err != nil {
+			return
+		}
+	}
+}
+
+// errConnect says that no connection was made, so nothing was sent.
+var errConnect = errors.New("no connection to the endpoint")
+
+// follow delivers the events of a run. It returns true when the answer is
+// complete; otherwise s.lost says why the run ended.
+func (s *stream) follow(r *run) (bool, *reason.Error) {
+	outcome := balance.Cancelled
+	defer func() {
+		r.cancel()
+		s.h.o.Balance.Release(r.lease, outcome)
+	}()
+	var header *http.Response
+	timer := time.NewTimer(firstProbe)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return false, s.expired()
+		case <-timer.C:
+			if s.checkSilence(r, timer) {
+				outcome = balance.Silent
+				s.lose(r, reason.New(reason.EngineSilent, "the engine sent nothing within the bound").WithRun(reason.RunUnknown))
+				return false, nil
+			}
+		case next, open := <-r.steps:
+			if !open {
+				return false, s.expired()
+			}
+			switch {
+			case next.response != nil:
+				header = next.response
+				done, lost, result := s.onHeader(r, header)
+				if done || lost != nil {
+					outcome = result
+				}
+				if lost != nil {
+					s.lose(r, lost)
+					return false, nil
+				}
+				if done {
+					return true, nil
+				}
+			case next.complete:
+				outcome = balance.Completed
+				return true, nil
+			case next.err != nil:
+				var lost *reason.Error
+				lost, outcome = s.onError(next.err)
+				s.lose(r, lost)
+				return false, nil
+			default:
+				if lost := s.onEvent(r, header, next.event); lost != nil {
+					if s.broken {
+						return false, lost
+					}
+					outcome = balance.Broken
+					s.lose(r, lost)
+					return false, nil
+				}
+			}
+		}
+	}
+}
+
+// onHeader handles the answer's header. It returns true when the answer is
+// complete, and an error when the run did not begin.
+func (s *stream) onHeader(r *run, response *http.Response) (bool, *reason.Error, balance.Outcome) {
+	answer := s.h.o.Protocol.DecodeAnswer(response)
+	refused := func(why reason.Reason, message string, outcome balance.Outcome) (bool, *reason.Error, balance.Outcome) {
+		return false, reason.New(why, "%s", message).WithRetryAfter(busyPause), outcome
+	}
+	switch {
+	case answer.Misdirected:
+		return refused(reason.EndpointUnreachable, "another endpoint has the address", balance.Unreachable)
+	case answer.NotExecuted:
+		return refused(reason.EngineRefused, "the engine did not run the request", balance.Refused)
+	case answer.ID != "" && answer.ID != s.req.call.ID:
+		s.ran = true
+		return false, reason.New(reason.ChunkForeign, "the answer belongs to another request").WithRun(reason.RunUnknown), balance.Broken
+	case response.StatusCode == http.StatusOK:
+		return false, nil, balance.Completed
+	case response.StatusCode >= http.StatusInternalServerError || s.begun:
+		s.ran = true
+		return false, reason.New(reason.EngineRefused, "the engine answered %d", response.StatusCode).WithRun(reason.RunYes), balance.Failed
+	}
+	// The engine's own refusal is passed on as it is.
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return false, reason.New(reason.EngineClosed, "the answer broke off").WithRun(reason.RunUnknown), balance.Broken
+	}
+	s.begun = true
+	s.h.deliver(s.w, s.req, result{lease: r.lease, response: response, body: body})
+	return true, nil, balance.Completed
+}
+
+func (s *stream) onError(err error) (*reason.Error, balance.Outcome) {
+	if errors.Is(err, errConnect) {
+		// Nothing was sent, so the engine does not count as an attempt.
+		s.req.attempts--
+		return reason.New(reason.ConnectFailed, "no connection to the engine").WithRetryAfter(busyPause), balance.Unreachable
+	}
+	s.ran = true
+	return reason.New(reason.EngineClosed, "the engine's connection ended: %s", err).WithRun(reason.RunUnknown), balance.Broken
+}
+
+// onEvent delivers an event unless the caller has it already.
+func (s *stream) onEvent(r *run, header *http.Response, e event) *reason.Error {
+	s.ran = true
+	now := s.h.o.Clock()
+	r.quiet.heard(now)
+	s.h.o.Balance.Heard(r.lease)
+	if e.hasID {
+		switch {
+		case e.id <= s.last:
+			return nil
+		case e.id != s.last+1 && s.last > 0:
+			return reason.New(reason.ChunkSkipped, "event %d follows event %d", e.id, s.last).WithRun(reason.RunYes)
+		}
+	}
+	if !s.begun {
+		s.begun = true
+		copyAnswerHeader(s.w, header.Header)
+		s.w.Header().Del("Content-Length")
+		s.w.WriteHeader(http.StatusOK)
+		s.h.latency.RecordDuration(now - s.req.received)
+	}
+	if s.lostAt != 0 {
+		s.h.resume.RecordDuration(now - s.lostAt)
+		s.req.log.Info("stream resumed", "endpoint", r.lease.Endpoint.ID, "event", e.id,
+			"copied", r.copied, "gap_ms", (now - s.lostAt).Milliseconds())
+		s.lostAt = 0
+	}
+	_ = s.out.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := s.w.Write(e.raw)
+	if err == nil {
+		err = s.out.Flush()
+	}
+	if err != nil {
+		s.broken = true
+		return reason.New(reason.SlowCaller, "the caller's connection failed: %s", err).WithRun(reason.RunYes)
+	}
+	if e.hasID {
+		s.last = e.id
+	}
+	return nil
+}
+
+// checkSilence reports whether the run is given up. A probe is a new
+// connection, which the pool keeps if the engine takes it.
+func (s *stream) checkSilence(r *run, timer *time.Timer) bool {
+	now := s.h.o.Clock()
+	decision, at := r.quiet.next(now)
+	timer.Reset(max(time.Millisecond, at-now))
+	switch decision {
+	case verdictMove:
+		return s.req.route.Repeat == routing.RepeatFromEvent
+	case verdictProbe:
+		return s.req.route.Repeat == routing.RepeatFromEvent && !s.probe(r)
+	}
+	return false
+}
+
+func (s *stream) probe(r *run) bool {
+	conn, err := s.h.o.Pool.Get(s.ctx, r.lease.Endpoint, true)
+	if err == nil {
+		s.h.o.Pool.PutUnused(conn)
+		return true
+	}
+	if s.ctx.Err() != nil {
+		return true
+	}
+	s.h.o.Balance.Suspect(r.lease)
+	s.req.log.Info("engine does not take connections", "endpoint", r.lease.Endpoint.ID, "error", err)
+	return false
+}
+
+// lose notes the end of a run without its answer's end.
+func (s *stream) lose(r *run, why *reason.Error) {
+	now := s.h.o.Clock()
+	s.lost = why
+	s.req.tried = append(s.req.tried, r.lease.Endpoint.ID)
+	if s.lostAt == 0 && s.begun {
+		s.lostAt = r.quiet.since
+	}
+	if why.Run == reason.RunNo && r.copied {
+		// The copy is not there; the prompt is read again.
+		s.req.log.Info("copy refused", "endpoint", r.lease.Endpoint.ID, "reason", why.Reason)
+	}
+	s.req.log.Info("run lost", "attempt", s.req.attempts, "endpoint", r.lease.Endpoint.ID,
+		"reason", why.Reason, "message", why.Message, "event", s.last,
+		"silent_ms", (now - r.quiet.since).Milliseconds(), "age_ms", (now - s.req.received).Milliseconds())
+}
+
+func (s *stream) dropBackup() {
+	if s.backup != nil {
+		s.h.o.Balance.Release(s.backup, balance.Cancelled)
+		s.backup = nil
+	}
+}
+
+func (s *stream) expired() *reason.Error {
+	if callerLeft(s.req.inbound) {
+		return reason.New(reason.CallerGone, "the caller closed its connection")
+	}
+	err := reason.New(reason.DeadlineExceeded, "the answer was not complete before the deadline")
+	if s.ran || s.req.attempts > 0 {
+		return err.WithRun(reason.RunUnknown)
+	}
+	return err
+}
+
+// finish gives the final answer. An answer that has begun and cannot go on is
+// cut, so that it does not look complete.
+func (s *stream) finish(err *reason.Error) {
+	age := s.h.o.Clock() - s.req.received
+	switch {
+	case err == nil:
+		s.req.log.Info("answered", "attempts", s.req.attempts, "events", s.last, "age_ms", age.Milliseconds(),
+			"configuration", s.req.version)
+		return
+	case callerLeft(s.req.inbound) || s.broken:
+		s.h.refusals.Inc(reason.CallerGone)
+		s.req.log.Info("caller left", "attempts", s.req.attempts, "event", s.last, "age_ms", age.Milliseconds())
+	case !s.begun:
+		if s.ran && err.Run == reason.RunNo {
+			err = err.WithRun(reason.RunUnknown)
+		}
+		s.h.refuse(s.w, s.req.call, s.req.log, err)
+		return
+	default:
+		s.h.refusals.Inc(err.Reason)
+		s.req.log.Warn("answer cut", "reason", err.Reason, "message", err.Message, "attempts", s.req.attempts,
+			"event", s.last, "age_ms", age.Milliseconds())
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/hibiscusstair/hibiscusstair/balance"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+	"github.com/hibiscusstair/hibiscusstair/storesync"
+	"github.com/hibiscusstair/hibiscusstair/telemetry"
+	"github.com/hibiscusstair/hibiscusstair/upstream"
+)
+
+const (
+	// memoryShare is the part of the memory bound that the runtime aims at.
+	memoryShare = 0.7
+	// leaveTime is how long connections are still accepted after the stop
+	// signal. The balancer takes an instance out after two probes, one a second.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is the part of the stop timeout that is kept for the end.
+	stopMargin = 400 * time.Millisecond
+	// defaultStopTimeout applies if the settings have none.
+	defaultStopTimeout = 8 * time.Second
+	// stopPoll is how often running requests are counted while stopping.
+	stopPoll = 50 * time.Millisecond
+	// housekeeping is the interval of the work that nothing else triggers.
+	housekeeping = 500 * time.Millisecond
+	// defaultHeaderTimeout, defaultHeaderBytes and defaultIdleTimeout apply
+	// until the configuration is known.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultHeaderBytes   = 64 << 10
+	defaultIdleTimeout   = 30 * time.Second
+	// retryShare is the part of the fleet's retry budget that one instance uses
+	// of its own requests, and baselineShare that of the free repetitions.
+	retryShare    = 0.8
+	baselineShare = 0.06
+)
+
+// Options configures a Gateway.
+type Options struct {
+	Settings Settings
+	// Reload reads the settings again; it is called on SIGHUP.
+	Reload   func() (Settings, error)
+	Hangup   <-chan os.Signal
+	Protocol forward.Protocol
+	Store    storesync.Store
+	// DecodeTable decodes a configuration that another instance hands over.
+	DecodeTable func(document []byte) (*routing.Table, error)
+	Log         *slog.Logger
+	Metrics     *telemetry.Metrics
+}
+
+// Gateway is one instance that serves routed requests.
+type Gateway struct {
+	o        Options
+	table    *routing.Current
+	registry *registry.Registry
+	balance  *balance.Balancer
+	pool     *upstream.Pool
+	follower *storesync.Follower
+	forward  *forward.Handler
+	stopping atomic.Bool
+}
+
+// New builds an instance. Nothing listens before Run.
+func New(o Options) *Gateway {
+	g := &Gateway{o: o, table: &routing.Current{}}
+	clock := bootclock.Now
+	s := o.Settings
+	scope := o.Metrics.Scope
+	g.pool = upstream.New(upstream.Options{Clock: clock})
+	g.balance = balance.New(balance.Options{
+		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions},
+		Clock:       clock, Log: o.Log, Scope: scope.SubScope("balance"),
+	})
+	g.registry = registry.New(registry.Options{
+		Clock: clock, Log: o.Log, Scope: scope.SubScope("registry"), OnChange: g.endpointChanged,
+	})
+	g.follower = storesync.New(storesync.Options{
+		Store: o.Store, Table: g.table, Registry: g.registry, Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
+	})
+	g.forward = forward.New(forward.Options{
+		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool,
+		Budget: forward.NewBudget(forward.BudgetOptions{
+			Ratio: s.RetryRatio * retryShare, Baseline: s.RetryBaseline * baselineShare, Window: s.RetryWindow,
+		}),
+		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping.Load,
+	})
+	return g
+}
+
+// endpointChanged passes a change of the registry on.
+func (g *Gateway) endpointChanged(change registry.Change) {
+	g.balance.Apply(change)
+	if change.Kind == registry.Gone {
+		g.pool.Drop(change.Endpoint)
+	}
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	if bound := g.o.Settings.MemoryBytes; bound > 0 {
+		debug.SetMemoryLimit(int64(float64(bound) * memoryShare))
+	}
+	var group run.Group
+	g.addDuty(&group, "configuration", g.follower.FollowTable)
+	g.addDuty(&group, "registrations", g.follower.FollowEndpoints)
+	g.addDuty(&group, "housekeeping", g.keepHouse)
+	servers := []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"caller", g.o.Settings.CallerListen, g.forward},
+		{"ready", g.o.Settings.ReadyListen, http.HandlerFunc(g.serveReady)},
+		{"metrics", g.o.Settings.MetricsListen, g.o.Metrics.Handler()},
+	}
+	for _, s := range servers {
+		if !s.address.IsValid() {
+			continue
+		}
+		if err := g.addServer(&group, s.name, s.address, s.handler); err != nil {
+			return err
+		}
+	}
+	group.Add(g.stopOn(ctx))
+	err := group.Run()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends the run group after a graceful stop.
+var errStopped = errors.New("stopped")
+
+func (g *Gateway) addDuty(group *run.Group, name string, duty func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		if err := duty(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+func (g *Gateway) addServer(group *run.Group, name string, address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return fmt.Errorf("%s listener: %w", name, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		MaxHeaderBytes:    defaultHeaderBytes,
+		IdleTimeout:       defaultIdleTimeout,
+		ErrorLog:          slog.NewLogLogger(g.o.Log.Handler(), slog.LevelDebug),
+	}
+	group.Add(func() error {
+		g.o.Log.Info("listening", "interface", name, "address", address.String())
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func(error) { _ = server.Close() })
+	return nil
+}
+
+// serveReady answers the balancer's probe.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Ready reports whether the instance takes connections.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.table.Load() != nil && len(g.registry.Endpoints()) > 0
+}
+
+// stopOn returns the actor that stops the instance when the context ends:
+// running requests get their answers, new ones are taken until the balancer has
+// noticed, and the process ends before it is killed.
+func (g *Gateway) stopOn(ctx context.Context) (func() error, func(error)) {
+	done := make(chan struct{})
+	execute := func() error {
+		select {
+		case <-ctx.Done():
+		case <-done:
+			return nil
+		}
+		g.stopping.Store(true)
+		began := bootclock.Now()
+		g.o.Log.Info("stopping", "running", g.forward.Active())
+		bound := g.o.Settings.StopTimeout
+		if bound <= 0 {
+			bound = defaultStopTimeout
+		}
+		for {
+			age := bootclock.Now() - began
+			if age >= bound-stopMargin || (age >= leaveTime && g.forward.Active() == 0) {
+				break
+			}
+			time.Sleep(stopPoll)
+		}
+		g.o.Log.Info("stopped", "running", g.forward.Active(), "age_ms", (bootclock.Now() - began).Milliseconds())
+		return errStopped
+	}
+	return execute, func(error) { close(done) }
+}
+
+// keepHouse closes idle connections, lets lapsed registrations expire and
+// reads the settings again when told to.
+func (g *Gateway) keepHouse(ctx context.Context) error {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.o.Hangup:
+			g.reload()
+		case <-ticker.C:
+			g.pool.Expire()
+			g.registry.Apply(registry.Tick{})
+		}
+	}
+}
+
+func (g *Gateway) reload() {
+	next, err := g.o.Reload()
+	if err != nil {
+		g.o.Log.Error("settings not reloaded", "error", err)
+		return
+	}
+	changed := next.CallerListen != g.o.Settings.CallerListen || next.Store != g.o.Settings.Store
+	g.o.Log.Info("settings reloaded", "restart_needed", changed)
+}
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,224 @@
+// Package registry knows the endpoints that have registered themselves in the
+// store: which of them may get new work, which are leaving, and which are
+// gone. The decisions are in Core, which has no I/O and no clock.
+package registry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+)
+
+const (
+	// returnTime is how long after the store's return a registration may be
+	// missing before its endpoint counts as gone. The platform promises that a
+	// living endpoint is back within about two seconds.
+	returnTime = 2200 * time.Millisecond
+	// outageTime is the time without an answer of the store after which a
+	// missing registration may be due to the outage.
+	outageTime = 1500 * time.Millisecond
+)
+
+// Endpoint is a registered endpoint.
+type Endpoint struct {
+	ID api.EndpointID
+	// Incarnation is the time of the endpoint's start in Unix milliseconds. An
+	// endpoint that starts again under its identifier has a higher one.
+	Incarnation int64
+	Service     string
+	Address     string // IP number and port
+	Domain      api.FailureDomain
+	Slots       int
+	// Draining says that the endpoint takes no new work.
+	Draining bool
+	// Cold is how long the endpoint remains slow after its start.
+	Cold time.Duration
+}
+
+// Event is an input of the core.
+type Event interface{ event() }
+
+// Listed is the complete list of registrations.
+type Listed struct{ Endpoints []Endpoint }
+
+// Changed is a new or changed registration.
+type Changed struct{ Endpoint Endpoint }
+
+// Removed is the end of a registration.
+type Removed struct{ ID api.EndpointID }
+
+// StoreAnswered says that the store has answered a call.
+type StoreAnswered struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Learned is a list from another instance. It only fills an empty table, since
+// it may be older than what this instance knows.
+type Learned struct{ Endpoints []Endpoint }
+
+func (Listed) event()        {}
+func (Changed) event()       {}
+func (Removed) event()       {}
+func (StoreAnswered) event() {}
+func (Tick) event()          {}
+func (Learned) event()       {}
+
+// Change says what became of an endpoint.
+type Change struct {
+	Endpoint Endpoint
+	Kind     ChangeKind
+}
+
+// ChangeKind names a change of an endpoint.
+type ChangeKind string
+
+// Kinds of change.
+const (
+	Added    ChangeKind = "added"
+	Updated  ChangeKind = "updated"
+	Leaving  ChangeKind = "leaving"
+	Restored ChangeKind = "restored"
+	Gone     ChangeKind = "gone"
+	// Lapsed is a registration that is missing after an outage of the store.
+	// The endpoint stays in use for returnTime.
+	Lapsed ChangeKind = "lapsed"
+)
+
+type entry struct {
+	endpoint Endpoint
+	// goneAt is when a lapsed registration counts as gone; 0 is not lapsed.
+	goneAt time.Duration
+}
+
+// Core holds the table. It is not safe for concurrent use.
+type Core struct {
+	entries  map[api.EndpointID]*entry
+	answered time.Duration // last answer of the store
+	returned time.Duration // last return of the store after an outage
+	known    bool          // the store has answered at least once
+	changes  []Change
+}
+
+// NewCore returns an empty table.
+func NewCore() *Core { return &Core{entries: make(map[api.EndpointID]*entry)} }
+
+// Step handles one event and returns the changes. The slice is valid until the
+// next Step.
+func (c *Core) Step(now time.Duration, event Event) []Change {
+	c.changes = c.changes[:0]
+	switch e := event.(type) {
+	case Listed:
+		c.contact(now)
+		c.list(now, e.Endpoints)
+	case Changed:
+		c.contact(now)
+		c.put(e.Endpoint)
+	case Removed:
+		c.contact(now)
+		c.miss(now, e.ID)
+	case StoreAnswered:
+		c.contact(now)
+	case Learned:
+		if len(c.entries) == 0 {
+			for _, endpoint := range e.Endpoints {
+				c.put(endpoint)
+			}
+		}
+	}
+	c.expire(now)
+	return c.changes
+}
+
+// Endpoints returns all endpoints in the order of their identifiers.
+func (c *Core) Endpoints() []Endpoint {
+	list := make([]Endpoint, 0, len(c.entries))
+	for _, e := range c.entries {
+		list = append(list, e.endpoint)
+	}
+	slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+func (c *Core) contact(now time.Duration) {
+	if c.known && now-c.answered > outageTime {
+		c.returned = now
+	}
+	c.known = true
+	c.answered = now
+}
+
+func (c *Core) list(now time.Duration, endpoints []Endpoint) {
+	seen := make(map[api.EndpointID]bool, len(endpoints))
+	for _, endpoint := range endpoints {
+		seen[endpoint.ID] = true
+		c.put(endpoint)
+	}
+	for _, endpoint := range c.Endpoints() {
+		if !seen[endpoint.ID] {
+			c.miss(now, endpoint.ID)
+		}
+	}
+}
+
+func (c *Core) put(endpoint Endpoint) {
+	known, ok := c.entries[endpoint.ID]
+	if !ok {
+		c.entries[endpoint.ID] = &entry{endpoint: endpoint}
+		c.change(endpoint, Added)
+		return
+	}
+	before := known.endpoint
+	if endpoint.Incarnation < before.Incarnation {
+		return // a late message of an earlier lifetime
+	}
+	lapsed := known.goneAt != 0
+	known.goneAt = 0
+	known.endpoint = endpoint
+	switch {
+	case endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address:
+		c.change(before, Gone)
+		c.change(endpoint, Added)
+	case endpoint.Draining && !before.Draining:
+		c.change(endpoint, Leaving)
+	case lapsed:
+		c.change(endpoint, Restored)
+	case endpoint != before:
+		c.change(endpoint, Updated)
+	}
+}
+
+// miss handles a registration that is no longer there. In steady state the
+// endpoint is gone; after an outage of the store it has time to come back.
+func (c *Core) miss(now time.Duration, id api.EndpointID) {
+	known, ok := c.entries[id]
+	if !ok || known.goneAt != 0 {
+		return
+	}
+	if c.returned == 0 || now-c.returned >= returnTime {
+		c.remove(known)
+		return
+	}
+	known.goneAt = c.returned + returnTime
+	c.change(known.endpoint, Lapsed)
+}
+
+func (c *Core) expire(now time.Duration) {
+	for _, endpoint := range c.Endpoints() {
+		known := c.entries[endpoint.ID]
+		if known.goneAt != 0 && now >= known.goneAt {
+			c.remove(known)
+		}
+	}
+}
+
+func (c *Core) remove(known *entry) {
+	delete(c.entries, known.endpoint.ID)
+	c.change(known.endpoint, Gone)
+}
+
+func (c *Core) change(endpoint Endpoint, kind ChangeKind) {
+	c.changes = append(c.changes, Change{Endpoint: endpoint, Kind: kind})
+}
--- /dev/null
+++ b/storesync/storesync.go
@@ -0,0 +1,232 @@
+// Package storesync keeps the configuration and the registry of endpoints up
+// to date from the platform's store, and from other instances while the store
+// does not answer.
+package storesync
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+)
+
+const (
+	// tableWait is how long one watch of the configuration waits. A watch can
+	// miss changes while the store drops its history; the next one starts at the
+	// revision of the last change seen and so reports them or is refused. Two
+	// waits fit into the 2.5 s within which a version has to be in force.
+	tableWait = 700 * time.Millisecond
+	// endpointWait is the same for registrations.
+	endpointWait = 800 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 150 * time.Millisecond
+	// absentPause is the pause while the store has no configuration yet.
+	absentPause = 250 * time.Millisecond
+	// gatherPause is the pause between two watches of registrations, so that
+	// registrations that change together cost one call.
+	gatherPause = 150 * time.Millisecond
+	// lostAfter is the time without an answer after which the store counts as
+	// lost.
+	lostAfter = 1200 * time.Millisecond
+)
+
+// ErrCompacted says that the store no longer has the changes since a revision.
+var ErrCompacted = errors.New("the history since the revision is gone")
+
+// TableRead is an answer about the configuration.
+type TableRead struct {
+	Table    *routing.Table // nil if there is none or it has not changed
+	Revision uint64
+}
+
+// EndpointList is the complete list of registrations.
+type EndpointList struct {
+	Endpoints  []registry.Endpoint
+	Revision   uint64
+	Unreadable []error
+}
+
+// EndpointChanges are the changes of registrations after a revision.
+type EndpointChanges struct {
+	Events     []registry.Event
+	Revision   uint64
+	Unreadable []error
+}
+
+// Store is the client of the platform's store.
+type Store interface {
+	ReadTable(ctx context.Context) (TableRead, error)
+	WatchTable(ctx context.Context, after uint64, wait time.Duration) (TableRead, error)
+	ListEndpoints(ctx context.Context) (EndpointList, error)
+	WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (EndpointChanges, error)
+}
+
+// Options configures a Follower.
+type Options struct {
+	Store    Store
+	Table    *routing.Current
+	Registry *registry.Registry
+	Clock    bootclock.Func
+	Log      *slog.Logger
+	Scope    tally.Scope
+}
+
+// Follower follows the store.
+type Follower struct {
+	o        Options
+	answered atomic.Int64 // boot clock of the last answer, in nanoseconds
+	lost     atomic.Bool
+	listed   atomic.Bool
+}
+
+// New returns a follower that has not yet reached the store.
+func New(o Options) *Follower {
+	f := &Follower{o: o}
+	f.answered.Store(int64(o.Clock()))
+	return f
+}
+
+// Lost reports whether the store has not answered for lostAfter.
+func (f *Follower) Lost() bool { return f.age() > lostAfter }
+
+// Listed reports whether the registrations have been read from the store.
+func (f *Follower) Listed() bool { return f.listed.Load() }
+
+func (f *Follower) age() time.Duration { return f.o.Clock() - time.Duration(f.answered.Load()) }
+
+// FollowTable keeps the configuration up to date until the context ends.
+func (f *Follower) FollowTable(ctx context.Context) error {
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		read, err := f.readTable(ctx, revision)
+		switch {
+		case errors.Is(err, ErrCompacted):
+			f.count("table_compacted")
+			revision = 0
+			continue
+		case err != nil:
+			f.failed(ctx, "configuration", err)
+			continue
+		}
+		f.succeeded()
+		revision = read.Revision
+		if read.Table != nil {
+			f.apply(read.Table, "store")
+		}
+		if revision == 0 {
+			pause(ctx, absentPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) readTable(ctx context.Context, revision uint64) (TableRead, error) {
+	f.count("store_calls")
+	if revision == 0 {
+		return f.o.Store.ReadTable(ctx)
+	}
+	return f.o.Store.WatchTable(ctx, revision, tableWait)
+}
+
+// Offer puts a configuration from another instance into force if it is newer.
+func (f *Follower) Offer(table *routing.Table) { f.apply(table, "instance") }
+
+func (f *Follower) apply(table *routing.Table, source string) {
+	before := f.o.Table.Version()
+	if !f.o.Table.Apply(table) {
+		return
+	}
+	f.o.Scope.Gauge("configuration_version").Update(float64(table.Version))
+	f.o.Log.Info("configuration in force", "version", table.Version, "before", before,
+		"routes", table.Routes(), "source", source, "store_age_ms", f.age().Milliseconds())
+}
+
+// FollowEndpoints keeps the registry up to date until the context ends.
+func (f *Follower) FollowEndpoints(ctx context.Context) error {
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		next, err := f.readEndpoints(ctx, revision)
+		switch {
+		case errors.Is(err, ErrCompacted):
+			f.count("registrations_compacted")
+			revision = 0
+			continue
+		case err != nil:
+			f.failed(ctx, "registrations", err)
+			continue
+		}
+		f.succeeded()
+		if next != revision {
+			revision = next
+			pause(ctx, gatherPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) readEndpoints(ctx context.Context, revision uint64) (uint64, error) {
+	f.count("store_calls")
+	if revision == 0 {
+		list, err := f.o.Store.ListEndpoints(ctx)
+		if err != nil {
+			return 0, err
+		}
+		f.unreadable(list.Unreadable)
+		f.o.Registry.Apply(registry.Listed{Endpoints: list.Endpoints})
+		f.listed.Store(true)
+		return list.Revision, nil
+	}
+	changes, err := f.o.Store.WatchEndpoints(ctx, revision, endpointWait)
+	if err != nil {
+		return 0, err
+	}
+	f.unreadable(changes.Unreadable)
+	f.o.Registry.Apply(registry.StoreAnswered{})
+	for _, event := range changes.Events {
+		f.o.Registry.Apply(event)
+	}
+	return changes.Revision, nil
+}
+
+func (f *Follower) unreadable(errors []error) {
+	for _, err := range errors {
+		f.count("registrations_unreadable")
+		f.o.Log.Warn("registration skipped", "error", err)
+	}
+}
+
+func (f *Follower) succeeded() {
+	f.answered.Store(int64(f.o.Clock()))
+	if f.lost.CompareAndSwap(true, false) {
+		f.o.Log.Info("store regained")
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.count("store_errors")
+	if f.Lost() && f.lost.CompareAndSwap(false, true) {
+		f.o.Log.Warn("store lost", "reading", what, "error", err, "age_ms", f.age().Milliseconds())
+	}
+	pause(ctx, retryPause)
+}
+
+func (f *Follower) count(name string) { f.o.Scope.Counter(name).Inc(1) }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -2,6 +2,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"io"
 	"log/slog"
 	"net/http"
@@ -24,6 +25,13 @@
 	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
 }
 
+// droppedLine is the line that says how many lines were dropped.
+func droppedLine(n int64) []byte {
+	var line bytes.Buffer
+	NewLogger(&line, slog.LevelInfo).Warn("log lines dropped", "lines", n)
+	return line.Bytes()
+}
+
 // Metrics is the metrics scope of the process and its scrape endpoint.
 type Metrics struct {
 	Scope   tally.Scope
