Drop the copy of a run that did not begin; refuse streams before a stop

Cause: a continuation that an engine refused went on to the engine of a copy that never existed, and a stopping instance took streams until its end (LOST). Change: a refused run gives its copy up; a stopping instance refuses streams that take longer than it still runs.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -37,8 +37,9 @@
 	Clock    bootclock.Func
 	Log      *slog.Logger
 	Scope    tally.Scope
-	// Stopping reports whether the instance takes no new connections.
-	Stopping func() bool
+	// Stopping reports whether the instance is about to stop, and how long it
+	// still runs.
+	Stopping func() (bool, time.Duration)
 }
 
 // Handler serves routed requests.
@@ -88,7 +89,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.o.Stopping() {
+	stopping, left := h.o.Stopping()
+	if stopping {
 		w.Header().Set("Connection", "close")
 	}
 	received := h.o.Clock()
@@ -102,6 +104,10 @@
 		h.refuse(w, call, h.o.Log.With("request", call.ID), refusal)
 		return
 	}
+	if stopping && left < needed(req) {
+		h.refuse(w, call, req.log, reason.New(reason.ShuttingDown, "the instance stops before the answer").WithRetryAfter(stoppingPause))
+		return
+	}
 	ctx, cancel := h.deadlineContext(r.Context(), req)
 	defer cancel()
 	if req.route.Stream {
@@ -158,6 +164,22 @@
 	return req, nil
 }
 
+const (
+	// streamTime is how long an answer of 130 events takes with its prompt.
+	streamTime = 6 * time.Second
+	// stoppingPause is the advice to callers of an instance that stops; they
+	// return to another one.
+	stoppingPause = 50 * time.Millisecond
+)
+
+// needed is how long the instance has to run to answer the request.
+func needed(req *request) time.Duration {
+	if req.route.Stream {
+		return streamTime
+	}
+	return 3 * req.route.TargetLatency
+}
+
 // notReadyPause is the advice to callers while an instance starts.
 const notReadyPause = 200 * time.Millisecond
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -420,9 +420,9 @@
 	if s.lostAt == 0 && s.begun {
 		s.lostAt = r.quiet.since
 	}
-	if why.Run == reason.RunNo && r.copied {
-		// The copy is not there; the prompt is read again.
-		s.req.log.Info("copy refused", "endpoint", r.lease.Endpoint.ID, "reason", why.Reason)
+	if why.Run == reason.RunNo {
+		// The run did not begin, so nothing was copied either.
+		s.dropBackup()
 	}
 	s.req.log.Info("run lost", "attempt", s.req.attempts, "endpoint", r.lease.Endpoint.ID,
 		"reason", why.Reason, "message", why.Message, "event", s.last,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,7 +73,8 @@
 	pool     *upstream.Pool
 	follower *storesync.Follower
 	forward  *forward.Handler
-	stopping atomic.Bool
+	// stopAt is when the process ends, by the boot clock; 0 is not stopping.
+	stopAt atomic.Int64
 }
 
 // New builds an instance. Nothing listens before Run.
@@ -98,7 +99,7 @@
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: s.RetryRatio * retryShare, Baseline: s.RetryBaseline * baselineShare, Window: s.RetryWindow,
 		}),
-		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping.Load,
+		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 	})
 	return g
 }
@@ -191,7 +192,8 @@
 
 // Ready reports whether the instance takes connections.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && len(g.registry.Endpoints()) > 0
+	stopping, _ := g.stopping()
+	return !stopping && g.table.Load() != nil && len(g.registry.Endpoints()) > 0
 }
 
 // stopOn returns the actor that stops the instance when the context ends:
@@ -205,26 +207,39 @@
 		case <-done:
 			return nil
 		}
-		g.stopping.Store(true)
-		began := bootclock.Now()
-		g.o.Log.Info("stopping", "running", g.forward.Active())
-		bound := g.o.Settings.StopTimeout
-		if bound <= 0 {
-			bound = defaultStopTimeout
-		}
-		for {
-			age := bootclock.Now() - began
-			if age >= bound-stopMargin || (age >= leaveTime && g.forward.Active() == 0) {
-				break
-			}
-			time.Sleep(stopPoll)
-		}
-		g.o.Log.Info("stopped", "running", g.forward.Active(), "age_ms", (bootclock.Now() - began).Milliseconds())
+		g.stop()
 		return errStopped
 	}
 	return execute, func(error) { close(done) }
 }
 
+// stop waits until the running requests have their answers, at most until the
+// process would be killed.
+func (g *Gateway) stop() {
+	bound := g.o.Settings.StopTimeout
+	if bound <= 0 {
+		bound = defaultStopTimeout
+	}
+	began := bootclock.Now()
+	end := began + bound - stopMargin
+	g.stopAt.Store(int64(end))
+	g.o.Log.Info("stopping", "running", g.forward.Active())
+	for bootclock.Now() < end {
+		if bootclock.Now()-began >= leaveTime && g.forward.Active() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	g.o.Log.Info("stopped", "running", g.forward.Active(), "age_ms", (bootclock.Now() - began).Milliseconds())
+}
+
+// stopping reports whether the instance is about to stop and how long it still
+// runs.
+func (g *Gateway) stopping() (bool, time.Duration) {
+	at := time.Duration(g.stopAt.Load())
+	return at != 0, at - bootclock.Now()
+}
+
 // keepHouse closes idle connections, lets lapsed registrations expire and
 // reads the settings again when told to.
 func (g *Gateway) keepHouse(ctx context.Context) error {
