Prefer the same engine for a session; use a copy only after the first event

Cause: engines copy a run from its first event on, so earlier continuations were refused; instances that know only their own work chose the same engines. Change: the affinity depends on session and engine; runs without an event give their copy up; watches wait longer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -42,7 +43,7 @@
 	prefillCost   = 2.5  // a prompt that is being read delays all tokens
 	foreignCost   = 0.25 // another failure domain
 	remoteCost    = 0.75 // another region; its link is narrow and billed
-	affinityCost  = 1.0  // at most; spreads the choices of several instances
+	affinityCost  = 3.0  // at most; see affinity
 	copyCost      = 0.15 // a copy kept for another engine's generation
 	coldCost      = 1.0
 	errorCost     = 12.0 // for a share of failures of 1
@@ -55,10 +56,16 @@
 	Service string
 	// Tokens is the memory that a generation needs; 0 for a plain request.
 	Tokens int
+	// Session is what a generation shares with others of its caller. Work of
+	// one session prefers the same engines at every instance, since they keep
+	// what they have read. "" is none.
+	Session string
 	// Exclude lists endpoints that were tried.
 	Exclude []api.EndpointID
 	// Continuation says that the work goes on from another endpoint.
 	Continuation bool
+
+	session uint64 // hash of Session
 }
 
 // Outcome says how the work at an endpoint ended.
@@ -85,7 +92,7 @@
 // endpoint is the state of one endpoint.
 type endpoint struct {
 	registry.Endpoint
-	hash       float64 // affinity of this instance, 0 to 1
+	hash       uint64
 	running    int
 	prefilling int
 	tokens     int // of running generations and of copies
@@ -154,7 +161,7 @@
 		if ok {
 			c.unlist(known)
 		}
-		added := &endpoint{Endpoint: change.Endpoint, hash: affinity(c.o.Instance, change.Endpoint.ID)}
+		added := &endpoint{Endpoint: change.Endpoint, hash: xxhash.Sum64String(string(change.Endpoint.ID))}
 		c.endpoints[added.ID] = added
 		c.byService[added.Service] = append(c.byService[added.Service], added)
 	}
@@ -164,16 +171,21 @@
 	c.byService[gone.Service] = slices.DeleteFunc(c.byService[gone.Service], func(e *endpoint) bool { return e == gone })
 }
 
-// affinity differs by instance, so that instances that know only their own work
-// do not all choose the same endpoint.
-func affinity(instance api.InstanceID, id api.EndpointID) float64 {
-	return float64(xxhash.Sum64String(string(instance)+"/"+string(id))) / math.MaxUint64
+// affinity is from 0, for the engine that the session prefers, to 1. It depends
+// on the session and the engine alone, so all instances agree, and it spreads
+// sessions evenly although each instance knows only its own work.
+func (e *endpoint) affinity(session uint64) float64 {
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], session)
+	binary.LittleEndian.PutUint64(key[8:], e.hash)
+	return float64(xxhash.Sum64(key[:])) / math.MaxUint64
 }
 
 // Choose returns the endpoint for the work and counts the work there.
 func (c *Core) Choose(now time.Duration, work Work) (*Lease, *reason.Error) {
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
 	leaving, excluded := 0, 0
+	work.session = xxhash.Sum64String(work.Session)
 	for _, e := range c.byService[work.Service] {
 		switch {
 		case e.Draining:
@@ -221,7 +233,7 @@
 func (c *Core) cost(now time.Duration, e *endpoint, work Work) float64 {
 	cost := c.distance(e.Domain) + errorCost*e.errorShare
 	if work.Tokens > 0 {
-		cost += float64(e.running) + prefillCost*float64(e.prefilling) + copyCost*float64(e.copies) + affinityCost*e.hash
+		cost += float64(e.running) + prefillCost*float64(e.prefilling) + copyCost*float64(e.copies) + affinityCost*e.affinity(work.session)
 	} else {
 		cost += float64(e.running) + e.latency/plainLatencyUnit
 	}
@@ -287,6 +299,7 @@
 // room.
 func (c *Core) ChooseCopy(now time.Duration, work Work, primary registry.Endpoint) *Lease {
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
+	work.session = xxhash.Sum64String(work.Session)
 	for _, e := range c.byService[work.Service] {
 		if e.Draining || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(work.Exclude, e.ID) {
 			continue
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -218,7 +218,7 @@
 
 // work describes the request to the balancer.
 func (req *request) work() balance.Work {
-	work := balance.Work{Service: req.service.Name, Exclude: req.tried}
+	work := balance.Work{Service: req.service.Name, Session: req.call.Session, Exclude: req.tried}
 	if req.service.Engine != nil {
 		work.Tokens = max(1, req.call.Tokens())
 	}
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -17,6 +17,9 @@
 	Patience time.Duration
 	// LastEvent is the last event that the caller has of an earlier answer.
 	LastEvent string
+	// Session names the prompt's last part, which belongs to the request or its
+	// session; "" is unknown.
+	Session string
 	// PromptTokens and OutputTokens are the sizes of a generation; 0 is unknown.
 	PromptTokens int
 	OutputTokens int
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -7,6 +7,8 @@
 	// probed by a new connection. Engines send an event every 30 to 60 ms; the
 	// prompt of another request takes up to a second in chunks between them.
 	firstProbe = 220 * time.Millisecond
+	// probeTimeout bounds a probe. A round trip between regions takes 16 ms.
+	probeTimeout = 150 * time.Millisecond
 	// probeInterval is the pause between two probes during one silence.
 	probeInterval = 200 * time.Millisecond
 	// gapShare is the part of the longest pause on time after which a stream
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,7 +11,6 @@
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
-	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
 const (
@@ -59,10 +58,9 @@
 	lease  *balance.Lease
 	cancel context.CancelFunc
 	steps  chan step
-	fromID int64
 	quiet  silence
 	copied bool // reads the copy that the engine keeps
-	conn   chan *upstream.Conn
+	events int  // received
 }
 
 // serveStream serves a request whose answer is a series of events. The answer
@@ -146,7 +144,7 @@
 	s.req.attempts++
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &run{
-		lease: lease, cancel: cancel, steps: make(chan step, eventBuffer), fromID: s.last, copied: copied,
+		lease: lease, cancel: cancel, steps: make(chan step, eventBuffer), copied: copied,
 		quiet: silence{gap: s.req.route.TargetGap, firstEvent: s.req.route.TargetLatency, since: now, started: copied},
 	}
 	s.req.log.Info("run started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
@@ -344,6 +342,7 @@
 // onEvent delivers an event unless the caller has it already.
 func (s *stream) onEvent(r *run, header *http.Response, e event) *reason.Error {
 	s.ran = true
+	r.events++
 	now := s.h.o.Clock()
 	r.quiet.heard(now)
 	s.h.o.Balance.Heard(r.lease)
@@ -399,7 +398,9 @@
 }
 
 func (s *stream) probe(r *run) bool {
-	conn, err := s.h.o.Pool.Get(s.ctx, r.lease.Endpoint, true)
+	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
+	defer cancel()
+	conn, err := s.h.o.Pool.Get(ctx, r.lease.Endpoint, true)
 	if err == nil {
 		s.h.o.Pool.PutUnused(conn)
 		return true
@@ -420,8 +421,8 @@
 	if s.lostAt == 0 && s.begun {
 		s.lostAt = r.quiet.since
 	}
-	if why.Run == reason.RunNo {
-		// The run did not begin, so nothing was copied either.
+	if r.events == 0 {
+		// An engine copies a run once it generates.
 		s.dropBackup()
 	}
 	s.req.log.Info("run lost", "attempt", s.req.attempts, "endpoint", r.lease.Endpoint.ID,
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -22,9 +22,9 @@
 	// miss changes while the store drops its history; the next one starts at the
 	// revision of the last change seen and so reports them or is refused. Two
 	// waits fit into the 2.5 s within which a version has to be in force.
-	tableWait = 700 * time.Millisecond
+	tableWait = time.Second
 	// endpointWait is the same for registrations.
-	endpointWait = 800 * time.Millisecond
+	endpointWait = 1500 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 150 * time.Millisecond
 	// absentPause is the pause while the store has no configuration yet.
