Wait longer for the first event of an engine that takes connections

Cause: moving a request after 2.5 s without an event read its prompt again at another busy engine, and so on.

--- a/forward/silence.go
+++ b/forward/silence.go
@@ -17,8 +17,10 @@
 	// defaultGap applies to a route without a target for the pause.
 	defaultGap = time.Second
 	// firstEventShare is the part of the target latency that an engine gets for
-	// the first event before the request moves.
-	firstEventShare = 0.55
+	// the first event before the request moves although the engine takes
+	// connections. A busy engine reads several prompts one after the other, and
+	// moving reads the prompt again, so only a hung engine is left.
+	firstEventShare = 1.3
 	// defaultFirstEvent applies to a route without a target latency.
 	defaultFirstEvent = 5 * time.Second
 	// prefillProbe is the interval of the probes before the first event.
