Find restarted engines without the store; ask engines who holds a prompt

Cause: an engine that restarts has a new identifier, so while the store was away each crash took its engines out for good; registrations of dead lifetimes were still chosen; callers that returned after a stop of an instance had their prompts read again. Change: package revive asks a failed address who it is (only while the store is lost, only model engines whose service is certain); package prefixcache lists what engines hold and sends returning streams there; a later registration at an address ends the earlier one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,6 +49,7 @@
 	errorCost     = 12.0 // for a share of failures of 1
 	suspectCost   = 1000.0
 	domainOutCost = 100.0
+	preferGain    = 20.0 // for a prompt that is not read again
 )
 
 // Work is what an endpoint is chosen for.
@@ -60,6 +61,9 @@
 	// one session prefers the same engines at every instance, since they keep
 	// what they have read. "" is none.
 	Session string
+	// Prefer lists endpoints that hold the prompt. One of them is chosen if it
+	// can take the work.
+	Prefer []api.EndpointID
 	// Exclude lists endpoints that were tried.
 	Exclude []api.EndpointID
 	// Continuation says that the work goes on from another endpoint.
@@ -113,6 +117,9 @@
 	Instance api.InstanceID
 	Place    api.Place
 	Regions  map[api.FailureDomain]api.Region
+	// OnSuspect is told of endpoints that take no connections. It must not
+	// block.
+	OnSuspect func(registry.Endpoint)
 }
 
 // Core holds the endpoints. It is not safe for concurrent use.
@@ -232,6 +239,9 @@
 
 func (c *Core) cost(now time.Duration, e *endpoint, work Work) float64 {
 	cost := c.distance(e.Domain) + errorCost*e.errorShare
+	if slices.Contains(work.Prefer, e.ID) {
+		cost -= preferGain
+	}
 	if work.Tokens > 0 {
 		cost += float64(e.running) + prefillCost*float64(e.prefilling) + copyCost*float64(e.copies) + affinityCost*e.affinity(work.session)
 	} else {
@@ -331,6 +341,17 @@
 	l.endpoint.running++
 }
 
+// Engines returns the endpoints of a service that take new work.
+func (c *Core) Engines(now time.Duration, service string) []registry.Endpoint {
+	var list []registry.Endpoint
+	for _, e := range c.byService[service] {
+		if !e.Draining && now >= e.suspectUntil {
+			list = append(list, e.Endpoint)
+		}
+	}
+	return list
+}
+
 // Alive reports whether an endpoint is registered in the same lifetime and not
 // suspected.
 func (c *Core) Alive(now time.Duration, e registry.Endpoint) bool {
@@ -408,6 +429,9 @@
 		return // several requests saw the same failure
 	}
 	e.probing = false
+	if c.o.OnSuspect != nil {
+		c.o.OnSuspect(e.Endpoint)
+	}
 	e.failures++
 	e.failedAt = now
 	e.suspectUntil = now + min(longestSuspicion, firstSuspicion<<min(e.failures-1, 8))
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -65,6 +65,13 @@
 	b.core.Promote(b.o.Clock(), l)
 }
 
+// Engines returns the endpoints of a service that take new work.
+func (b *Balancer) Engines(service string) []registry.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Engines(b.o.Clock(), service)
+}
+
 // Alive reports whether an endpoint is registered and not suspected.
 func (b *Balancer) Alive(e registry.Endpoint) bool {
 	b.mu.Lock()
--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -70,13 +70,16 @@
 	metrics := telemetry.NewMetrics()
 	defer func() { _ = metrics.Close() }()
 	lines.Count(metrics.Scope.Counter("log_lines_dropped"))
-	storeClient := &http.Client{Transport: &http.Transport{DialContext: upstream.Dialer().DialContext, DisableCompression: true}}
+	storeClient := newClient()
+	engines := platform.NewEngines(newClient())
 	g := gateway.New(gateway.Options{
 		Settings:    settings,
 		Reload:      load,
 		Hangup:      hangup,
 		Protocol:    platform.Headers{},
 		Store:       platform.NewStore(settings.Store.String(), storeClient),
+		Prompts:     engines,
+		Identify:    engines,
 		DecodeTable: platform.DecodeTable,
 		Log:         log,
 		Metrics:     metrics,
@@ -87,3 +90,8 @@
 	}
 	return nil
 }
+
+// newClient returns a client whose connections end when their peer is silent.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: upstream.Dialer().DialContext, DisableCompression: true}}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
@@ -34,9 +35,11 @@
 	Balance  *balance.Balancer
 	Pool     *upstream.Pool
 	Budget   *Budget
-	Clock    bootclock.Func
-	Log      *slog.Logger
-	Scope    tally.Scope
+	// Prompts finds the engines that hold a prompt; nil does without.
+	Prompts *prefixcache.Index
+	Clock   bootclock.Func
+	Log     *slog.Logger
+	Scope   tally.Scope
 	// Stopping reports whether the instance is about to stop, and how long it
 	// still runs.
 	Stopping func() (bool, time.Duration)
@@ -83,6 +86,9 @@
 	log      *slog.Logger
 	attempts int
 	tried    []api.EndpointID
+	// holders are engines that hold the prompt of a stream that the caller
+	// continues.
+	holders []api.EndpointID
 }
 
 // ServeHTTP serves one request of a caller.
@@ -218,7 +224,7 @@
 
 // work describes the request to the balancer.
 func (req *request) work() balance.Work {
-	work := balance.Work{Service: req.service.Name, Session: req.call.Session, Exclude: req.tried}
+	work := balance.Work{Service: req.service.Name, Session: req.call.Session, Prefer: req.holders, Exclude: req.tried}
 	if req.service.Engine != nil {
 		work.Tokens = max(1, req.call.Tokens())
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -74,11 +74,27 @@
 	defer cancel()
 	s := &stream{h: h, req: req, ctx: ctx, w: w, out: http.NewResponseController(w)}
 	s.last, _ = strconv.ParseInt(req.call.LastEvent, 10, 64)
+	if req.call.LastEvent != "" {
+		s.findHolders()
+	}
 	err := s.serve()
 	s.dropBackup()
 	s.finish(err)
 }
 
+// findHolders looks for engines that hold the prompt of a stream which the
+// caller continues after the loss of an instance.
+func (s *stream) findHolders() {
+	if s.h.o.Prompts == nil || s.req.call.Session == "" || s.req.service.Engine == nil {
+		return
+	}
+	holders := s.h.o.Prompts.Find(s.ctx, s.req.service.Name, s.req.call.Session)
+	for _, holder := range holders {
+		s.req.holders = append(s.req.holders, holder.Endpoint)
+	}
+	s.req.log.Info("caller continues a stream", "after_event", s.last, "holders", s.req.holders)
+}
+
 // serve runs attempts until the answer is complete or cannot go on.
 func (s *stream) serve() *reason.Error {
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,7 +18,9 @@
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/revive"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
@@ -58,6 +60,8 @@
 	Hangup   <-chan os.Signal
 	Protocol forward.Protocol
 	Store    storesync.Store
+	Prompts  prefixcache.Lister
+	Identify revive.Identifier
 	// DecodeTable decodes a configuration that another instance hands over.
 	DecodeTable func(document []byte) (*routing.Table, error)
 	Log         *slog.Logger
@@ -72,6 +76,7 @@
 	balance  *balance.Balancer
 	pool     *upstream.Pool
 	follower *storesync.Follower
+	finder   *revive.Finder
 	forward  *forward.Handler
 	// stopAt is when the process ends, by the boot clock; 0 is not stopping.
 	stopAt atomic.Int64
@@ -85,7 +90,7 @@
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock})
 	g.balance = balance.New(balance.Options{
-		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions},
+		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, OnSuspect: g.endpointSuspected},
 		Clock:       clock, Log: o.Log, Scope: scope.SubScope("balance"),
 	})
 	g.registry = registry.New(registry.Options{
@@ -94,8 +99,15 @@
 	g.follower = storesync.New(storesync.Options{
 		Store: o.Store, Table: g.table, Registry: g.registry, Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
 	})
+	g.finder = revive.New(revive.Options{
+		Identifier: o.Identify, Table: g.table, Registry: g.registry, StoreLost: g.follower.Lost,
+		Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
+	})
+	prompts := prefixcache.New(prefixcache.Options{
+		Lister: o.Prompts, Engines: g.balance.Engines, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
+	})
 	g.forward = forward.New(forward.Options{
-		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool,
+		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool, Prompts: prompts,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: s.RetryRatio * retryShare, Baseline: s.RetryBaseline * baselineShare, Window: s.RetryWindow,
 		}),
@@ -112,6 +124,8 @@
 	}
 }
 
+func (g *Gateway) endpointSuspected(endpoint registry.Endpoint) { g.finder.Failed(endpoint) }
+
 // Run serves until the context ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
 	if bound := g.o.Settings.MemoryBytes; bound > 0 {
@@ -120,6 +134,7 @@
 	var group run.Group
 	g.addDuty(&group, "configuration", g.follower.FollowTable)
 	g.addDuty(&group, "registrations", g.follower.FollowEndpoints)
+	g.addDuty(&group, "restarted engines", g.finder.Run)
 	g.addDuty(&group, "housekeeping", g.keepHouse)
 	servers := []struct {
 		name    string
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -59,6 +59,14 @@
 // it may be older than what this instance knows.
 type Learned struct{ Endpoints []Endpoint }
 
+// Observed is an endpoint that was found at the address of an earlier lifetime
+// while the store does not answer.
+type Observed struct {
+	Endpoint Endpoint
+	Before   api.EndpointID
+}
+
+func (Observed) event()      {}
 func (Listed) event()        {}
 func (Changed) event()       {}
 func (Removed) event()       {}
@@ -121,6 +129,11 @@
 		c.miss(now, e.ID)
 	case StoreAnswered:
 		c.contact(now)
+	case Observed:
+		if known, ok := c.entries[e.Before]; ok && known.endpoint.Address == e.Endpoint.Address {
+			c.remove(known)
+			c.put(e.Endpoint)
+		}
 	case Learned:
 		if len(c.entries) == 0 {
 			for _, endpoint := range e.Endpoints {
@@ -166,6 +179,9 @@
 func (c *Core) put(endpoint Endpoint) {
 	known, ok := c.entries[endpoint.ID]
 	if !ok {
+		if c.superseded(endpoint) {
+			return
+		}
 		c.entries[endpoint.ID] = &entry{endpoint: endpoint}
 		c.change(endpoint, Added)
 		return
@@ -190,6 +206,23 @@
 	}
 }
 
+// superseded removes earlier lifetimes at the endpoint's address and reports
+// whether the table has a later one there: an address has one endpoint.
+func (c *Core) superseded(endpoint Endpoint) bool {
+	for _, other := range c.Endpoints() {
+		if other.ID == endpoint.ID || other.Address != endpoint.Address {
+			continue
+		}
+		if other.Incarnation > endpoint.Incarnation {
+			return true
+		}
+		if other.Incarnation < endpoint.Incarnation {
+			c.remove(c.entries[other.ID])
+		}
+	}
+	return false
+}
+
 // miss handles a registration that is no longer there. In steady state the
 // endpoint is gone; after an outage of the store it has time to come back.
 func (c *Core) miss(now time.Duration, id api.EndpointID) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -61,6 +61,7 @@
 type Service struct {
 	Name           string
 	MaxConnections int // of all callers at one endpoint; 0 is unknown
+	HealthPath     string
 	// Engine describes model engines; nil for a plain service.
 	Engine *Engine
 }
@@ -69,6 +70,7 @@
 type Engine struct {
 	Slots      int
 	KVCapacity int // tokens
+	Models     []string
 	// Backups says that an engine copies a run's memory to another engine.
 	Backups bool
 	// BackupLifetime is how long a copy is kept after its last part.
