Share reads of the store within a failure domain; join instances as a fleet

Cause: each instance watched the store, which was the largest price on 72 instances, and an instance that the store turned away learned nothing. Change: package relay serves what an instance has read and reads through the first instance of the failure domain, directly, or through any other; the fleet slice provides the members over the control address, without registrations.

--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -17,14 +17,18 @@
 	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
-const flagSettings = "settings"
+// Flags of the subcommands.
+const (
+	flagSettings   = "settings"
+	flagPeerSecret = "peer-secret"
+)
 
 // gatewayCommand serves routed requests on the platform.
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name:   "gateway",
 		Usage:  "serve routed requests on the platform",
-		Flags:  []cli.Flag{settingsFlag()},
+		Flags:  []cli.Flag{settingsFlag(), peerSecretFlag()},
 		Action: serveGateway,
 	}
 }
@@ -54,8 +58,20 @@
 	}
 }
 
+func peerSecretFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    flagPeerSecret,
+		Usage:   "secret that signs the messages between instances, the same on all of them",
+		Sources: cli.EnvVars("HIBISCUSSTAIR_PEER_SECRET"),
+	}
+}
+
 func serveGateway(ctx context.Context, cmd *cli.Command) error {
-	load := func() (gateway.Settings, error) { return platform.LoadSettings(cmd.String(flagSettings)) }
+	load := func() (gateway.Settings, error) {
+		settings, err := platform.LoadSettings(cmd.String(flagSettings))
+		settings.PeerSecret = cmd.String(flagPeerSecret)
+		return settings, err
+	}
 	settings, err := load()
 	if err != nil {
 		return cli.Exit(fmt.Sprintf("%+v", err), exitSettings)
@@ -72,7 +88,7 @@
 	lines.Count(metrics.Scope.Counter("log_lines_dropped"))
 	storeClient := newClient()
 	engines := platform.NewEngines(newClient())
-	g := gateway.New(gateway.Options{
+	g, err := gateway.New(gateway.Options{
 		Settings:    settings,
 		Reload:      load,
 		Hangup:      hangup,
@@ -84,6 +100,9 @@
 		Log:         log,
 		Metrics:     metrics,
 	})
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailed)
+	}
 	log.Info("starting", "version", version, "failure_domain", settings.Place.FailureDomain)
 	if err := g.Run(ctx); err != nil {
 		return cli.Exit(err.Error(), exitFailed)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,11 +15,15 @@
 
 	"github.com/oklog/run"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/relay"
 	"github.com/hibiscusstair/hibiscusstair/revive"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
@@ -77,13 +81,16 @@
 	pool     *upstream.Pool
 	follower *storesync.Follower
 	finder   *revive.Finder
+	cache    *relay.Cache
+	clients  *peer.Clients
+	fleet    *fleet.Runner // nil if other instances cannot call this one
 	forward  *forward.Handler
 	// stopAt is when the process ends, by the boot clock; 0 is not stopping.
 	stopAt atomic.Int64
 }
 
 // New builds an instance. Nothing listens before Run.
-func New(o Options) *Gateway {
+func New(o Options) (*Gateway, error) {
 	g := &Gateway{o: o, table: &routing.Current{}}
 	clock := bootclock.Now
 	s := o.Settings
@@ -96,9 +103,16 @@
 	g.registry = registry.New(registry.Options{
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("registry"), OnChange: g.endpointChanged,
 	})
+	g.cache = relay.NewCache()
+	g.clients = peer.NewClients(s.PeerSecret, scope.SubScope("peer"))
 	g.follower = storesync.New(storesync.Options{
-		Store: o.Store, Table: g.table, Registry: g.registry, Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
+		Store: g.source(), Table: g.table, Registry: g.registry, Recorder: g.cache,
+		Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
 	})
+	g.cache.Bind(g.follower.Age, g.follower.Lost)
+	if err := g.buildFleet(); err != nil {
+		return nil, err
+	}
 	g.finder = revive.New(revive.Options{
 		Identifier: o.Identify, Table: g.table, Registry: g.registry, StoreLost: g.follower.Lost,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
@@ -113,7 +127,59 @@
 		}),
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 	})
-	return g
+	return g, nil
+}
+
+// source returns where the store is read: through another instance of the
+// failure domain if there is one.
+func (g *Gateway) source() storesync.Store {
+	s := g.o.Settings
+	if !s.PeerListen.IsValid() {
+		return g.o.Store
+	}
+	return relay.NewSource(relay.SourceOptions{
+		Self:    api.Member{ID: s.Instance, Address: s.PeerListen.String(), Place: s.Place},
+		Direct:  g.o.Store,
+		Members: g.members,
+		Seeds:   g.seeds(),
+		Client:  g.clients.Relay,
+		Decode:  g.o.DecodeTable,
+		Empty:   func() bool { return g.table.Load() == nil || !g.follower.Listed() },
+		Clock:   bootclock.Now, Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("relay"),
+	})
+}
+
+func (g *Gateway) buildFleet() (err error) {
+	s := g.o.Settings
+	if !s.PeerListen.IsValid() {
+		return nil
+	}
+	incarnation := uint64(time.Now().UnixMilli())
+	g.fleet, err = fleet.New(fleet.Options{
+		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(),
+		Seeds: g.seeds(), Store: noRegistrations{}, Clients: g.clients, Tickets: fleetState{g}, Expel: "manual",
+		Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
+	})
+	return err
+}
+
+// members returns the instances that are known. The source may ask before the
+// fleet slice is built.
+func (g *Gateway) members() []api.Member {
+	if g.fleet == nil {
+		return nil
+	}
+	return g.fleet.Members()
+}
+
+func (g *Gateway) seeds() []string {
+	seeds := make([]string, 0, len(g.o.Settings.Peers))
+	for _, address := range g.o.Settings.Peers {
+		if address != g.o.Settings.PeerListen {
+			seeds = append(seeds, address.String())
+		}
+	}
+	return seeds
 }
 
 // endpointChanged passes a change of the registry on.
@@ -136,6 +202,9 @@
 	g.addDuty(&group, "registrations", g.follower.FollowEndpoints)
 	g.addDuty(&group, "restarted engines", g.finder.Run)
 	g.addDuty(&group, "housekeeping", g.keepHouse)
+	if g.fleet != nil {
+		g.addDuty(&group, "fleet", g.fleet.Run)
+	}
 	servers := []struct {
 		name    string
 		address netip.AddrPort
@@ -143,6 +212,7 @@
 	}{
 		{"caller", g.o.Settings.CallerListen, g.forward},
 		{"ready", g.o.Settings.ReadyListen, http.HandlerFunc(g.serveReady)},
+		{"peer", g.o.Settings.PeerListen, g.peerHandler()},
 		{"metrics", g.o.Settings.MetricsListen, g.o.Metrics.Handler()},
 	}
 	for _, s := range servers {
@@ -196,6 +266,13 @@
 	return nil
 }
 
+func (g *Gateway) peerHandler() http.Handler {
+	if g.fleet == nil {
+		return http.NotFoundHandler()
+	}
+	return peer.NewHandler(peerServer{g}, g.cache, g.o.Settings.PeerSecret, g.o.Metrics.Scope.SubScope("peer"))
+}
+
 // serveReady answers the balancer's probe.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
@@ -239,6 +316,11 @@
 	end := began + bound - stopMargin
 	g.stopAt.Store(int64(end))
 	g.o.Log.Info("stopping", "running", g.forward.Active())
+	if g.fleet != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+		defer cancel()
+		g.fleet.Leave(ctx)
+	}
 	for bootclock.Now() < end {
 		if bootclock.Now()-began >= leaveTime && g.forward.Active() == 0 {
 			break
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -24,6 +24,8 @@
 	Store netip.AddrPort
 	// Peers are addresses of some other instances; they may be down.
 	Peers []netip.AddrPort
+	// PeerSecret signs the messages between instances.
+	PeerSecret string
 
 	// MemoryBytes bounds the process, MaxFiles its open files; 0 is unknown.
 	MemoryBytes int64
--- a/peer/client.go
+++ b/peer/client.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// Relay returns the relay client of the instance at the address.
+func (c *Clients) Relay(address string) peerpb.Relay {
+	return peerpb.NewRelayProtobufClient("http://"+address, c.pooled, twirp.WithClientPathPrefix(PathPrefix))
+}
+
 // Close closes idle connections.
 func (c *Clients) Close() { c.pooled.CloseIdleConnections() }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,10 +25,19 @@
 )
 
 // NewHandler returns the handler of the peer listener. Messages without a valid
-// signature are refused and counted.
-func NewHandler(server peerpb.Peer, secret string, scope tally.Scope) http.Handler {
+// signature are refused and counted. The relay is nil if the instance has none.
+func NewHandler(server peerpb.Peer, relay peerpb.Relay, secret string, scope tally.Scope) http.Handler {
+	mux := http.NewServeMux()
+	prefix := twirp.WithServerPathPrefix(PathPrefix)
+	services := []peerpb.TwirpServer{peerpb.NewPeerServer(server, prefix)}
+	if relay != nil {
+		services = append(services, peerpb.NewRelayServer(relay, prefix))
+	}
+	for _, service := range services {
+		mux.Handle(service.PathPrefix(), service)
+	}
 	h := &handler{
-		next:    peerpb.NewPeerServer(server, twirp.WithServerPathPrefix(PathPrefix)),
+		next:    mux,
 		signer:  signer{secret: []byte(secret), now: time.Now},
 		refused: scope.Tagged(map[string]string{"reason": string(reason.PeerUnauthorized)}).Counter("refused"),
 	}
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -33,8 +33,8 @@
 	// registrations that change together cost one call.
 	gatherPause = 150 * time.Millisecond
 	// lostAfter is the time without an answer after which the store counts as
-	// lost.
-	lostAfter = 1200 * time.Millisecond
+	// lost. An answer through another instance may be as old as two waits.
+	lostAfter = 1800 * time.Millisecond
 )
 
 // ErrCompacted says that the store no longer has the changes since a revision.
@@ -44,6 +44,10 @@
 type TableRead struct {
 	Table    *routing.Table // nil if there is none or it has not changed
 	Revision uint64
+	// Age is the time since the store answered; it is 0 for a direct answer.
+	Age time.Duration
+	// Old says that the answer may be older than what the store has.
+	Old bool
 }
 
 // EndpointList is the complete list of registrations.
@@ -51,6 +55,8 @@
 	Endpoints  []registry.Endpoint
 	Revision   uint64
 	Unreadable []error
+	Age        time.Duration
+	Old        bool
 }
 
 // EndpointChanges are the changes of registrations after a revision.
@@ -58,6 +64,14 @@
 	Events     []registry.Event
 	Revision   uint64
 	Unreadable []error
+	Age        time.Duration
+}
+
+// Recorder keeps what was read for other instances.
+type Recorder interface {
+	RecordTable(table *routing.Table, revision uint64)
+	RecordList(list EndpointList)
+	RecordChanges(changes EndpointChanges)
 }
 
 // Store is the client of the platform's store.
@@ -73,6 +87,7 @@
 	Store    Store
 	Table    *routing.Current
 	Registry *registry.Registry
+	Recorder Recorder
 	Clock    bootclock.Func
 	Log      *slog.Logger
 	Scope    tally.Scope
@@ -96,6 +111,12 @@
 // Lost reports whether the store has not answered for lostAfter.
 func (f *Follower) Lost() bool { return f.age() > lostAfter }
 
+// Age returns the time since the store answered, directly or through others.
+func (f *Follower) Age() time.Duration { return f.age() }
+
+// Contact returns the boot clock time of the last answer of the store.
+func (f *Follower) Contact() time.Duration { return time.Duration(f.answered.Load()) }
+
 // Listed reports whether the registrations have been read from the store.
 func (f *Follower) Listed() bool { return f.listed.Load() }
 
@@ -115,11 +136,17 @@
 			f.failed(ctx, "configuration", err)
 			continue
 		}
-		f.succeeded()
-		revision = read.Revision
 		if read.Table != nil {
 			f.apply(read.Table, "store")
 		}
+		if read.Old {
+			// It serves until the store answers, and is read again.
+			pause(ctx, retryPause)
+			continue
+		}
+		f.succeeded(read.Age)
+		f.o.Recorder.RecordTable(read.Table, read.Revision)
+		revision = read.Revision
 		if revision == 0 {
 			pause(ctx, absentPause)
 		}
@@ -162,7 +189,6 @@
 			f.failed(ctx, "registrations", err)
 			continue
 		}
-		f.succeeded()
 		if next != revision {
 			revision = next
 			pause(ctx, gatherPause)
@@ -179,6 +205,13 @@
 			return 0, err
 		}
 		f.unreadable(list.Unreadable)
+		if list.Old {
+			f.o.Registry.Apply(registry.Learned{Endpoints: list.Endpoints})
+			pause(ctx, retryPause)
+			return 0, nil
+		}
+		f.succeeded(list.Age)
+		f.o.Recorder.RecordList(list)
 		f.o.Registry.Apply(registry.Listed{Endpoints: list.Endpoints})
 		f.listed.Store(true)
 		return list.Revision, nil
@@ -188,6 +221,8 @@
 		return 0, err
 	}
 	f.unreadable(changes.Unreadable)
+	f.succeeded(changes.Age)
+	f.o.Recorder.RecordChanges(changes)
 	f.o.Registry.Apply(registry.StoreAnswered{})
 	for _, event := range changes.Events {
 		f.o.Registry.Apply(event)
@@ -202,9 +237,16 @@
 	}
 }
 
-func (f *Follower) succeeded() {
-	f.answered.Store(int64(f.o.Clock()))
-	if f.lost.CompareAndSwap(true, false) {
+// succeeded notes an answer of the store, which others may have passed on.
+func (f *Follower) succeeded(age time.Duration) {
+	at := int64(f.o.Clock() - age)
+	for {
+		before := f.answered.Load()
+		if at <= before || f.answered.CompareAndSwap(before, at) {
+			break
+		}
+	}
+	if !f.Lost() && f.lost.CompareAndSwap(true, false) {
 		f.o.Log.Info("store regained")
 	}
 }
