Read the store at once after a start; advise callers by their patience

Cause: after all instances lost power during an outage of the store, they followed instances that knew nothing, and hung calls took 0.9 s; refused callers came back before the start was over.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -127,7 +127,7 @@
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, call Call, received time.Duration) (*request, *reason.Error) {
 	table := h.o.Table.Load()
 	if table == nil {
-		return nil, reason.New(reason.NotReady, "no configuration yet").WithRetryAfter(notReadyPause)
+		return nil, reason.New(reason.NotReady, "no configuration yet").WithRetryAfter(returnPause(call.Patience))
 	}
 	target, _, _ := strings.Cut(r.RequestURI, "?")
 	if !strings.HasPrefix(target, "/") || strings.HasPrefix(target, "//") {
@@ -150,7 +150,7 @@
 	}
 	req.service = table.Services[route.Pick(call.ID)]
 	if req.service.Name == "" {
-		return nil, reason.New(reason.NoEndpoint, "the route has no service").WithRetryAfter(notReadyPause)
+		return nil, reason.New(reason.NoEndpoint, "the route has no service").WithRetryAfter(returnPause(call.Patience))
 	}
 	req.deadline = deadline(received, call.Patience, route.Timeout)
 	limit := table.Limits.MaxBodyBytes
@@ -186,8 +186,20 @@
 	return 3 * req.route.TargetLatency
 }
 
-// notReadyPause is the advice to callers while an instance starts.
-const notReadyPause = 200 * time.Millisecond
+const (
+	// shortestReturn and longestReturn bound the advice to callers while an
+	// instance starts, which takes one to two seconds.
+	shortestReturn = 200 * time.Millisecond
+	longestReturn  = 2 * time.Second
+	// returnShare is the part of the caller's patience that it is told to wait.
+	// Callers return once or twice, so an early return is wasted.
+	returnShare = 0.25
+)
+
+// returnPause is the advice when to come back after a refusal that lasts.
+func returnPause(patience time.Duration) time.Duration {
+	return min(longestReturn, max(shortestReturn, time.Duration(float64(patience)*returnShare)))
+}
 
 // deadline is the earlier of the caller's and the route's bound.
 func deadline(received, patience, timeout time.Duration) time.Duration {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -157,7 +157,7 @@
 func (p *plain) launch() *reason.Error {
 	lease, err := p.h.o.Balance.Choose(p.req.work())
 	if err != nil {
-		return err.WithRetryAfter(busyPause)
+		return err.WithRetryAfter(returnPause(p.req.call.Patience))
 	}
 	p.req.attempts++
 	p.req.tried = append(p.req.tried, lease.Endpoint.ID)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -196,7 +196,7 @@
 			if s.ran {
 				err = err.WithRun(reason.RunUnknown)
 			}
-			return nil, false, err.WithRetryAfter(busyPause)
+			return nil, false, err.WithRetryAfter(returnPause(s.req.call.Patience))
 		}
 		sleep(s.ctx, noEnginePause)
 	}
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -27,6 +27,8 @@
 	endpointWait = 1500 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 150 * time.Millisecond
+	// startPause is the same while there is no configuration to serve with.
+	startPause = 30 * time.Millisecond
 	// absentPause is the pause while the store has no configuration yet.
 	absentPause = 250 * time.Millisecond
 	// gatherPause is the pause between two watches of registrations, so that
@@ -101,10 +103,11 @@
 	listed   atomic.Bool
 }
 
-// New returns a follower that has not yet reached the store.
+// New returns a follower that has not yet reached the store, which counts as
+// lost until then.
 func New(o Options) *Follower {
 	f := &Follower{o: o}
-	f.answered.Store(int64(o.Clock()))
+	f.answered.Store(int64(o.Clock() - lostAfter - time.Nanosecond))
 	return f
 }
 
@@ -259,6 +262,10 @@
 	if f.Lost() && f.lost.CompareAndSwap(false, true) {
 		f.o.Log.Warn("store lost", "reading", what, "error", err, "age_ms", f.age().Milliseconds())
 	}
+	if f.o.Table.Load() == nil {
+		pause(ctx, startPause)
+		return
+	}
 	pause(ctx, retryPause)
 }
 
