--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,187 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/balance"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
+
+var domains = []api.FailureDomain{"d1", "d2", "d3"}
+
+const prompt = 8000
+
+// newCore returns a core with engines spread over three failure domains.
+func newCore(instance string, engines int) *balance.Core {
+	core := balance.NewCore(balance.CoreOptions{
+		Instance: api.InstanceID(instance),
+		Place:    api.Place{Region: "r1", FailureDomain: "d1"},
+		Regions:  map[api.FailureDomain]api.Region{"d1": "r1", "d2": "r1", "d3": "r2"},
+	})
+	core.SetCapacity("llm", 88000)
+	for i := range engines {
+		core.Apply(registry.Change{Kind: registry.Added, Endpoint: engine(i)})
+	}
+	return core
+}
+
+func engine(i int) registry.Endpoint {
+	return registry.Endpoint{
+		ID: api.EndpointID(fmt.Sprint("e", i)), Incarnation: 1, Service: "llm",
+		Address: fmt.Sprint("10.0.0.", i, ":1"), Domain: domains[i%3], Slots: 64,
+	}
+}
+
+func work(session string) balance.Work {
+	return balance.Work{Service: "llm", Tokens: prompt, Session: session}
+}
+
+var _ = Describe("Core", func() {
+	It("chooses no endpoint that is leaving, gone or tried", func() {
+		core := newCore("i", 3)
+		leaving := engine(0)
+		leaving.Draining = true
+		core.Apply(registry.Change{Kind: registry.Leaving, Endpoint: leaving})
+		core.Apply(registry.Change{Kind: registry.Gone, Endpoint: engine(1)})
+		w := work("s")
+		lease, err := core.Choose(0, w)
+		Expect(err).To(BeNil())
+		Expect(lease.Endpoint.ID).To(BeEquivalentTo("e2"))
+		w.Exclude = []api.EndpointID{"e2"}
+		_, err = core.Choose(0, w)
+		Expect(err.Reason).To(Equal(reason.AttemptsExhausted))
+	})
+
+	It("says why there is none", func() {
+		core := newCore("i", 0)
+		_, err := core.Choose(0, work("s"))
+		Expect(err.Reason).To(Equal(reason.NoEndpoint))
+		Expect(err.Run).To(Equal(reason.RunNo))
+	})
+
+	// Guards against running an engine out of memory, which preempts streams.
+	It("counts the memory of runs and copies against the engine's", func() {
+		core := newCore("i", 3)
+		for i := range 3 * (88000 / prompt) {
+			_, err := core.Choose(0, work(fmt.Sprint(i)))
+			Expect(err).To(BeNil())
+		}
+		_, err := core.Choose(0, work("more"))
+		Expect(err.Reason).To(Equal(reason.NoSlot))
+		Expect(err.Run).To(Equal(reason.RunNo))
+	})
+
+	// Guards against a copy that is lost together with its run.
+	It("keeps a copy in another failure domain", func() {
+		core := newCore("i", 9)
+		for i := range 20 {
+			w := work(fmt.Sprint(i))
+			lease, err := core.Choose(0, w)
+			Expect(err).To(BeNil())
+			if backup := core.ChooseCopy(0, w, lease.Endpoint); backup != nil {
+				Expect(backup.Endpoint.Domain).NotTo(Equal(lease.Endpoint.Domain))
+			}
+		}
+	})
+
+	// Load: one stream after the other, each session returning once from another
+	// instance. Guards against reading a returning session's prompt elsewhere.
+	It("prefers the same engine for a session at every instance", func() {
+		same := 0
+		for i := range 100 {
+			first, _ := newCore("i1", 24).Choose(0, work(fmt.Sprint("session", i)))
+			second, _ := newCore("i2", 24).Choose(0, work(fmt.Sprint("session", i)))
+			if first.Endpoint.ID == second.Endpoint.ID {
+				same++
+			}
+		}
+		Expect(same).To(Equal(100))
+	})
+
+	It("prefers an engine that holds the prompt", func() {
+		core := newCore("i", 24)
+		w := work("s")
+		w.Prefer = []api.EndpointID{"e17"}
+		lease, _ := core.Choose(0, w)
+		Expect(lease.Endpoint.ID).To(BeEquivalentTo("e17"))
+	})
+
+	// Load: the engines of one failure domain crash at once. Guards against
+	// callers that wait for engines of the domain one after the other.
+	It("avoids a failure domain in which several engines were lost at once", func() {
+		core := newCore("i", 24)
+		now := time.Minute
+		lost := 0
+		for i := 0; lost < 2; i++ {
+			lease, _ := core.Choose(now, work(fmt.Sprint("running", i)))
+			if lease.Endpoint.Domain == "d2" {
+				core.Release(now, lease, balance.Broken)
+				lost++
+			}
+		}
+		for i := range 30 {
+			lease, err := core.Choose(now+50*time.Millisecond, work(fmt.Sprint("next", i)))
+			Expect(err).To(BeNil())
+			Expect(lease.Endpoint.Domain).NotTo(BeEquivalentTo("d2"))
+		}
+	})
+
+	It("uses a lost engine again after its suspicion, with one request first", func() {
+		core := newCore("i", 1)
+		lease, _ := core.Choose(time.Minute, work("a"))
+		core.Release(time.Minute, lease, balance.Unreachable)
+		Expect(core.Alive(time.Minute, engine(0))).To(BeFalse())
+		again, _ := core.Choose(time.Minute+time.Second, work("b"))
+		Expect(again.Suspected).To(BeFalse())
+		core.Heard(time.Minute+time.Second, again)
+		Expect(core.Alive(time.Minute+time.Second, engine(0))).To(BeTrue())
+	})
+
+	// Guards against places that are never given back, or given back twice.
+	It("gives every place back once", func() {
+		core := newCore("i", 1)
+		for range 200 {
+			lease, err := core.Choose(0, work("s"))
+			Expect(err).To(BeNil())
+			core.Release(0, lease, balance.Completed)
+			core.Release(0, lease, balance.Completed)
+		}
+		for range 11 {
+			_, err := core.Choose(0, work("s"))
+			Expect(err).To(BeNil())
+		}
+		_, err := core.Choose(0, work("s"))
+		Expect(err).NotTo(BeNil())
+	})
+
+	// Load: one of three desk endpoints fails part of its requests while its
+	// health is good. Guards against routing a third of all requests there.
+	It("moves requests away from an endpoint that fails", func() {
+		core := newCore("i", 3)
+		counts := make(map[api.EndpointID]int)
+		plain := balance.Work{Service: "llm"}
+		for i := range 600 {
+			now := time.Duration(i) * 10 * time.Millisecond
+			lease, _ := core.Choose(now, plain)
+			counts[lease.Endpoint.ID]++
+			outcome := balance.Completed
+			if lease.Endpoint.ID == "e0" && i%2 == 0 {
+				outcome = balance.Failed
+			}
+			core.Release(now+15*time.Millisecond, lease, outcome)
+		}
+		Expect(counts["e0"]).To(BeNumerically("<", 100))
+	})
+})
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -12,9 +12,13 @@
 type BudgetOptions struct {
 	// Ratio is the part of the requests of a window that may be repeated.
 	Ratio float64
-	// Baseline is the number of repetitions of a window that are free of it.
+	// Baseline is the number of repetitions of a window that are free of it, for
+	// all instances together.
 	Baseline float64
 	Window   time.Duration
+	// Instances returns the number of instances that share the baseline; nil
+	// is one.
+	Instances func() int
 }
 
 // Budget bounds the repetitions of requests to each service over a sliding
@@ -51,13 +55,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.at(now, service)
-	if sum(u.repeats)+1 > b.o.Ratio*sum(u.requests)+b.o.Baseline {
+	if sum(u.repeats)+1 > b.o.Ratio*sum(u.requests)+b.baseline() {
 		return false
 	}
 	u.repeats[u.step%budgetSteps]++
 	return true
 }
 
+// baseline is this instance's part, at least one repetition.
+func (b *Budget) baseline() float64 {
+	if b.o.Instances == nil {
+		return b.o.Baseline
+	}
+	return max(1, b.o.Baseline/float64(max(1, b.o.Instances())))
+}
+
 func (b *Budget) at(now time.Duration, service string) *usage {
 	step := int64(now / (b.o.Window / budgetSteps))
 	u, ok := b.services[service]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,10 +50,9 @@
 	defaultHeaderTimeout = 3 * time.Second
 	defaultHeaderBytes   = 64 << 10
 	defaultIdleTimeout   = 30 * time.Second
-	// retryShare is the part of the fleet's retry budget that one instance uses
-	// of its own requests, and baselineShare that of the free repetitions.
-	retryShare    = 0.8
-	baselineShare = 0.06
+	// retryShare is the part of the fleet's retry budget that is used. Counts of
+	// instances are late, and callers' requests shift between instances.
+	retryShare = 0.8
 )
 
 // Options configures a Gateway.
@@ -123,7 +122,8 @@
 	g.forward = forward.New(forward.Options{
 		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool, Prompts: prompts,
 		Budget: forward.NewBudget(forward.BudgetOptions{
-			Ratio: s.RetryRatio * retryShare, Baseline: s.RetryBaseline * baselineShare, Window: s.RetryWindow,
+			Ratio: s.RetryRatio * retryShare, Baseline: s.RetryBaseline * retryShare, Window: s.RetryWindow,
+			Instances: g.instances,
 		}),
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 	})
@@ -172,6 +172,14 @@
 	return g.fleet.Members()
 }
 
+// instances returns the number of live instances, this one included.
+func (g *Gateway) instances() int {
+	if g.fleet == nil {
+		return 1
+	}
+	return g.fleet.Live("")
+}
+
 func (g *Gateway) seeds() []string {
 	seeds := make([]string, 0, len(g.o.Settings.Peers))
 	for _, address := range g.o.Settings.Peers {
--- /dev/null
+++ b/registry/property_test.go
@@ -0,0 +1,52 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+// TestAddressesAreUnique guards against two endpoints at one address, and
+// against an endpoint that stays after its removal in steady state, for any
+// order of events.
+func TestAddressesAreUnique(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		core := registry.NewCore()
+		core.Step(0, registry.Listed{})
+		now := time.Duration(0)
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond
+			e := registry.Endpoint{
+				ID:          api.EndpointID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id")),
+				Incarnation: int64(rapid.IntRange(1, 4).Draw(t, "incarnation")),
+				Address:     rapid.SampledFrom([]string{"x:1", "y:1"}).Draw(t, "address"),
+				Service:     "s",
+			}
+			removed := rapid.Bool().Draw(t, "removed")
+			var event registry.Event = registry.Changed{Endpoint: e}
+			if removed {
+				event = registry.Removed{ID: e.ID}
+			}
+			core.Step(now, event)
+			check(t, core, e.ID, removed)
+		}
+	})
+}
+
+func check(t *rapid.T, core *registry.Core, touched api.EndpointID, removed bool) {
+	newest := make(map[string]int64)
+	for _, have := range core.Endpoints() {
+		if removed && have.ID == touched {
+			t.Fatalf("%s is there after its removal", touched)
+		}
+		if other, ok := newest[have.Address]; ok && other != have.Incarnation {
+			t.Fatalf("two lifetimes at %s", have.Address)
+		}
+		newest[have.Address] = have.Incarnation
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -190,6 +190,10 @@
 	if endpoint.Incarnation < before.Incarnation {
 		return // a late message of an earlier lifetime
 	}
+	if moved := endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address; moved && c.superseded(endpoint) {
+		c.remove(known)
+		return
+	}
 	lapsed := known.goneAt != 0
 	known.goneAt = 0
 	known.endpoint = endpoint
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,122 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+func TestRegistry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "registry")
+}
+
+const (
+	// steady is a time long after the first answer of the store.
+	steady = time.Minute
+	// promised is how long the store may be back before an endpoint that is
+	// alive has registered itself again.
+	promised = 2 * time.Second
+)
+
+func endpoint(id string, incarnation int64) registry.Endpoint {
+	return registry.Endpoint{
+		ID: api.EndpointID(id), Incarnation: incarnation, Service: "s", Address: id + ":1", Domain: "d", Slots: 4,
+	}
+}
+
+func kinds(changes []registry.Change) []registry.ChangeKind {
+	var list []registry.ChangeKind
+	for _, change := range changes {
+		list = append(list, change.Kind)
+	}
+	return list
+}
+
+func ids(core *registry.Core) []string {
+	var list []string
+	for _, e := range core.Endpoints() {
+		list = append(list, string(e.ID))
+	}
+	return list
+}
+
+var _ = Describe("Core", func() {
+	var core *registry.Core
+
+	BeforeEach(func() {
+		core = registry.NewCore()
+		core.Step(0, registry.Listed{Endpoints: []registry.Endpoint{endpoint("a", 1), endpoint("b", 1)}})
+		// The store has answered all the time.
+		for now := time.Duration(0); now <= steady; now += time.Second {
+			core.Step(now, registry.StoreAnswered{})
+		}
+	})
+
+	It("removes an endpoint at once in steady state", func() {
+		Expect(kinds(core.Step(steady, registry.Removed{ID: "a"}))).To(Equal([]registry.ChangeKind{registry.Gone}))
+		Expect(ids(core)).To(Equal([]string{"b"}))
+	})
+
+	It("removes what a complete list lacks", func() {
+		core.Step(steady, registry.Listed{Endpoints: []registry.Endpoint{endpoint("b", 1)}})
+		Expect(ids(core)).To(Equal([]string{"b"}))
+	})
+
+	It("reports an endpoint that begins to leave", func() {
+		leaving := endpoint("a", 1)
+		leaving.Draining = true
+		Expect(kinds(core.Step(steady, registry.Changed{Endpoint: leaving}))).To(Equal([]registry.ChangeKind{registry.Leaving}))
+	})
+
+	// Guards against losing all endpoints when their registrations lapse while
+	// the store is away.
+	It("keeps a registration that lapsed in an outage until its endpoint had time to return", func() {
+		back := steady + 10*time.Second
+		Expect(kinds(core.Step(back, registry.Listed{}))).To(Equal([]registry.ChangeKind{registry.Lapsed, registry.Lapsed}))
+		core.Step(back+promised-time.Millisecond, registry.Tick{})
+		Expect(ids(core)).To(Equal([]string{"a", "b"}))
+		Expect(kinds(core.Step(back+promised-time.Millisecond, registry.Changed{Endpoint: endpoint("a", 1)}))).
+			To(Equal([]registry.ChangeKind{registry.Restored}))
+		core.Step(back+promised+500*time.Millisecond, registry.Tick{})
+		Expect(ids(core)).To(Equal([]string{"a"}))
+	})
+
+	// Guards against state of an earlier lifetime that is kept for the next one.
+	It("ends the earlier lifetime when an endpoint starts again under its identifier", func() {
+		Expect(kinds(core.Step(steady, registry.Changed{Endpoint: endpoint("a", 2)}))).
+			To(Equal([]registry.ChangeKind{registry.Gone, registry.Added}))
+		Expect(core.Step(steady, registry.Changed{Endpoint: endpoint("a", 1)})).To(BeEmpty())
+	})
+
+	// Guards against sending work to a dead lifetime whose address is taken.
+	It("keeps one endpoint for an address", func() {
+		later := endpoint("c", 2)
+		later.Address = "a:1"
+		Expect(kinds(core.Step(steady, registry.Changed{Endpoint: later}))).
+			To(Equal([]registry.ChangeKind{registry.Gone, registry.Added}))
+		Expect(core.Step(steady, registry.Changed{Endpoint: endpoint("a", 1)})).To(BeEmpty())
+		Expect(ids(core)).To(Equal([]string{"b", "c"}))
+	})
+
+	It("takes over an endpoint that was found at a known address", func() {
+		found := endpoint("c", 2)
+		found.Address = "a:1"
+		core.Step(steady, registry.Observed{Endpoint: found, Before: "a"})
+		Expect(ids(core)).To(Equal([]string{"b", "c"}))
+		elsewhere := endpoint("d", 2)
+		Expect(core.Step(steady, registry.Observed{Endpoint: elsewhere, Before: "b"})).To(BeEmpty())
+	})
+
+	It("fills only an empty table from another instance", func() {
+		Expect(core.Step(steady, registry.Learned{Endpoints: []registry.Endpoint{endpoint("z", 1)}})).To(BeEmpty())
+		fresh := registry.NewCore()
+		fresh.Step(0, registry.Learned{Endpoints: []registry.Endpoint{endpoint("z", 1)}})
+		Expect(ids(fresh)).To(Equal([]string{"z"}))
+	})
+})
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,78 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/routing"
+)
+
+func TestRouting(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "routing")
+}
+
+var _ = Describe("Table", func() {
+	routes := []routing.Route{
+		{Name: "short", Host: "a.example", Prefix: "/a/"},
+		{Name: "long", Host: "a.example", Prefix: "/a/b/"},
+		{Name: "other", Host: "b.example", Prefix: "/a/"},
+	}
+
+	// Guards against a request that takes a shorter prefix or another host.
+	DescribeTable("matches the longest prefix of the host",
+		func(host, path, want string) {
+			route, ok := routing.New(1, routes, nil, nil, routing.Limits{}).Match(host, path)
+			Expect(ok).To(Equal(want != ""))
+			Expect(route.Name).To(Equal(want))
+		},
+		Entry("long", "a.example", "/a/b/c", "long"),
+		Entry("short", "a.example", "/a/c", "short"),
+		Entry("host in capitals", "A.Example", "/a/c", "short"),
+		Entry("prefix without its slash", "a.example", "/a", ""),
+		Entry("path that only starts alike", "a.example", "/ab/", ""),
+		Entry("unknown host", "c.example", "/a/", ""),
+	)
+
+	It("knows accounts by key and whether keys are needed", func() {
+		accounts := []routing.Account{{ID: "x", Keys: []string{"k1", "k2"}}}
+		t := routing.New(1, nil, nil, accounts, routing.Limits{})
+		account, ok := t.Account("k2")
+		Expect(ok).To(BeTrue())
+		Expect(account.ID).To(BeEquivalentTo("x"))
+		_, ok = t.Account("")
+		Expect(ok).To(BeFalse())
+		Expect(t.Keyed()).To(BeTrue())
+		Expect(routing.New(1, nil, nil, nil, routing.Limits{}).Keyed()).To(BeFalse())
+		// An empty list of accounts admits nobody; it is not "no keys".
+		Expect(routing.New(1, nil, nil, []routing.Account{}, routing.Limits{}).Keyed()).To(BeTrue())
+	})
+
+	It("splits requests by weight and repeats the choice for a request", func() {
+		route := routing.Route{Services: []routing.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+		counts := make(map[string]int)
+		for i := range 10000 {
+			id := fmt.Sprint("request-", i)
+			service := route.Pick(id)
+			Expect(route.Pick(id)).To(Equal(service))
+			counts[service]++
+		}
+		Expect(counts["b"]).To(BeNumerically("~", 1000, 150))
+		Expect(counts["c"]).To(BeZero())
+	})
+})
+
+var _ = Describe("Current", func() {
+	// Guards against a late answer that takes a removed route or key back.
+	It("never goes back to an older version", func() {
+		var current routing.Current
+		Expect(current.Version()).To(BeZero())
+		Expect(current.Apply(routing.New(3, nil, nil, nil, routing.Limits{}))).To(BeTrue())
+		Expect(current.Apply(routing.New(2, nil, nil, nil, routing.Limits{}))).To(BeFalse())
+		Expect(current.Apply(routing.New(3, nil, nil, nil, routing.Limits{}))).To(BeFalse())
+		Expect(current.Version()).To(BeEquivalentTo(3))
+	})
+})
