--- /dev/null
+++ b/prefixcache/prefixcache_test.go
@@ -0,0 +1,87 @@
+package prefixcache_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/prefixcache"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+func TestPrefixCache(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "prefixcache")
+}
+
+// lister answers with fixed parts by address and counts the lists.
+type lister struct {
+	parts map[string][]prefixcache.Part
+	lists atomic.Int32
+}
+
+func (l *lister) HeldParts(ctx context.Context, address string) ([]prefixcache.Part, error) {
+	l.lists.Add(1)
+	if address == "silent" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	parts, ok := l.parts[address]
+	if !ok {
+		return nil, errors.New("connection refused")
+	}
+	return parts, nil
+}
+
+var _ = Describe("Index", func() {
+	l := &lister{parts: map[string][]prefixcache.Part{
+		"a": {{ID: "p", Tokens: 8000}, {ID: "small", Tokens: 100}},
+		"b": {{ID: "p", Tokens: 8500}},
+	}}
+	newIndex := func(addresses ...string) *prefixcache.Index {
+		l.lists.Store(0)
+		return prefixcache.New(prefixcache.Options{
+			Lister: l,
+			Engines: func(string) []registry.Endpoint {
+				var list []registry.Endpoint
+				for _, address := range addresses {
+					list = append(list, registry.Endpoint{ID: api.EndpointID(address), Address: address})
+				}
+				return list
+			},
+			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+	}
+
+	It("finds the engines that hold a part, the most complete first", func() {
+		holders := newIndex("a", "b", "down").Find(context.Background(), "llm", "p")
+		Expect(holders).To(HaveLen(2))
+		Expect(holders[0].Tokens).To(Equal(8500))
+		Expect(newIndex("a").Find(context.Background(), "llm", "small")).To(BeEmpty())
+	})
+
+	// Load: all callers of a lost instance return at once. Guards against lists
+	// for each of them, which delay the engines.
+	It("asks each engine once for a wave of callers", func() {
+		index := newIndex("a", "b")
+		for range 50 {
+			Expect(index.Find(context.Background(), "llm", "p")).To(HaveLen(2))
+		}
+		Expect(l.lists.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("does not wait long for an engine that does not answer", func() {
+		began := time.Now()
+		Expect(newIndex("a", "silent").Find(context.Background(), "llm", "p")).To(HaveLen(1))
+		Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
+	})
+})
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,270 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/relay"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+	"github.com/hibiscusstair/hibiscusstair/storesync"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+var errDown = errors.New("the store is down")
+
+// fakeStore answers from fixed values, or fails.
+type fakeStore struct {
+	down  atomic.Bool
+	calls atomic.Int32
+}
+
+func (s *fakeStore) answer() error {
+	s.calls.Add(1)
+	if s.down.Load() {
+		return errDown
+	}
+	return nil
+}
+
+func (s *fakeStore) ReadTable(context.Context) (storesync.TableRead, error) {
+	return storesync.TableRead{Table: table(9), Revision: 50}, s.answer()
+}
+
+func (s *fakeStore) WatchTable(_ context.Context, after uint64, _ time.Duration) (storesync.TableRead, error) {
+	return storesync.TableRead{Revision: after}, s.answer()
+}
+
+func (s *fakeStore) ListEndpoints(context.Context) (storesync.EndpointList, error) {
+	return storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("direct")}, Revision: 50}, s.answer()
+}
+
+func (s *fakeStore) WatchEndpoints(_ context.Context, after uint64, _ time.Duration) (storesync.EndpointChanges, error) {
+	return storesync.EndpointChanges{Revision: after}, s.answer()
+}
+
+func table(version uint64) *routing.Table {
+	t := routing.New(version, nil, nil, nil, routing.Limits{})
+	t.Document = []byte{byte(version)}
+	return t
+}
+
+func decode(document []byte) (*routing.Table, error) { return table(uint64(document[0])), nil }
+
+func endpoint(id string) registry.Endpoint {
+	return registry.Endpoint{
+		ID: api.EndpointID(id), Incarnation: 7, Service: "s", Address: "10.0.0.1:1", Domain: "d", Slots: 4,
+		Draining: true, Cold: time.Second,
+	}
+}
+
+// node is another instance with its cache.
+type node struct {
+	cache  *relay.Cache
+	lost   atomic.Bool
+	age    time.Duration
+	member api.Member
+}
+
+func newNode(name, domain string) *node {
+	n := &node{cache: relay.NewCache()}
+	n.cache.Bind(func() time.Duration { return n.age }, n.lost.Load)
+	server := httptest.NewServer(peerpb.NewRelayServer(n.cache))
+	DeferCleanup(server.Close)
+	n.member = api.Member{
+		ID: api.InstanceID(name), Address: server.Listener.Addr().String(), State: api.MemberAlive,
+		Place: api.Place{FailureDomain: api.FailureDomain(domain)},
+	}
+	return n
+}
+
+func client(address string) peerpb.Relay {
+	return peerpb.NewRelayProtobufClient("http://"+address, &http.Client{})
+}
+
+var _ = Describe("Cache", func() {
+	ctx := context.Background()
+	var n *node
+
+	BeforeEach(func() {
+		n = newNode("n", "d")
+		n.cache.RecordTable(table(3), 10)
+		n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("a"), endpoint("b")}, Revision: 10})
+	})
+
+	It("answers with what is newer than the caller's revision", func() {
+		answer, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Document).To(Equal([]byte{3}))
+		Expect(answer.Revision).To(BeEquivalentTo(10))
+		answer, err = n.cache.WatchTable(ctx, &peerpb.WatchRequest{After: 10})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Document).To(BeEmpty())
+		Expect(answer.Revision).To(BeEquivalentTo(10))
+	})
+
+	It("wakes a caller that waits", func() {
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			n.cache.RecordChanges(storesync.EndpointChanges{Revision: 12, Events: []registry.Event{registry.Removed{ID: "a"}}})
+		}()
+		began := time.Now()
+		answer, err := n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 1000})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(answer.Complete).To(BeFalse())
+		Expect(answer.Changes).To(HaveLen(1))
+		Expect(answer.Changes[0].Gone).To(Equal("a"))
+	})
+
+	It("sends the complete list to a caller that lacks too much", func() {
+		n.cache.RecordChanges(storesync.EndpointChanges{Revision: 12, Events: []registry.Event{registry.Removed{ID: "a"}}})
+		answer, err := n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{After: 4})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Complete).To(BeTrue())
+		Expect(answer.Changes).To(HaveLen(1))
+		Expect(answer.Changes[0].Changed.Id).To(Equal("b"))
+	})
+
+	// Guards against instances that take each other's word while none of them
+	// reaches the store.
+	It("does not answer while it has lost the store, unless any age will do", func() {
+		n.lost.Store(true)
+		_, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{})
+		Expect(err).To(HaveOccurred())
+		_, err = n.cache.WatchTable(ctx, &peerpb.WatchRequest{AnyAge: true})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("ends a wait when the store is lost", func() {
+		time.AfterFunc(50*time.Millisecond, func() { n.lost.Store(true) })
+		_, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 1000})
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("keeps the newest of what it is told", func() {
+		n.cache.RecordTable(table(2), 11)
+		n.cache.RecordTable(table(1), 5)
+		answer, _ := n.cache.WatchTable(ctx, &peerpb.WatchRequest{})
+		Expect(answer.Document).To(Equal([]byte{3}))
+		Expect(answer.Revision).To(BeEquivalentTo(11))
+	})
+})
+
+var _ = Describe("Source", func() {
+	ctx := context.Background()
+	var (
+		direct  *fakeStore
+		members []api.Member
+		empty   bool
+		now     atomic.Int64
+	)
+
+	newSource := func() *relay.Source {
+		return relay.NewSource(relay.SourceOptions{
+			Self:    api.Member{ID: "self", Address: "127.0.0.1:1", Place: api.Place{FailureDomain: "d"}},
+			Direct:  direct,
+			Members: func() []api.Member { return members },
+			Client:  client, Decode: decode, Empty: func() bool { return empty },
+			Clock: func() time.Duration { return bootclock.Now() + time.Duration(now.Load()) },
+			Log:   slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+	}
+
+	// leader returns an instance that reads for the domain of "self".
+	leader := func() *node {
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			n := newNode(name, "d")
+			n.cache.RecordTable(table(4), 20)
+			n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("relayed")}, Revision: 20})
+			members = []api.Member{n.member}
+			if _, err := newSource().ReadTable(ctx); err == nil && direct.calls.Load() == 0 {
+				return n
+			}
+			direct.calls.Store(0)
+		}
+		Fail("no name ranks before self")
+		return nil
+	}
+
+	BeforeEach(func() {
+		direct, members, empty = &fakeStore{}, nil, false
+		now.Store(0)
+	})
+
+	It("reads directly while it is alone", func() {
+		read, err := newSource().ReadTable(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Table.Version).To(BeEquivalentTo(9))
+	})
+
+	It("reads through the first instance of its failure domain", func() {
+		n := leader()
+		n.age = 300 * time.Millisecond
+		source := newSource()
+		read, err := source.ReadTable(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Table.Version).To(BeEquivalentTo(4))
+		Expect(read.Age).To(Equal(n.age))
+		list, err := source.ListEndpoints(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list.Endpoints).To(Equal([]registry.Endpoint{endpoint("relayed")}))
+		Expect(direct.calls.Load()).To(BeZero())
+	})
+
+	// Guards against an instance that believes one which the store turns away.
+	It("reads directly when the instance it follows has lost the store", func() {
+		n := leader()
+		n.lost.Store(true)
+		read, err := newSource().ReadTable(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Table.Version).To(BeEquivalentTo(9))
+	})
+
+	It("reads through an instance of another failure domain when the store does not answer", func() {
+		n := newNode("far", "other")
+		n.cache.RecordTable(table(5), 30)
+		members = []api.Member{n.member}
+		direct.down.Store(true)
+		source := newSource()
+		read, err := source.ReadTable(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Table.Version).To(BeEquivalentTo(5))
+		Expect(read.Old).To(BeFalse())
+		// The store is not asked again at once.
+		_, err = source.ReadTable(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(direct.calls.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("takes old values only while it has none", func() {
+		n := newNode("far", "other")
+		n.cache.RecordTable(table(5), 30)
+		n.lost.Store(true)
+		members = []api.Member{n.member}
+		direct.down.Store(true)
+		_, err := newSource().ReadTable(ctx)
+		Expect(err).To(MatchError(errDown))
+		empty = true
+		read, err := newSource().ReadTable(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Old).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/revive/revive_test.go
@@ -0,0 +1,137 @@
+package revive_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/revive"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+)
+
+func TestRevive(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "revive")
+}
+
+// directory answers who has an address.
+type directory struct {
+	mu    sync.Mutex
+	has   map[string]revive.Identity
+	asked int
+}
+
+func (d *directory) Identify(_ context.Context, address, _ string) (revive.Identity, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked++
+	identity, ok := d.has[address]
+	if !ok {
+		return identity, errors.New("connection refused")
+	}
+	return identity, nil
+}
+
+func (d *directory) set(address string, identity revive.Identity) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.has[address] = identity
+}
+
+func (d *directory) questions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked
+}
+
+var _ = Describe("Finder", func() {
+	var (
+		who     *directory
+		entries *registry.Registry
+		finder  *revive.Finder
+		lost    atomic.Bool
+		table   *routing.Current
+	)
+
+	engine := func(id, address string) registry.Endpoint {
+		return registry.Endpoint{ID: api.EndpointID(id), Incarnation: 1, Service: "llm", Address: address, Domain: "d", Slots: 4}
+	}
+	known := func() []api.EndpointID {
+		var list []api.EndpointID
+		for _, e := range entries.Endpoints() {
+			list = append(list, e.ID)
+		}
+		return list
+	}
+	services := func(list ...routing.Service) {
+		table.Apply(routing.New(table.Version()+1, nil, list, nil, routing.Limits{}))
+	}
+	llm := routing.Service{Name: "llm", Engine: &routing.Engine{Models: []string{"m"}}}
+
+	BeforeEach(func() {
+		who = &directory{has: make(map[string]revive.Identity)}
+		table = &routing.Current{}
+		services(llm, routing.Service{Name: "desk"})
+		entries = registry.New(registry.Options{
+			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, OnChange: func(registry.Change) {},
+		})
+		entries.Apply(registry.Listed{Endpoints: []registry.Endpoint{engine("a1", "a:1"), engine("b1", "b:1")}})
+		lost.Store(true)
+		finder = revive.New(revive.Options{
+			Identifier: who, Table: table, Registry: entries, StoreLost: lost.Load,
+			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = finder.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done })
+	})
+
+	// Guards against losing every engine that crashes during an outage of the
+	// store, here with the other engine of its failure domain.
+	It("finds engines that started again under new identifiers", func() {
+		who.set("a:1", revive.Identity{ID: "a2", Incarnation: 2, Models: []string{"m"}})
+		who.set("b:1", revive.Identity{ID: "b2", Incarnation: 2, Models: []string{"m"}})
+		finder.Failed(engine("a1", "a:1"))
+		Eventually(known, "3s").Should(ConsistOf(api.EndpointID("a2"), api.EndpointID("b2")))
+	})
+
+	It("keeps an engine that was not replaced", func() {
+		who.set("a:1", revive.Identity{ID: "a1", Incarnation: 1, Models: []string{"m"}})
+		who.set("b:1", revive.Identity{ID: "b1", Incarnation: 1, Models: []string{"m"}})
+		finder.Failed(engine("a1", "a:1"))
+		Eventually(who.questions, "3s").Should(Equal(2))
+		Expect(known()).To(ConsistOf(api.EndpointID("a1"), api.EndpointID("b1")))
+	})
+
+	// Addresses of endpoints that are gone are given to other services.
+	DescribeTable("does not use an endpoint whose service is not certain",
+		func(found revive.Identity, other routing.Service) {
+			services(llm, other)
+			who.set("a:1", found)
+			finder.Failed(engine("a1", "a:1"))
+			Eventually(who.questions, "3s").Should(BeNumerically(">=", 2))
+			Expect(known()).To(ConsistOf(api.EndpointID("a1"), api.EndpointID("b1")))
+		},
+		Entry("a plain service", revive.Identity{ID: "x"}, routing.Service{Name: "desk"}),
+		Entry("another model", revive.Identity{ID: "x", Models: []string{"n"}}, routing.Service{Name: "desk"}),
+		Entry("a model of two services", revive.Identity{ID: "x", Models: []string{"m"}},
+			routing.Service{Name: "llm2", Engine: &routing.Engine{Models: []string{"m"}}}),
+	)
+
+	It("asks nobody while the store answers", func() {
+		lost.Store(false)
+		finder.Failed(engine("a1", "a:1"))
+		Consistently(who.questions, "1300ms").Should(BeZero())
+	})
+})
