--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"slices"
@@ -33,6 +34,9 @@
 	// domainSuspicion is how long the other endpoints of the domain are then
 	// avoided.
 	domainSuspicion = time.Second
+	// reportLife is how long the report of an engine counts; prompts are read
+	// within about a second.
+	reportLife = 600 * time.Millisecond
 	// outcomeWeight is the weight of one outcome in the moving averages.
 	outcomeWeight = 0.1
 )
@@ -110,6 +114,17 @@
 	errorShare   float64
 	latency      float64 // milliseconds, moving average
 	refusedUntil time.Duration
+
+	// foreign is the part of the last report that is not this instance's work.
+	foreign    Load
+	reportedAt time.Duration
+}
+
+// Load is the work of an engine.
+type Load struct {
+	Running    int // with those that wait
+	Prefilling int // runs whose prompt is being read or waits
+	Tokens     int // memory in use that cannot yield
 }
 
 // CoreOptions configures a Core.
@@ -201,7 +216,7 @@
 		case slices.Contains(work.Exclude, e.ID):
 			excluded++
 			continue
-		case c.full(e, work):
+		case c.full(now, e, work):
 			continue
 		}
 		if cost := c.cost(now, e, work); cost < bestCost {
@@ -228,13 +243,17 @@
 }
 
 // full reports whether the endpoint cannot take the work because of what this
-// instance alone has placed there.
-func (c *Core) full(e *endpoint, work Work) bool {
+// instance has placed there and what the engine has reported.
+func (c *Core) full(now time.Duration, e *endpoint, work Work) bool {
 	if work.Tokens == 0 {
 		return false
 	}
 	capacity := c.capacity[work.Service]
-	return e.running+e.copies >= e.Slots || (capacity > 0 && e.tokens+work.Tokens > capacity)
+	foreign := 0
+	if now-e.reportedAt < reportLife {
+		foreign = e.foreign.Tokens
+	}
+	return e.running+e.copies >= e.Slots || (capacity > 0 && e.tokens+foreign+work.Tokens > capacity)
 }
 
 func (c *Core) cost(now time.Duration, e *endpoint, work Work) float64 {
@@ -247,6 +266,9 @@
 	} else {
 		cost += float64(e.running) + e.latency/plainLatencyUnit
 	}
+	if now-e.reportedAt < reportLife {
+		cost += float64(e.foreign.Running) + prefillCost*float64(e.foreign.Prefilling)
+	}
 	if e.Cold > 0 {
 		cost += coldCost
 	}
@@ -315,7 +337,7 @@
 			continue
 		}
 		cost := c.cost(now, e, work)
-		if cost >= domainOutCost || c.full(e, work) {
+		if cost >= domainOutCost || c.full(now, e, work) {
 			continue
 		}
 		if cost < bestCost {
@@ -341,6 +363,45 @@
 	l.endpoint.running++
 }
 
+// Candidates returns the endpoints that come first for the work.
+func (c *Core) Candidates(now time.Duration, work Work, most int) []registry.Endpoint {
+	type candidate struct {
+		endpoint registry.Endpoint
+		cost     float64
+	}
+	work.session = xxhash.Sum64String(work.Session)
+	var list []candidate
+	for _, e := range c.byService[work.Service] {
+		if e.Draining || slices.Contains(work.Exclude, e.ID) || c.full(now, e, work) {
+			continue
+		}
+		if cost := c.cost(now, e, work); cost < domainOutCost {
+			list = append(list, candidate{e.Endpoint, cost})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	endpoints := make([]registry.Endpoint, 0, most)
+	for _, one := range list[:min(most, len(list))] {
+		endpoints = append(endpoints, one.endpoint)
+	}
+	return endpoints
+}
+
+// Reported takes over the load that an engine reports. The own work here is
+// taken off, since it is counted as it is now.
+func (c *Core) Reported(now time.Duration, reported registry.Endpoint, load Load) {
+	e, ok := c.endpoints[reported.ID]
+	if !ok || e.Incarnation != reported.Incarnation {
+		return
+	}
+	e.reportedAt = now
+	e.foreign = Load{
+		Running:    max(0, load.Running-e.running),
+		Prefilling: max(0, load.Prefilling-e.prefilling),
+		Tokens:     max(0, load.Tokens-e.tokens),
+	}
+}
+
 // Engines returns the endpoints of a service that take new work.
 func (c *Core) Engines(now time.Duration, service string) []registry.Endpoint {
 	var list []registry.Endpoint
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -65,6 +65,20 @@
 	b.core.Promote(b.o.Clock(), l)
 }
 
+// Candidates returns the endpoints that come first for the work.
+func (b *Balancer) Candidates(work Work, most int) []registry.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Candidates(b.o.Clock(), work, most)
+}
+
+// Reported takes over the load that an engine reports.
+func (b *Balancer) Reported(e registry.Endpoint, load Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.Reported(b.o.Clock(), e, load)
+}
+
 // Engines returns the endpoints of a service that take new work.
 func (b *Balancer) Engines(service string) []registry.Endpoint {
 	b.mu.Lock()
--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -96,6 +96,7 @@
 		Store:       platform.NewStore(settings.Store.String(), storeClient),
 		Prompts:     engines,
 		Identify:    engines,
+		Loads:       engines,
 		DecodeTable: platform.DecodeTable,
 		Log:         log,
 		Metrics:     metrics,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/loadprobe"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
@@ -35,6 +36,8 @@
 	Balance  *balance.Balancer
 	Pool     *upstream.Pool
 	Budget   *Budget
+	// Loads asks engines for their load before one is chosen; nil does without.
+	Loads *loadprobe.Prober
 	// Prompts finds the engines that hold a prompt; nil does without.
 	Prompts *prefixcache.Index
 	Clock   bootclock.Func
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -18,6 +18,10 @@
 	eventBuffer = 16
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 5 * time.Second
+	// candidates is the number of engines that are asked for their load before a
+	// generation is placed. Two are far better than one, and each one more adds
+	// less.
+	candidates = 3
 	// noEngineWait bounds how long a stream looks for an engine while all are
 	// down; engines that crash are back after a second or more.
 	noEngineWait = 2500 * time.Millisecond
@@ -183,6 +187,7 @@
 	until := s.h.o.Clock() + noEngineWait
 	for {
 		work := s.req.work()
+		s.askLoads(work)
 		lease, err := s.h.o.Balance.Choose(work)
 		if err == nil {
 			return lease, false, nil
@@ -202,6 +207,14 @@
 	}
 }
 
+// askLoads asks the engines that come first for the work how busy they are.
+func (s *stream) askLoads(work balance.Work) {
+	if s.h.o.Loads == nil || work.Tokens == 0 {
+		return
+	}
+	s.h.o.Loads.Refresh(s.ctx, s.h.o.Balance.Candidates(work, candidates))
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/loadprobe"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/registry"
@@ -65,6 +66,7 @@
 	Store    storesync.Store
 	Prompts  prefixcache.Lister
 	Identify revive.Identifier
+	Loads    loadprobe.Reporter
 	// DecodeTable decodes a configuration that another instance hands over.
 	DecodeTable func(document []byte) (*routing.Table, error)
 	Log         *slog.Logger
@@ -80,6 +82,7 @@
 	pool     *upstream.Pool
 	follower *storesync.Follower
 	finder   *revive.Finder
+	loads    *loadprobe.Prober
 	cache    *relay.Cache
 	clients  *peer.Clients
 	fleet    *fleet.Runner // nil if other instances cannot call this one
@@ -116,11 +119,14 @@
 		Identifier: o.Identify, Table: g.table, Registry: g.registry, StoreLost: g.follower.Lost,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
 	})
+	g.loads = loadprobe.New(loadprobe.Options{
+		Reporter: o.Loads, Balance: g.balance, Clock: clock, Log: o.Log, Scope: scope.SubScope("loadprobe"),
+	})
 	prompts := prefixcache.New(prefixcache.Options{
 		Lister: o.Prompts, Engines: g.balance.Engines, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
 	})
 	g.forward = forward.New(forward.Options{
-		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool, Prompts: prompts,
+		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool, Prompts: prompts, Loads: g.loads,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: s.RetryRatio * retryShare, Baseline: s.RetryBaseline * retryShare, Window: s.RetryWindow,
 			Instances: g.instances,
@@ -195,6 +201,7 @@
 	g.balance.Apply(change)
 	if change.Kind == registry.Gone {
 		g.pool.Drop(change.Endpoint)
+		g.loads.Forget(change.Endpoint.ID)
 	}
 }
 
