Take the pauses between quiet watches for no outage of the store

A quiet watch of registrations takes 1.5 s and more, which counted as an outage, so endpoints that were gone could get work for two more seconds (rule DRAIN). Change: an outage is 2.5 s without an answer, with a test that failed before.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -17,8 +17,10 @@
 	// living endpoint is back within about two seconds.
 	returnTime = 2200 * time.Millisecond
 	// outageTime is the time without an answer of the store after which a
-	// missing registration may be due to the outage.
-	outageTime = 1500 * time.Millisecond
+	// missing registration may be due to the outage. It is above the interval of
+	// quiet watches, about 1.7 s, and below the 3.6 s of silence after which the
+	// platform ends a registration.
+	outageTime = 2500 * time.Millisecond
 )
 
 // Endpoint is a registered endpoint.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -87,6 +87,17 @@
 		Expect(ids(core)).To(Equal([]string{"a"}))
 	})
 
+	// Guards against quiet watches that are taken for outages, so that endpoints
+	// which are gone get work for two seconds more.
+	It("takes the pauses between quiet watches for no outage", func() {
+		now := steady
+		for range 5 {
+			now += 1700 * time.Millisecond
+			core.Step(now, registry.StoreAnswered{})
+		}
+		Expect(kinds(core.Step(now, registry.Removed{ID: "a"}))).To(Equal([]registry.ChangeKind{registry.Gone}))
+	})
+
 	// Guards against state of an earlier lifetime that is kept for the next one.
 	It("ends the earlier lifetime when an endpoint starts again under its identifier", func() {
 		Expect(kinds(core.Step(steady, registry.Changed{Endpoint: endpoint("a", 2)}))).
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -198,6 +198,8 @@
 		Consistently(follower.Lost, "50ms").Should(BeTrue())
 		store.set(func() { store.err = nil })
 		Eventually(follower.Lost).Should(BeFalse())
+		// Either read ends the loss; the outage begins after both.
+		Eventually(current.Version).Should(BeEquivalentTo(3))
 		store.set(func() { store.err = errDown })
 		Eventually(follower.Lost, "3s").Should(BeTrue())
 		Expect(current.Version()).To(BeEquivalentTo(3))
