--- a/cmd/hibiscusctl/main.go
+++ b/cmd/hibiscusctl/main.go
@@ -77,6 +77,7 @@
 		{Name: "endpoints", Usage: "list the endpoints with state and reason", Action: view("/v1/endpoints")},
 		{Name: "streams", Usage: "list the streams that were resumed, and why", Action: view("/v1/streams")},
 		{Name: "trace", Usage: "show what happened to one request", ArgsUsage: "REQUEST", Action: viewOne("/v1/requests/")},
+		explainCommand(),
 		{Name: "reasons", Usage: "list the reasons for refusals, retries and drops", Action: reasons},
 	}
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -163,6 +163,9 @@
 	p.req.tried = append(p.req.tried, lease.Endpoint.ID)
 	p.flying++
 	number := p.req.attempts
+	p.req.log.Info("attempt started", "attempt", number, "endpoint", lease.Endpoint.ID,
+		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "in_flight", p.flying,
+		"age_ms", (p.h.o.Clock() - p.req.received).Milliseconds(), "configuration", p.req.version)
 	go func() {
 		r := p.h.attemptPlain(p.ctx, p.req, lease)
 		p.h.o.Balance.Release(lease, r.outcome)
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -10,7 +10,7 @@
 )
 
 // Reason is one entry of the list. Each has a counter and a line in
-// docs/operations.md.
+// docs/OPERATIONS.md.
 type Reason string
 
 // Run says whether the request was run by an endpoint.
--- a/reason/reason_test.go
+++ b/reason/reason_test.go
@@ -20,7 +20,7 @@
 var _ = Describe("reasons", func() {
 	// Guards against a refusal that an operator cannot look up.
 	It("have a line in the operators' page, a status and a description each", func() {
-		page, err := os.ReadFile("../docs/operations.md")
+		page, err := os.ReadFile("../docs/OPERATIONS.md")
 		Expect(err).NotTo(HaveOccurred())
 		for _, r := range reason.All() {
 			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("| `%s` |", r)), string(r))
