--- /dev/null
+++ b/standins/cmd/soak/main.go
@@ -0,0 +1,50 @@
+// Command soak runs seeds of the fault soak one after the other. It exits with
+// 1 if a seed broke a promise, and keeps that seed's logs.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/soak"
+)
+
+func main() {
+	first := flag.Uint64("seed", uint64(time.Now().Unix()), "first seed")
+	seeds := flag.Int("seeds", 1, "number of seeds")
+	duration := flag.Duration("duration", 12*time.Second, "time of faults for each seed")
+	instances := flag.Int("instances", 4, "instances")
+	engines := flag.Int("engines", 9, "engines")
+	callers := flag.Int("callers", 12, "callers")
+	directory := flag.String("logs", "out/soak", "directory of the logs")
+	flag.Parse()
+	failed := 0
+	for seed := *first; seed < *first+uint64(*seeds); seed++ {
+		logs := filepath.Join(*directory, fmt.Sprint(seed))
+		if err := os.MkdirAll(logs, 0o755); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		report, err := soak.Run(context.Background(), soak.Options{
+			Seed: seed, Duration: *duration, Instances: *instances, Engines: *engines, Callers: *callers, Directory: logs,
+		})
+		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d promises broken\n",
+			seed, report.Requests, report.Served, len(report.Faults), len(report.Broken))
+		if err == nil && len(report.Broken) == 0 {
+			_ = os.RemoveAll(logs)
+			continue
+		}
+		failed++
+		fmt.Printf("  error: %v\n  faults: %q\n", err, report.Faults)
+		for _, broken := range report.Broken[:min(10, len(report.Broken))] {
+			fmt.Println("  broken:", broken)
+		}
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
--- a/standins/harness/build.go
+++ b/standins/harness/build.go
@@ -68,6 +68,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16, pid>>8&0xff, pid&0xff)
 }
 
+// FreeAddress returns an address on loopback that nothing listens on.
+func FreeAddress() (string, error) { return freeAddress() }
+
 // freeAddress returns an address on loopback that nothing listens on.
 func freeAddress() (string, error) {
 	ports.Lock()
--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -32,6 +32,12 @@
 
 // start runs a binary and collects its output in directory/name.log.
 func start(directory, name, binary string, arguments []string) (*Process, error) {
+	return StartProcess(directory, name, binary, arguments, nil)
+}
+
+// StartProcess runs a binary with additional environment variables and collects its
+// output in directory/name.log.
+func StartProcess(directory, name, binary string, arguments, environment []string) (*Process, error) {
 	p := &Process{Name: name, Log: filepath.Join(directory, name+".log"), exited: make(chan struct{})}
 	file, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -40,7 +46,7 @@
 	defer file.Close()
 	p.command = exec.Command(binary, arguments...)
 	p.command.Stdout, p.command.Stderr = file, file
-	p.command.Env = cleanEnvironment()
+	p.command.Env = append(cleanEnvironment(), environment...)
 	// The kernel ends the process if the harness dies.
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
@@ -104,6 +110,9 @@
 // Thaw sends SIGCONT.
 func (p *Process) Thaw() { _ = p.command.Process.Signal(syscall.SIGCONT) }
 
+// Hangup sends SIGHUP.
+func (p *Process) Hangup() { _ = p.command.Process.Signal(syscall.SIGHUP) }
+
 // Terminate sends SIGTERM and doesn't wait.
 func (p *Process) Terminate() { _ = p.command.Process.Signal(syscall.SIGTERM) }
 
--- /dev/null
+++ b/standins/platform/soak/soak_test.go
@@ -0,0 +1,50 @@
+package soak_test
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/soak"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak")
+}
+
+// play runs one seed and keeps its logs when it fails.
+func play(o soak.Options) soak.Report {
+	directory, err := os.MkdirTemp("", "soak-")
+	Expect(err).NotTo(HaveOccurred())
+	o.Directory = directory
+	report, err := soak.Run(context.Background(), o)
+	Expect(err).NotTo(HaveOccurred())
+	for _, fault := range report.Faults {
+		GinkgoWriter.Println(fault)
+	}
+	Expect(report.Broken).To(BeEmpty(), "seed "+strconv.FormatUint(o.Seed, 10)+", logs in "+directory)
+	Expect(os.RemoveAll(directory)).To(Succeed())
+	return report
+}
+
+var _ = Describe("Instances on the platform", func() {
+	It("serve every request of a quiet day", func() {
+		report := play(soak.Options{Seed: 1, Duration: 4 * time.Second, Instances: 3, Engines: 6, Callers: 6, Quiet: true})
+		Expect(report.Served).To(Equal(report.Requests))
+	})
+
+	DescribeTable("keep their promises under overlapping faults",
+		func(seed int) {
+			report := play(soak.Options{Seed: uint64(seed), Duration: 8 * time.Second, Instances: 4, Engines: 9, Callers: 8})
+			Expect(report.Requests).To(BeNumerically(">", 50))
+		},
+		Entry("seed 1", 1),
+		Entry("seed 2", 2),
+	)
+})
--- /dev/null
+++ b/standins/platform/world/store.go
@@ -0,0 +1,232 @@
+// Package world is a stand-in for the users' platform, written from its
+// published pages: the object store, model engines, a desk service and callers.
+// It runs in the process of a test or a soak and serves on loopback, so that the
+// real instances meet it over sockets.
+package world
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// pageSize is small, so that lists have several pages.
+	pageSize = 10
+	// longestWait bounds a watch.
+	longestWait = 30 * time.Second
+)
+
+// Object is one object of the store.
+type Object struct {
+	Metadata struct {
+		Name     string `json:"name"`
+		Revision uint64 `json:"revision"`
+	} `json:"metadata"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type storeEvent struct {
+	Removed  bool   `json:"removed"`
+	Object   Object `json:"object"`
+	kind     string
+	revision uint64
+}
+
+// Store is the platform's object store. Reads and watches are served over
+// HTTP; the operator and the endpoints of this process write directly.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]Object // by kind and name
+	history  []storeEvent
+	oldest   uint64 // revision up to which the history is gone
+	changed  chan struct{}
+	down     bool
+	deaf     bool
+	delay    time.Duration
+	calls    int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+}
+
+// Put creates or replaces an object and returns the revision.
+func (s *Store) Put(kind, name string, spec any) uint64 {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic("world: " + err.Error()) // only values of this package are stored
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	object := Object{Spec: raw}
+	object.Metadata.Name, object.Metadata.Revision = name, s.revision
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]Object)
+	}
+	s.objects[kind][name] = object
+	s.record(storeEvent{Object: object, kind: kind})
+	return s.revision
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	s.record(storeEvent{Removed: true, Object: object, kind: kind})
+}
+
+func (s *Store) record(e storeEvent) {
+	e.revision = s.revision
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetDown makes every call fail with 503.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// SetDelay delays every answer.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// SetDeaf makes watches hear nothing. At its end the history is dropped.
+func (s *Store) SetDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deaf && !deaf {
+		s.history, s.oldest = nil, s.revision
+	}
+	s.deaf = deaf
+}
+
+// Down reports whether calls fail.
+func (s *Store) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP serves lists, single objects and watches.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, single := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
+	s.mu.Lock()
+	s.calls++
+	down, delay := s.down, s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	query := r.URL.Query()
+	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Method != http.MethodGet:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	case query.Has("watch"):
+		s.watch(w, r, kind)
+	case single:
+		s.get(w, kind, name)
+	default:
+		s.list(w, kind, query.Get("after-rev"))
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	object, ok := s.objects[kind][name]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, object)
+}
+
+func (s *Store) list(w http.ResponseWriter, kind, after string) {
+	s.mu.Lock()
+	var items []Object
+	for name, object := range s.objects[kind] {
+		if name > after {
+			items = append(items, object)
+		}
+	}
+	revision := s.revision
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b Object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
+	more := len(items) > pageSize
+	writeJSON(w, map[string]any{"items": items[:min(pageSize, len(items))], "more-pages": more, "store-revision": revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	timer := time.NewTimer(min(longestWait, time.Duration(ms)*time.Millisecond))
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		gone := after < s.oldest && !s.deaf
+		events := s.since(kind, after)
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			writeJSON(w, map[string]any{"events": events, "store-revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			writeJSON(w, map[string]any{"events": []storeEvent{}, "store-revision": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(kind string, after uint64) []storeEvent {
+	if s.deaf {
+		return nil
+	}
+	var events []storeEvent
+	for _, e := range s.history {
+		if e.kind == kind && e.revision > after {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
