--- a/forward/stream.go
+++ b/forward/stream.go
@@ -419,13 +419,26 @@
 	timer.Reset(max(time.Millisecond, at-now))
 	switch decision {
 	case verdictMove:
-		return s.req.route.Repeat == routing.RepeatFromEvent
+		return s.req.route.Repeat == routing.RepeatFromEvent && !s.waits(r, now)
 	case verdictProbe:
 		return s.req.route.Repeat == routing.RepeatFromEvent && !s.probe(r)
 	}
 	return false
 }
 
+// waits reports whether an engine without a first event still has the request,
+// since it is busy with the prompts of others. Moving would read the prompt at
+// an engine that is as busy.
+func (s *stream) waits(r *run, now time.Duration) bool {
+	if r.quiet.started || s.h.o.Loads == nil || !s.h.o.Loads.Holds(s.ctx, r.lease.Endpoint, s.req.call.ID) {
+		return false
+	}
+	r.quiet.since = now
+	s.req.log.Info("engine still has the request", "endpoint", r.lease.Endpoint.ID,
+		"age_ms", (now - s.req.received).Milliseconds())
+	return true
+}
+
 func (s *stream) probe(r *run) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
--- a/loadprobe/loadprobe.go
+++ b/loadprobe/loadprobe.go
@@ -29,6 +29,8 @@
 // Reporter asks an engine for its state.
 type Reporter interface {
 	Report(ctx context.Context, address string) (balance.Load, error)
+	// Holds reports whether the engine has the attempt, running or waiting.
+	Holds(ctx context.Context, address, attempt string) (bool, error)
 }
 
 // Options configures a Prober.
@@ -87,6 +89,21 @@
 	p.o.Balance.Reported(engine, load)
 }
 
+// Holds reports whether the engine says that it has the attempt. An engine that
+// does not answer has not.
+func (p *Prober) Holds(ctx context.Context, engine registry.Endpoint, attempt string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	p.o.Scope.Counter("reports").Inc(1)
+	holds, err := p.o.Reporter.Holds(ctx, engine.Address, attempt)
+	if err != nil {
+		p.o.Scope.Counter("report_errors").Inc(1)
+		p.o.Log.Info("engine did not report its runs", "endpoint", engine.ID, "request", attempt, "error", err)
+		return false
+	}
+	return holds
+}
+
 // Forget drops what is known of an engine that is gone.
 func (p *Prober) Forget(id api.EndpointID) {
 	p.mu.Lock()
--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -20,7 +20,7 @@
 	instances := flag.Int("instances", 4, "instances")
 	engines := flag.Int("engines", 9, "engines")
 	callers := flag.Int("callers", 12, "callers")
-	directory := flag.String("logs", "out/soak", "directory of the logs")
+	directory := flag.String("logs", "out/soak-logs", "directory of the logs")
 	flag.Parse()
 	failed := 0
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
