Mark routed content that crashes endpoints

Cause: a request that crashes each engine was repeated up to max-attempts, and again with each of its caller's attempts at any instance. Change: the suspect slice is on the routed path: content (account, target, body) is marked when its endpoint dies, marks ride on the fleet's exchanges, and content with three marks is refused as not run.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -97,6 +97,36 @@
 	body     string
 }
 
+// deaths counts the endpoints that died with each content, and refuses content
+// after three.
+type deaths struct {
+	mu     sync.Mutex
+	counts map[api.Digest]int
+}
+
+func (d *deaths) Level(digest api.Digest) api.Isolation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return api.Isolation(min(d.counts[digest], int(api.IsolationRefused)))
+}
+
+func (d *deaths) EndpointDied(_ api.EndpointID, _ api.FailureDomain, running []api.Digest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.counts == nil {
+		d.counts = make(map[api.Digest]int)
+	}
+	for _, digest := range running {
+		d.counts[digest]++
+	}
+}
+
+func (d *deaths) Completed(digest api.Digest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.counts, digest)
+}
+
 // world is a handler in front of fake endpoints.
 type world struct {
 	table    *routing.Current
@@ -104,6 +134,7 @@
 	handler  *forward.Handler
 	server   *httptest.Server
 	stopping bool
+	marks    deaths
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -121,6 +152,7 @@
 		Pool:   upstream.New(upstream.Options{Clock: bootclock.Now}),
 		Budget: forward.NewBudget(forward.BudgetOptions{Ratio: 1, Baseline: 100, Window: 10 * time.Second}),
 		Clock:  bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		Marks:    &w.marks,
 		Stopping: func() (bool, time.Duration) { return w.stopping, time.Second },
 	})
 	w.server = httptest.NewServer(w.handler)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -36,6 +36,9 @@
 	Balance  *balance.Balancer
 	Pool     *upstream.Pool
 	Budget   *Budget
+	// Marks keeps suspicions on content that crashes endpoints; nil does
+	// without.
+	Marks Marks
 	// Loads asks engines for their load before one is chosen; nil does without.
 	Loads *loadprobe.Prober
 	// Prompts finds the engines that hold a prompt; nil does without.
@@ -56,6 +59,7 @@
 	latency  tally.Histogram
 	resume   tally.Histogram
 	active   atomic.Int64
+	running  inFlight
 }
 
 // New returns a handler.
@@ -63,6 +67,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return &Handler{
 		o:        o,
+		running:  inFlight{runs: make(map[api.EndpointID][]api.Digest)},
 		refusals: telemetry.NewReasonCounters(o.Scope, "refused"),
 		retries:  telemetry.NewReasonCounters(o.Scope, "retried"),
 		latency:  o.Scope.Histogram("answer_latency", buckets),
@@ -86,6 +91,7 @@
 	inbound  *http.Request
 	target   string // path as it was sent
 	body     []byte
+	digest   api.Digest
 	log      *slog.Logger
 	attempts int
 	tried    []api.EndpointID
@@ -169,6 +175,10 @@
 		return nil, reason.New(reason.BadRequest, "the body could not be read")
 	}
 	req.body = body
+	req.digest = digestOf(req.account, r.RequestURI, body)
+	if refusal := h.refusedContent(req.digest); refusal != nil {
+		return nil, refusal
+	}
 	req.log = h.o.Log.With("request", call.ID, "route", route.Name)
 	return req, nil
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -129,6 +129,9 @@
 	if ran && p.req.route.Repeat != routing.RepeatFreely {
 		return false
 	}
+	if p.h.refusedContent(p.req.digest) != nil {
+		return false
+	}
 	if r.outcome == balance.Unreachable {
 		// Nothing was sent, so the endpoint does not count.
 		p.req.attempts--
@@ -167,14 +170,28 @@
 		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "in_flight", p.flying,
 		"age_ms", (p.h.o.Clock() - p.req.received).Milliseconds(), "configuration", p.req.version)
 	go func() {
+		p.h.running.add(lease.Endpoint.ID, p.req.digest)
 		r := p.h.attemptPlain(p.ctx, p.req, lease)
-		p.h.o.Balance.Release(lease, r.outcome)
+		p.h.settle(p.req, lease, r.outcome)
 		p.h.logAttempt(p.req, number, r)
 		p.results <- r
 	}()
 	return nil
 }
 
+// settle gives the place of an attempt back and draws the conclusions from how
+// it ended.
+func (h *Handler) settle(req *request, lease *balance.Lease, outcome balance.Outcome) {
+	switch outcome {
+	case balance.Broken:
+		h.suspectDeath(lease, req.digest)
+	case balance.Completed:
+		h.completed(req.digest)
+	}
+	h.running.remove(lease.Endpoint.ID, req.digest)
+	h.o.Balance.Release(lease, outcome)
+}
+
 // expired returns the final answer at the deadline.
 func (p *plain) expired() *reason.Error {
 	err := reason.New(reason.DeadlineExceeded, "no answer before the deadline")
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -124,6 +124,9 @@
 		return s.expired()
 	case !refused && s.req.route.Repeat == routing.RepeatNever:
 		return s.lost
+	case s.h.refusedContent(s.req.digest) != nil:
+		s.h.refusals.Inc(reason.CrashSuspect)
+		return s.lost
 	case s.req.attempts >= s.req.route.MaxAttempts || s.moves >= maxMoves:
 		return s.lost
 	case !s.h.o.Budget.Repeat(s.h.o.Clock(), s.req.service.Name):
@@ -272,8 +275,9 @@
 	outcome := balance.Cancelled
 	defer func() {
 		r.cancel()
-		s.h.o.Balance.Release(r.lease, outcome)
+		s.h.settle(s.req, r.lease, outcome)
 	}()
+	s.h.running.add(r.lease.Endpoint.ID, s.req.digest)
 	var header *http.Response
 	timer := time.NewTimer(firstProbe)
 	defer timer.Stop()
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"time"
 
@@ -153,6 +154,30 @@
 		Expect(w.seen()).To(BeEmpty())
 	})
 
+	// Guards against a request that crashes one engine after the other: it comes
+	// again with another attempt id.
+	It("is refused once its content has crashed three engines", func() {
+		for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+			var server *httptest.Server
+			server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				w.mu.Lock()
+				w.arrivals = append(w.arrivals, arrival{endpoint: name})
+				w.mu.Unlock()
+				_ = server.Listener.Close()
+				cut("")(rw, r)
+			}))
+			DeferCleanup(server.CloseClientConnections)
+			w.add(name, server.Listener.Addr().String())
+		}
+		for range 6 {
+			_, _, _ = w.get("/stream/x")
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(len(w.seen())).To(BeNumerically("<=", 5))
+		_, _, header := w.get("/stream/x")
+		Expect(header.Get("Test-Reason")).To(Equal("crash_suspect"))
+	})
+
 	// Guards against a caller that waits for its deadline while all engines are
 	// down.
 	It("is refused at once when no engine takes it", func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/hibiscusstair/hibiscusstair/revive"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
+	"github.com/hibiscusstair/hibiscusstair/suspect"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
 	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
@@ -82,6 +83,7 @@
 	pool     *upstream.Pool
 	follower *storesync.Follower
 	finder   *revive.Finder
+	marks    *suspect.Runner
 	loads    *loadprobe.Prober
 	cache    *relay.Cache
 	clients  *peer.Clients
@@ -112,6 +114,10 @@
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
 	})
 	g.cache.Bind(g.follower.Age, g.follower.Lost)
+	var err error
+	if g.marks, err = suspect.New(suspect.RunnerOptions{Log: o.Log, Scope: scope.SubScope("suspect"), Clock: clock}); err != nil {
+		return nil, err
+	}
 	if err := g.buildFleet(); err != nil {
 		return nil, err
 	}
@@ -126,7 +132,7 @@
 		Lister: o.Prompts, Engines: g.balance.Engines, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
 	})
 	g.forward = forward.New(forward.Options{
-		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool, Prompts: prompts, Loads: g.loads,
+		Protocol: o.Protocol, Table: g.table, Balance: g.balance, Pool: g.pool, Prompts: prompts, Loads: g.loads, Marks: g.marks,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: s.RetryRatio * retryShare, Baseline: s.RetryBaseline * retryShare, Window: s.RetryWindow,
 			Instances: g.instances,
@@ -164,7 +170,8 @@
 	g.fleet, err = fleet.New(fleet.Options{
 		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(),
 		Seeds: g.seeds(), Store: noRegistrations{}, Clients: g.clients, Tickets: fleetState{g}, Expel: "manual",
-		Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
+		Sources: []fleet.DeltaSource{g.marks},
+		Log:     g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
 	})
 	return err
 }
@@ -216,6 +223,7 @@
 	g.addDuty(&group, "configuration", g.follower.FollowTable)
 	g.addDuty(&group, "registrations", g.follower.FollowEndpoints)
 	g.addDuty(&group, "restarted engines", g.finder.Run)
+	g.addDuty(&group, "crash marks", g.marks.Run)
 	g.addDuty(&group, "housekeeping", g.keepHouse)
 	if g.fleet != nil {
 		g.addDuty(&group, "fleet", g.fleet.Run)
