--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,190 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/balance"
+	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/gateway"
+	"github.com/hibiscusstair/hibiscusstair/prefixcache"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/revive"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+	"github.com/hibiscusstair/hibiscusstair/storesync"
+	"github.com/hibiscusstair/hibiscusstair/telemetry"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// fakeStore has one configuration and one endpoint once it is up.
+type fakeStore struct {
+	mu sync.Mutex
+	up bool
+}
+
+func (s *fakeStore) set(up bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.up = up
+}
+
+func (s *fakeStore) err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.up {
+		return errors.New("down")
+	}
+	return nil
+}
+
+func (s *fakeStore) ReadTable(context.Context) (storesync.TableRead, error) {
+	route := routing.Route{Name: "r", Host: "h", Prefix: "/", MaxAttempts: 1, Services: []routing.Share{{Service: "s", Weight: 1}}}
+	table := routing.New(1, []routing.Route{route}, []routing.Service{{Name: "s"}}, nil, routing.Limits{})
+	return storesync.TableRead{Table: table, Revision: 1}, s.err()
+}
+
+func (s *fakeStore) WatchTable(_ context.Context, after uint64, _ time.Duration) (storesync.TableRead, error) {
+	time.Sleep(20 * time.Millisecond)
+	return storesync.TableRead{Revision: after}, s.err()
+}
+
+func (s *fakeStore) ListEndpoints(context.Context) (storesync.EndpointList, error) {
+	e := registry.Endpoint{ID: "e", Service: "s", Address: "127.0.0.1:1", Domain: "d", Slots: 1}
+	return storesync.EndpointList{Endpoints: []registry.Endpoint{e}, Revision: 1}, s.err()
+}
+
+func (s *fakeStore) WatchEndpoints(_ context.Context, after uint64, _ time.Duration) (storesync.EndpointChanges, error) {
+	time.Sleep(20 * time.Millisecond)
+	return storesync.EndpointChanges{Revision: after}, s.err()
+}
+
+// noEngines answers no question.
+type noEngines struct{}
+
+var errNoEngine = errors.New("no engine")
+
+func (noEngines) HeldParts(context.Context, string) ([]prefixcache.Part, error) {
+	return nil, errNoEngine
+}
+func (noEngines) Identify(context.Context, string, string) (revive.Identity, error) {
+	return revive.Identity{}, errNoEngine
+}
+func (noEngines) Report(context.Context, string) (balance.Load, error) {
+	return balance.Load{}, errNoEngine
+}
+func (noEngines) Holds(context.Context, string, string) (bool, error) { return false, errNoEngine }
+
+// plainProtocol says nothing beside the status.
+type plainProtocol struct{}
+
+func (plainProtocol) DecodeCall(*http.Request) (forward.Call, error) { return forward.Call{}, nil }
+func (plainProtocol) EncodeAttempt(http.Header, forward.Attempt)     {}
+func (plainProtocol) DecodeAnswer(*http.Response) forward.Answer     { return forward.Answer{} }
+func (plainProtocol) WriteRefusal(w http.ResponseWriter, _ forward.Call, err *reason.Error) {
+	w.WriteHeader(err.Reason.HTTPStatus())
+}
+
+// ports gives each instance of this package's specs its own ports.
+var ports = 21000 + os.Getpid()%4000
+
+func address() netip.AddrPort {
+	ports++
+	return netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", ports))
+}
+
+var _ = Describe("Gateway", func() {
+	var (
+		store    *fakeStore
+		settings gateway.Settings
+		hangup   chan os.Signal
+		stop     context.CancelFunc
+		ended    chan error
+	)
+
+	start := func() {
+		metrics := telemetry.NewMetrics()
+		g, err := gateway.New(gateway.Options{
+			Settings: settings, Reload: func() (gateway.Settings, error) { return settings, nil }, Hangup: hangup,
+			Protocol: plainProtocol{}, Store: store, Prompts: noEngines{}, Identify: noEngines{}, Loads: noEngines{},
+			DecodeTable: func([]byte) (*routing.Table, error) { return nil, errNoEngine },
+			Log:         slog.New(slog.DiscardHandler), Metrics: metrics,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		done, closed := make(chan error, 1), make(chan struct{})
+		stop, ended = cancel, done
+		go func() {
+			defer close(closed)
+			done <- g.Run(ctx)
+			_ = metrics.Close()
+		}()
+		DeferCleanup(func() { cancel(); <-closed })
+	}
+	ready := func() int {
+		response, err := http.Get("http://" + settings.ReadyListen.String())
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+
+	BeforeEach(func() {
+		store, hangup = &fakeStore{up: true}, make(chan os.Signal, 1)
+		settings = gateway.Settings{
+			Instance: "i", Place: api.Place{Region: "r", FailureDomain: "d"},
+			CallerListen: address(), ReadyListen: address(), PeerListen: address(), MetricsListen: address(),
+			StopTimeout: 4 * time.Second, RetryRatio: 0.8, RetryBaseline: 10, RetryWindow: time.Second,
+		}
+	})
+
+	It("is ready once it knows a configuration and endpoints", func() {
+		store.set(false)
+		start()
+		Eventually(ready).Should(Equal(http.StatusServiceUnavailable))
+		store.set(true)
+		Eventually(ready, "5s").Should(Equal(http.StatusOK))
+	})
+
+	// Guards against connections to an instance that is about to end, and against
+	// one that is killed because it never ends.
+	It("is not ready while it stops, takes callers a while longer and ends in time", func() {
+		start()
+		Eventually(ready, "5s").Should(Equal(http.StatusOK))
+		stop()
+		Eventually(ready).Should(Equal(http.StatusServiceUnavailable))
+		response, err := http.Get("http://" + settings.CallerListen.String() + "/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Close).To(BeTrue())
+		_ = response.Body.Close()
+		Eventually(ended, "4s").Should(Receive(BeNil()))
+	})
+
+	It("goes on after a reload and serves metrics", func() {
+		start()
+		Eventually(ready, "5s").Should(Equal(http.StatusOK))
+		hangup <- os.Interrupt
+		Consistently(ready, "200ms").Should(Equal(http.StatusOK))
+		response, err := http.Get("http://" + settings.MetricsListen.String() + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		_ = response.Body.Close()
+	})
+})
