--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -187,12 +187,13 @@
 		w.mu.Lock()
 		w.arrivals = append(w.arrivals, arrival{name, r.Method, r.RequestURI, r.Header.Clone(), string(body)})
 		w.mu.Unlock()
-		stop := context.AfterFunc(r.Context(), func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.ended = append(w.ended, name)
-		})
-		defer stop()
+		defer func() {
+			if r.Context().Err() != nil {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.ended = append(w.ended, name)
+			}
+		}()
 		rw.Header().Set(headerID, r.Header.Get(headerID))
 		serve(rw, r)
 	}))
