Choose among engines whose load is known; keep the registry linear

Change: a generation goes to one of the candidates that were asked; the registry has an index by address and a set of lapsed entries.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -68,6 +68,9 @@
 	// Prefer lists endpoints that hold the prompt. One of them is chosen if it
 	// can take the work.
 	Prefer []api.EndpointID
+	// Among lists the endpoints whose load is known. One of them is chosen if any
+	// can take the work: the others only look idle.
+	Among []api.EndpointID
 	// Exclude lists endpoints that were tried.
 	Exclude []api.EndpointID
 	// Continuation says that the work goes on from another endpoint.
@@ -216,13 +219,17 @@
 		case slices.Contains(work.Exclude, e.ID):
 			excluded++
 			continue
-		case c.full(now, e, work):
+		case c.full(now, e, work) || (work.Among != nil && !slices.Contains(work.Among, e.ID)):
 			continue
 		}
 		if cost := c.cost(now, e, work); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
+	if best == nil && work.Among != nil {
+		work.Among = nil
+		return c.Choose(now, work)
+	}
 	if best == nil {
 		return nil, c.refusal(work, leaving, excluded)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -110,6 +110,24 @@
 		Expect(same).To(Equal(100))
 	})
 
+	// Load: three candidates report work of other instances, all others are
+	// unknown. Guards against choosing an engine because nothing is known of it.
+	It("chooses among the engines whose load is known", func() {
+		core := newCore("i", 24)
+		for _, i := range []int{3, 4, 5} {
+			core.Reported(0, engine(i), balance.Load{Running: 10 - i, Prefilling: 2})
+		}
+		w := work("s")
+		w.Among = []api.EndpointID{"e3", "e4", "e5"}
+		lease, err := core.Choose(0, w)
+		Expect(err).To(BeNil())
+		Expect(lease.Endpoint.ID).To(BeEquivalentTo("e5"))
+		w.Exclude = w.Among
+		other, err := core.Choose(0, w)
+		Expect(err).To(BeNil())
+		Expect(w.Among).NotTo(ContainElement(other.Endpoint.ID))
+	})
+
 	It("prefers an engine that holds the prompt", func() {
 		core := newCore("i", 24)
 		w := work("s")
@@ -185,3 +203,16 @@
 		Expect(counts["e0"]).To(BeNumerically("<", 100))
 	})
 })
+
+// BenchmarkChoose measures a choice among the engines of the size of two years
+// from now.
+func BenchmarkChoose(b *testing.B) {
+	core := newCore("i", 840)
+	for i := 0; b.Loop(); i++ {
+		lease, err := core.Choose(time.Duration(i), work("s"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		core.Release(time.Duration(i), lease, balance.Completed)
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
@@ -170,7 +171,7 @@
 	until := s.h.o.Clock() + noEngineWait
 	for {
 		work := s.req.work()
-		s.askLoads(work)
+		work.Among = s.askLoads(work)
 		lease, err := s.h.o.Balance.Choose(work)
 		if err == nil {
 			return lease, false, nil
@@ -190,12 +191,19 @@
 	}
 }
 
-// askLoads asks the engines that come first for the work how busy they are.
-func (s *stream) askLoads(work balance.Work) {
+// askLoads asks the engines that come first for the work how busy they are, and
+// returns them. Without an answer an engine's work here decides.
+func (s *stream) askLoads(work balance.Work) []api.EndpointID {
 	if s.h.o.Loads == nil || work.Tokens == 0 {
-		return
+		return nil
+	}
+	engines := s.h.o.Balance.Candidates(work, candidates)
+	s.h.o.Loads.Refresh(s.ctx, engines)
+	var among []api.EndpointID
+	for _, engine := range engines {
+		among = append(among, engine.ID)
 	}
-	s.h.o.Loads.Refresh(s.ctx, s.h.o.Balance.Candidates(work, candidates))
+	return among
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -308,7 +308,7 @@
 // Ready reports whether the instance takes connections.
 func (g *Gateway) Ready() bool {
 	stopping, _ := g.stopping()
-	return !stopping && g.table.Load() != nil && len(g.registry.Endpoints()) > 0
+	return !stopping && g.table.Load() != nil && g.registry.Len() > 0
 }
 
 // stopOn returns the actor that stops the instance when the context ends:
--- a/registry/property_test.go
+++ b/registry/property_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,6 +39,18 @@
 	})
 }
 
+// BenchmarkListed measures a complete list of the engines of the size of two
+// years from now, of which each is new.
+func BenchmarkListed(b *testing.B) {
+	var list []registry.Endpoint
+	for i := range 840 {
+		list = append(list, registry.Endpoint{ID: api.EndpointID(fmt.Sprint("e", i)), Incarnation: 1, Address: fmt.Sprint("a", i)})
+	}
+	for b.Loop() {
+		registry.NewCore().Step(0, registry.Listed{Endpoints: list})
+	}
+}
+
 func check(t *rapid.T, core *registry.Core, touched api.EndpointID, removed bool) {
 	newest := make(map[string]int64)
 	for _, have := range core.Endpoints() {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -105,15 +106,25 @@
 
 // Core holds the table. It is not safe for concurrent use.
 type Core struct {
-	entries  map[api.EndpointID]*entry
-	answered time.Duration // last answer of the store
-	returned time.Duration // last return of the store after an outage
-	known    bool          // the store has answered at least once
-	changes  []Change
+	entries map[api.EndpointID]*entry
+	// byAddress lists the identifiers at an address, and lapsed those whose
+	// registration has lapsed, so that a change costs the same in a large table.
+	byAddress map[string][]api.EndpointID
+	lapsed    map[api.EndpointID]bool
+	answered  time.Duration // last answer of the store
+	returned  time.Duration // last return of the store after an outage
+	known     bool          // the store has answered at least once
+	changes   []Change
 }
 
 // NewCore returns an empty table.
-func NewCore() *Core { return &Core{entries: make(map[api.EndpointID]*entry)} }
+func NewCore() *Core {
+	return &Core{
+		entries:   make(map[api.EndpointID]*entry),
+		byAddress: make(map[string][]api.EndpointID),
+		lapsed:    make(map[api.EndpointID]bool),
+	}
+}
 
 // Step handles one event and returns the changes. The slice is valid until the
 // next Step.
@@ -147,6 +158,9 @@
 	return c.changes
 }
 
+// Len returns the number of endpoints.
+func (c *Core) Len() int { return len(c.entries) }
+
 // Endpoints returns all endpoints in the order of their identifiers.
 func (c *Core) Endpoints() []Endpoint {
 	list := make([]Endpoint, 0, len(c.entries))
@@ -185,6 +199,7 @@
 			return
 		}
 		c.entries[endpoint.ID] = &entry{endpoint: endpoint}
+		c.index(endpoint)
 		c.change(endpoint, Added)
 		return
 	}
@@ -198,6 +213,9 @@
 	}
 	lapsed := known.goneAt != 0
 	known.goneAt = 0
+	delete(c.lapsed, endpoint.ID)
+	c.unindex(before)
+	c.index(endpoint)
 	known.endpoint = endpoint
 	switch {
 	case endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address:
@@ -215,10 +233,11 @@
 // superseded removes earlier lifetimes at the endpoint's address and reports
 // whether the table has a later one there: an address has one endpoint.
 func (c *Core) superseded(endpoint Endpoint) bool {
-	for _, other := range c.Endpoints() {
-		if other.ID == endpoint.ID || other.Address != endpoint.Address {
+	for _, id := range slices.Clone(c.byAddress[endpoint.Address]) {
+		if id == endpoint.ID {
 			continue
 		}
+		other := c.entries[id].endpoint
 		if other.Incarnation > endpoint.Incarnation {
 			return true
 		}
@@ -241,20 +260,35 @@
 		return
 	}
 	known.goneAt = c.returned + returnTime
+	c.lapsed[id] = true
 	c.change(known.endpoint, Lapsed)
 }
 
 func (c *Core) expire(now time.Duration) {
-	for _, endpoint := range c.Endpoints() {
-		known := c.entries[endpoint.ID]
-		if known.goneAt != 0 && now >= known.goneAt {
+	for _, id := range slices.Sorted(maps.Keys(c.lapsed)) {
+		if known := c.entries[id]; now >= known.goneAt {
 			c.remove(known)
 		}
 	}
 }
 
+func (c *Core) index(endpoint Endpoint) {
+	c.byAddress[endpoint.Address] = append(c.byAddress[endpoint.Address], endpoint.ID)
+}
+
+func (c *Core) unindex(endpoint Endpoint) {
+	left := slices.DeleteFunc(c.byAddress[endpoint.Address], func(id api.EndpointID) bool { return id == endpoint.ID })
+	if len(left) == 0 {
+		delete(c.byAddress, endpoint.Address)
+		return
+	}
+	c.byAddress[endpoint.Address] = left
+}
+
 func (c *Core) remove(known *entry) {
 	delete(c.entries, known.endpoint.ID)
+	delete(c.lapsed, known.endpoint.ID)
+	c.unindex(known.endpoint)
 	c.change(known.endpoint, Gone)
 }
 
--- a/registry/runner.go
+++ b/registry/runner.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// Len returns the number of endpoints.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Len()
+}
+
 // Endpoints returns all endpoints in the order of their identifiers.
 func (r *Registry) Endpoints() []Endpoint {
 	r.mu.Lock()
