Outlast idle callers' connections; add make soak

Cause: idle connections were closed after 30 s, though configurations may let callers keep them longer.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SEED ?= 20261204
 
-.PHONY: build test lint demo bench bench-quick fuzz generate
+.PHONY: build test lint demo bench bench-quick fuzz generate soak
 
 build:
 	$(GO) build -o out/ ./cmd/... ./standins/...
@@ -32,3 +32,8 @@
 # Property tests and fuzzing with a random seed, which is printed.
 fuzz:
 	sh .ci/fuzz $(FUZZ_SECONDS)
+
+# Fault soak of real instances against the platform's stand-in, with fresh seeds.
+SOAK_SEEDS ?= 5
+soak: build
+	out/soak -seeds $(SOAK_SEEDS)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,11 +47,13 @@
 	stopPoll = 50 * time.Millisecond
 	// housekeeping is the interval of the work that nothing else triggers.
 	housekeeping = 500 * time.Millisecond
-	// defaultHeaderTimeout, defaultHeaderBytes and defaultIdleTimeout apply
-	// until the configuration is known.
-	defaultHeaderTimeout = 3 * time.Second
-	defaultHeaderBytes   = 64 << 10
-	defaultIdleTimeout   = 30 * time.Second
+	// headerTimeout and headerBytes bound what a caller may send before its
+	// request is known. They are at least what configurations allow.
+	headerTimeout = 3 * time.Second
+	headerBytes   = 64 << 10
+	// idleTimeout is above the idle time that configurations promise to callers,
+	// so that no request crosses the close of its connection.
+	idleTimeout = 2 * time.Minute
 	// retryShare is the part of the fleet's retry budget that is used. Counts of
 	// instances are late, and callers' requests shift between instances.
 	retryShare = 0.8
@@ -274,9 +276,9 @@
 	}
 	server := &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		MaxHeaderBytes:    defaultHeaderBytes,
-		IdleTimeout:       defaultIdleTimeout,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(g.o.Log.Handler(), slog.LevelDebug),
 	}
 	group.Add(func() error {
