Read through an instance that is starting too

Change: an instance that has read nothing lets its callers wait, and a starting instance follows the first of its failure domain.

--- a/relay/cache.go
+++ b/relay/cache.go
@@ -139,7 +139,7 @@
 // WatchTable serves the relay call.
 func (c *Cache) WatchTable(ctx context.Context, r *peerpb.WatchRequest) (*peerpb.TableAnswer, error) {
 	var answer *peerpb.TableAnswer
-	err := c.wait(ctx, r, func() bool {
+	err := c.wait(ctx, r, func() bool { return c.table != nil }, func() bool {
 		answer = &peerpb.TableAnswer{Revision: c.tableRevision, AgeMs: c.ageMS()}
 		if c.table == nil || c.tableRevision <= r.GetAfter() {
 			answer.Revision = r.GetAfter()
@@ -154,7 +154,7 @@
 // WatchEndpoints serves the relay call.
 func (c *Cache) WatchEndpoints(ctx context.Context, r *peerpb.WatchRequest) (*peerpb.EndpointsAnswer, error) {
 	var answer *peerpb.EndpointsAnswer
-	err := c.wait(ctx, r, func() bool {
+	err := c.wait(ctx, r, func() bool { return c.revision != 0 }, func() bool {
 		answer = &peerpb.EndpointsAnswer{Revision: r.GetAfter(), AgeMs: c.ageMS()}
 		if c.revision <= r.GetAfter() {
 			return false
@@ -186,19 +186,21 @@
 func (c *Cache) ageMS() uint32 { return uint32(max(0, c.age().Milliseconds())) }
 
 // wait calls look, under the lock, until it reports something newer or the
-// caller's wait is over.
-func (c *Cache) wait(ctx context.Context, r *peerpb.WatchRequest, look func() bool) error {
+// caller's wait is over. An instance that has read nothing yet lets its callers
+// wait for what it reads first, so that a whole failure domain that starts at
+// once does not read the store by itself.
+func (c *Cache) wait(ctx context.Context, r *peerpb.WatchRequest, known, look func() bool) error {
 	until := time.NewTimer(min(longestWait, time.Duration(r.GetWaitMs())*time.Millisecond))
 	defer until.Stop()
 	check := time.NewTicker(lostCheck)
 	defer check.Stop()
 	for {
-		if c.lost() && !r.GetAnyAge() {
-			return twirp.NewError(twirp.Unavailable, "the store does not answer this instance")
-		}
 		c.mu.Lock()
-		found, changed := look(), c.changed
+		started, found, changed := known(), look(), c.changed
 		c.mu.Unlock()
+		if started && c.lost() && !r.GetAnyAge() {
+			return errLost
+		}
 		if found {
 			return nil
 		}
@@ -206,6 +208,9 @@
 		case <-changed:
 		case <-check.C:
 		case <-until.C:
+			if !started && !r.GetAnyAge() {
+				return errLost
+			}
 			return nil
 		case <-ctx.Done():
 			return ctx.Err()
@@ -213,6 +218,8 @@
 	}
 }
 
+var errLost = twirp.NewError(twirp.Unavailable, "the store does not answer this instance")
+
 func encodeEvent(event registry.Event) *peerpb.EndpointChange {
 	switch e := event.(type) {
 	case registry.Changed:
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -31,7 +31,7 @@
 var _ storesync.Store = (*followed)(nil)
 
 func (f *followed) ReadTable(ctx context.Context) (storesync.TableRead, error) {
-	return f.table(ctx, 0, 0)
+	return f.table(ctx, 0, followWait)
 }
 
 func (f *followed) WatchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
@@ -53,7 +53,7 @@
 }
 
 func (f *followed) ListEndpoints(ctx context.Context) (storesync.EndpointList, error) {
-	answer, err := f.endpoints(ctx, 0, 0)
+	answer, err := f.endpoints(ctx, 0, followWait)
 	if err != nil {
 		return storesync.EndpointList{}, err
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -159,6 +159,23 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Load: all instances of a large fleet start at once. Guards against each of
+	// them reading complete lists over the narrow link between regions, whose
+	// calls then all time out.
+	It("lets callers wait for what it reads first", func() {
+		starting := newNode("s", "d")
+		starting.lost.Store(true)
+		time.AfterFunc(50*time.Millisecond, func() {
+			starting.lost.Store(false)
+			starting.cache.RecordTable(table(3), 10)
+		})
+		answer, err := starting.cache.WatchTable(ctx, &peerpb.WatchRequest{WaitMs: 1000})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Document).To(Equal([]byte{3}))
+		_, err = starting.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{WaitMs: 50})
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("keeps the newest of what it is told", func() {
 		n.cache.RecordTable(table(2), 11)
 		n.cache.RecordTable(table(1), 5)
--- a/relay/source.go
+++ b/relay/source.go
@@ -88,8 +88,7 @@
 
 // read tries the ways in their order until one answers.
 func read[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
-	// After a start the others of the failure domain may know nothing either.
-	if leader := s.leader(); leader != "" && !s.o.Empty() {
+	if leader := s.leader(); leader != "" {
 		answer, err := call(s.through(leader, false))
 		if err == nil || errors.Is(err, storesync.ErrCompacted) {
 			s.o.Scope.Counter("read_through_leader").Inc(1)
