Judge configuration and registrations each by their own age

Answers about registrations kept the common age fresh while the configuration came from instances that knew no more, among them the followers of the one that asked.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,7 @@
 		Store: g.source(), Table: g.table, Registry: g.registry, Recorder: g.cache,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
 	})
-	g.cache.Bind(g.follower.Age, g.follower.Lost)
+	g.cache.Bind(g.follower.Table(), g.follower.Endpoints())
 	var err error
 	if g.marks, err = suspect.New(suspect.RunnerOptions{Log: o.Log, Scope: scope.SubScope("suspect"), Clock: clock}); err != nil {
 		return nil, err
@@ -124,7 +124,7 @@
 		return nil, err
 	}
 	g.finder = revive.New(revive.Options{
-		Identifier: o.Identify, Table: g.table, Registry: g.registry, StoreLost: g.follower.Lost,
+		Identifier: o.Identify, Table: g.table, Registry: g.registry, StoreLost: g.follower.Endpoints().Lost,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
 	})
 	g.loads = loadprobe.New(loadprobe.Options{
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -31,8 +31,8 @@
 // Cache holds what this instance has last read, for others to follow. It is
 // safe for concurrent use.
 type Cache struct {
-	age  func() time.Duration // since the store answered
-	lost func() bool
+	tableContact    Contact
+	endpointContact Contact
 
 	mu            sync.Mutex
 	table         *routing.Table
@@ -60,8 +60,15 @@
 	return &Cache{endpoints: make(map[api.EndpointID]registry.Endpoint), changed: make(chan struct{})}
 }
 
-// Bind sets where the cache asks for the state of the store.
-func (c *Cache) Bind(age func() time.Duration, lost func() bool) { c.age, c.lost = age, lost }
+// Contact knows how old the last answer of the store about a kind of object is.
+type Contact interface {
+	Age() time.Duration
+	Lost() bool
+}
+
+// Bind sets where the cache asks how old its configuration and its
+// registrations are.
+func (c *Cache) Bind(table, endpoints Contact) { c.tableContact, c.endpointContact = table, endpoints }
 
 // RecordTable notes a configuration and the revision that it is true for.
 func (c *Cache) RecordTable(table *routing.Table, revision uint64) {
@@ -139,8 +146,8 @@
 // WatchTable serves the relay call.
 func (c *Cache) WatchTable(ctx context.Context, r *peerpb.WatchRequest) (*peerpb.TableAnswer, error) {
 	var answer *peerpb.TableAnswer
-	err := c.wait(ctx, r, func() bool { return c.table != nil }, func() bool {
-		answer = &peerpb.TableAnswer{Revision: c.tableRevision, AgeMs: c.ageMS()}
+	err := c.wait(ctx, r, c.tableContact, func() bool { return c.table != nil }, func() bool {
+		answer = &peerpb.TableAnswer{Revision: c.tableRevision, AgeMs: ageMS(c.tableContact)}
 		if c.table == nil || c.tableRevision <= r.GetAfter() {
 			answer.Revision = r.GetAfter()
 			return false
@@ -154,8 +161,8 @@
 // WatchEndpoints serves the relay call.
 func (c *Cache) WatchEndpoints(ctx context.Context, r *peerpb.WatchRequest) (*peerpb.EndpointsAnswer, error) {
 	var answer *peerpb.EndpointsAnswer
-	err := c.wait(ctx, r, func() bool { return c.revision != 0 }, func() bool {
-		answer = &peerpb.EndpointsAnswer{Revision: r.GetAfter(), AgeMs: c.ageMS()}
+	err := c.wait(ctx, r, c.endpointContact, func() bool { return c.revision != 0 }, func() bool {
+		answer = &peerpb.EndpointsAnswer{Revision: r.GetAfter(), AgeMs: ageMS(c.endpointContact)}
 		if c.revision <= r.GetAfter() {
 			return false
 		}
@@ -183,13 +190,13 @@
 	return list
 }
 
-func (c *Cache) ageMS() uint32 { return uint32(max(0, c.age().Milliseconds())) }
+func ageMS(contact Contact) uint32 { return uint32(max(0, contact.Age().Milliseconds())) }
 
 // wait calls look, under the lock, until it reports something newer or the
 // caller's wait is over. An instance that has read nothing yet lets its callers
 // wait for what it reads first, so that a whole failure domain that starts at
 // once does not read the store by itself.
-func (c *Cache) wait(ctx context.Context, r *peerpb.WatchRequest, known, look func() bool) error {
+func (c *Cache) wait(ctx context.Context, r *peerpb.WatchRequest, contact Contact, known, look func() bool) error {
 	until := time.NewTimer(min(longestWait, time.Duration(r.GetWaitMs())*time.Millisecond))
 	defer until.Stop()
 	check := time.NewTicker(lostCheck)
@@ -198,7 +205,7 @@
 		c.mu.Lock()
 		started, found, changed := known(), look(), c.changed
 		c.mu.Unlock()
-		if started && c.lost() && !r.GetAnyAge() {
+		if started && contact.Lost() && !r.GetAnyAge() {
 			return errLost
 		}
 		if found {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -78,14 +78,25 @@
 // node is another instance with its cache.
 type node struct {
 	cache  *relay.Cache
-	lost   atomic.Bool
+	lost   atomic.Bool // of the configuration
 	age    time.Duration
 	member api.Member
+
+	endpointsLost atomic.Bool
+}
+
+// contact is the contact of a node about one kind of object.
+type contact struct {
+	n    *node
+	lost *atomic.Bool
 }
 
+func (c contact) Age() time.Duration { return c.n.age }
+func (c contact) Lost() bool         { return c.lost.Load() }
+
 func newNode(name, domain string) *node {
 	n := &node{cache: relay.NewCache()}
-	n.cache.Bind(func() time.Duration { return n.age }, n.lost.Load)
+	n.cache.Bind(contact{n, &n.lost}, contact{n, &n.endpointsLost})
 	server := httptest.NewServer(peerpb.NewRelayServer(n.cache))
 	DeferCleanup(server.Close)
 	n.member = api.Member{
@@ -153,6 +164,20 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against an old configuration that counts as fresh because the
+	// registrations are.
+	It("judges configuration and registrations each by their own age", func() {
+		n.lost.Store(true)
+		_, err := n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		n.lost.Store(false)
+		n.endpointsLost.Store(true)
+		_, err = n.cache.WatchTable(ctx, &peerpb.WatchRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{})
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("ends a wait when the store is lost", func() {
 		time.AfterFunc(50*time.Millisecond, func() { n.lost.Store(true) })
 		_, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 1000})
@@ -165,6 +190,7 @@
 	It("lets callers wait for what it reads first", func() {
 		starting := newNode("s", "d")
 		starting.lost.Store(true)
+		starting.endpointsLost.Store(true)
 		time.AfterFunc(50*time.Millisecond, func() {
 			starting.lost.Store(false)
 			starting.cache.RecordTable(table(3), 10)
@@ -271,6 +297,20 @@
 		Expect(direct.calls.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against asking instances that know only what this one told them.
+	It("asks instances of other failure domains before those of its own", func() {
+		own, far := newNode("zz", "d"), newNode("far", "other")
+		far.cache.RecordTable(table(5), 30)
+		own.cache.RecordTable(table(4), 20)
+		direct.down.Store(true)
+		for range 10 {
+			members = []api.Member{far.member, {ID: own.member.ID, Address: own.member.Address, Place: own.member.Place, State: api.MemberLeaving}}
+			read, err := newSource().ReadTable(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read.Table.Version).To(BeEquivalentTo(5))
+		}
+	})
+
 	It("takes old values only while it has none", func() {
 		n := newNode("far", "other")
 		n.cache.RecordTable(table(5), 30)
--- a/relay/source.go
+++ b/relay/source.go
@@ -164,13 +164,23 @@
 	}
 }
 
-// others returns the addresses of some other instances in random order.
+// others returns the addresses of some other instances in random order. Those
+// of the own failure domain know what this one has told them, so they come into
+// question only if there are no others.
 func (s *Source) others() []string {
-	var addresses []string
+	var addresses, own []string
 	for _, m := range s.o.Members() {
-		if m.ID != s.o.Self.ID && m.State.Reachable() && !s.avoided(m.Address) {
-			addresses = append(addresses, m.Address)
+		if m.ID == s.o.Self.ID || !m.State.Reachable() || s.avoided(m.Address) {
+			continue
+		}
+		if m.FailureDomain == s.o.Self.FailureDomain {
+			own = append(own, m.Address)
+			continue
 		}
+		addresses = append(addresses, m.Address)
+	}
+	if len(addresses) == 0 {
+		addresses = own
 	}
 	if len(addresses) == 0 {
 		for _, seed := range s.o.Seeds {
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -24,7 +24,7 @@
 	// waits fit into the 2.5 s within which a version has to be in force.
 	tableWait = time.Second
 	// endpointWait is the same for registrations.
-	endpointWait = 1500 * time.Millisecond
+	endpointWait = 1200 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 150 * time.Millisecond
 	// startPause is the same while there is no configuration to serve with.
@@ -34,9 +34,12 @@
 	// gatherPause is the pause between two watches of registrations, so that
 	// registrations that change together cost one call.
 	gatherPause = 150 * time.Millisecond
-	// lostAfter is the time without an answer after which the store counts as
-	// lost. An answer through another instance may be as old as two waits.
-	lostAfter = 1800 * time.Millisecond
+	// tableLost is the time without an answer about the configuration after which
+	// it counts as lost. An answer through another instance may be as old as the
+	// waits of two watches, and a version has to be in force after 2.5 s.
+	tableLost = 1800 * time.Millisecond
+	// endpointsLost is the same for registrations, whose watches wait longer.
+	endpointsLost = 2400 * time.Millisecond
 )
 
 // ErrCompacted says that the store no longer has the changes since a revision.
@@ -97,34 +100,31 @@
 
 // Follower follows the store.
 type Follower struct {
-	o        Options
-	answered atomic.Int64 // boot clock of the last answer, in nanoseconds
-	lost     atomic.Bool
-	listed   atomic.Bool
+	o         Options
+	table     *Contact
+	endpoints *Contact
+	listed    atomic.Bool
 }
 
 // New returns a follower that has not yet reached the store, which counts as
 // lost until then.
 func New(o Options) *Follower {
-	f := &Follower{o: o}
-	f.answered.Store(int64(o.Clock() - lostAfter - time.Nanosecond))
-	return f
+	return &Follower{
+		o:         o,
+		table:     newContact("configuration", o.Clock, tableLost),
+		endpoints: newContact("registrations", o.Clock, endpointsLost),
+	}
 }
 
-// Lost reports whether the store has not answered for lostAfter.
-func (f *Follower) Lost() bool { return f.age() > lostAfter }
-
-// Age returns the time since the store answered, directly or through others.
-func (f *Follower) Age() time.Duration { return f.age() }
+// Table returns the contact with the store about the configuration.
+func (f *Follower) Table() *Contact { return f.table }
 
-// Contact returns the boot clock time of the last answer of the store.
-func (f *Follower) Contact() time.Duration { return time.Duration(f.answered.Load()) }
+// Endpoints returns the contact with the store about registrations.
+func (f *Follower) Endpoints() *Contact { return f.endpoints }
 
 // Listed reports whether the registrations have been read from the store.
 func (f *Follower) Listed() bool { return f.listed.Load() }
 
-func (f *Follower) age() time.Duration { return f.o.Clock() - time.Duration(f.answered.Load()) }
-
 // FollowTable keeps the configuration up to date until the context ends.
 func (f *Follower) FollowTable(ctx context.Context) error {
 	revision := uint64(0)
@@ -136,7 +136,7 @@
 			revision = 0
 			continue
 		case err != nil:
-			f.failed(ctx, "configuration", err)
+			f.failed(ctx, f.table, err)
 			continue
 		}
 		if read.Table != nil {
@@ -147,7 +147,7 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		f.succeeded(read.Age)
+		f.succeeded(f.table, read.Age)
 		f.o.Recorder.RecordTable(read.Table, read.Revision)
 		revision = read.Revision
 		if revision == 0 {
@@ -175,7 +175,7 @@
 	}
 	f.o.Scope.Gauge("configuration_version").Update(float64(table.Version))
 	f.o.Log.Info("configuration in force", "version", table.Version, "before", before,
-		"routes", table.Routes(), "source", source, "store_age_ms", f.age().Milliseconds())
+		"routes", table.Routes(), "source", source, "store_age_ms", f.table.Age().Milliseconds())
 }
 
 // FollowEndpoints keeps the registry up to date until the context ends.
@@ -189,7 +189,7 @@
 			revision = 0
 			continue
 		case err != nil:
-			f.failed(ctx, "registrations", err)
+			f.failed(ctx, f.endpoints, err)
 			continue
 		}
 		if next != revision {
@@ -213,7 +213,7 @@
 			pause(ctx, retryPause)
 			return 0, nil
 		}
-		f.succeeded(list.Age)
+		f.succeeded(f.endpoints, list.Age)
 		f.o.Recorder.RecordList(list)
 		f.o.Registry.Apply(registry.Listed{Endpoints: list.Endpoints})
 		f.listed.Store(true)
@@ -224,7 +224,7 @@
 		return 0, err
 	}
 	f.unreadable(changes.Unreadable)
-	f.succeeded(changes.Age)
+	f.succeeded(f.endpoints, changes.Age)
 	f.o.Recorder.RecordChanges(changes)
 	f.o.Registry.Apply(registry.StoreAnswered{})
 	for _, event := range changes.Events {
@@ -241,26 +241,20 @@
 }
 
 // succeeded notes an answer of the store, which others may have passed on.
-func (f *Follower) succeeded(age time.Duration) {
-	at := int64(f.o.Clock() - age)
-	for {
-		before := f.answered.Load()
-		if at <= before || f.answered.CompareAndSwap(before, at) {
-			break
-		}
-	}
-	if !f.Lost() && f.lost.CompareAndSwap(true, false) {
-		f.o.Log.Info("store regained")
+func (f *Follower) succeeded(contact *Contact, age time.Duration) {
+	contact.answer(age)
+	if !contact.Lost() && contact.noted.CompareAndSwap(true, false) {
+		f.o.Log.Info("store regained", "reading", contact.kind)
 	}
 }
 
-func (f *Follower) failed(ctx context.Context, what string, err error) {
+func (f *Follower) failed(ctx context.Context, contact *Contact, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	f.count("store_errors")
-	if f.Lost() && f.lost.CompareAndSwap(false, true) {
-		f.o.Log.Warn("store lost", "reading", what, "error", err, "age_ms", f.age().Milliseconds())
+	if contact.Lost() && contact.noted.CompareAndSwap(false, true) {
+		f.o.Log.Warn("store lost", "reading", contact.kind, "error", err, "age_ms", contact.Age().Milliseconds())
 	}
 	if f.o.Table.Load() == nil {
 		pause(ctx, startPause)
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -39,6 +39,7 @@
 	oldest    uint64 // history before it is gone
 	deaf      bool   // watches show nothing
 	err       error
+	tableErr  error // of calls about the configuration only
 	old       bool
 }
 
@@ -74,8 +75,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.err != nil:
-		return storesync.TableRead{}, s.err
+	case s.err != nil || s.tableErr != nil:
+		return storesync.TableRead{}, errDown
 	case after < s.oldest && !s.deaf:
 		return storesync.TableRead{}, storesync.ErrCompacted
 	case s.tableAt > after && !s.deaf:
@@ -163,7 +164,7 @@
 		Eventually(current.Version).Should(BeEquivalentTo(8))
 		Eventually(entries.Endpoints).Should(HaveLen(2))
 		Expect(follower.Listed()).To(BeTrue())
-		Expect(follower.Lost()).To(BeFalse())
+		Expect(follower.Table().Lost()).To(BeFalse())
 	})
 
 	It("waits for the first configuration", func() {
@@ -193,18 +194,29 @@
 	It("counts the store as lost until its first answer and after a silence", func() {
 		store.put(3)
 		store.set(func() { store.err = errDown })
-		Expect(follower.Lost()).To(BeTrue())
+		Expect(follower.Table().Lost()).To(BeTrue())
 		start()
-		Consistently(follower.Lost, "50ms").Should(BeTrue())
+		Consistently(follower.Table().Lost, "50ms").Should(BeTrue())
 		store.set(func() { store.err = nil })
-		Eventually(follower.Lost).Should(BeFalse())
+		Eventually(follower.Table().Lost).Should(BeFalse())
 		// Either read ends the loss; the outage begins after both.
 		Eventually(current.Version).Should(BeEquivalentTo(3))
 		store.set(func() { store.err = errDown })
-		Eventually(follower.Lost, "3s").Should(BeTrue())
+		Eventually(follower.Table().Lost, "3s").Should(BeTrue())
 		Expect(current.Version()).To(BeEquivalentTo(3))
 	})
 
+	// Guards against an old configuration that counts as fresh because the store
+	// answers about registrations.
+	It("counts the configuration as lost by itself", func() {
+		store.put(3)
+		start()
+		Eventually(follower.Table().Lost).Should(BeFalse())
+		store.set(func() { store.tableErr = errDown })
+		Eventually(follower.Table().Lost, "3s").Should(BeTrue())
+		Expect(follower.Endpoints().Lost()).To(BeFalse())
+	})
+
 	// Guards against an instance that serves with old values and believes that
 	// they are new.
 	It("serves with old values and goes on asking", func() {
@@ -213,10 +225,10 @@
 		start()
 		Eventually(current.Version).Should(BeEquivalentTo(3))
 		Eventually(entries.Endpoints).Should(HaveLen(1))
-		Expect(follower.Lost()).To(BeTrue())
+		Expect(follower.Table().Lost()).To(BeTrue())
 		store.put(4)
 		store.set(func() { store.old = false })
 		Eventually(current.Version).Should(BeEquivalentTo(4))
-		Eventually(follower.Lost).Should(BeFalse())
+		Eventually(follower.Table().Lost).Should(BeFalse())
 	})
 })
