--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,8 +73,6 @@
 	Among []api.EndpointID
 	// Exclude lists endpoints that were tried.
 	Exclude []api.EndpointID
-	// Continuation says that the work goes on from another endpoint.
-	Continuation bool
 
 	session uint64 // hash of Session
 }
@@ -326,7 +324,7 @@
 	}
 	e.running++
 	e.tokens += work.Tokens
-	if work.Tokens > 0 && !work.Continuation {
+	if work.Tokens > 0 {
 		l.prefill = true
 		e.prefilling++
 	}
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"sync"
-	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -100,13 +99,6 @@
 	b.core.Heard(b.o.Clock(), l)
 }
 
-// LastHeard returns the last sign of life of the endpoint of a lease.
-func (b *Balancer) LastHeard(l *Lease) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.core.LastHeard(l)
-}
-
 // Suspect notes that the endpoint of a lease takes no new connections.
 func (b *Balancer) Suspect(l *Lease) {
 	b.mu.Lock()
--- a/balance/health.go
+++ b/balance/health.go
@@ -15,9 +15,6 @@
 	}
 }
 
-// LastHeard returns the last sign of life of the endpoint of a lease.
-func (c *Core) LastHeard(l *Lease) time.Duration { return l.endpoint.heardAt }
-
 // Release ends a lease.
 func (c *Core) Release(now time.Duration, l *Lease, outcome Outcome) {
 	if l.released {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -139,9 +139,7 @@
 		attempt.CopyAt, attempt.CopyOf = lease.Endpoint.Address, s.req.call.ID
 	}
 	if engine := s.req.service.Engine; engine != nil && engine.Backups && s.req.route.Repeat == routing.RepeatFromEvent {
-		work := s.req.work()
-		work.Continuation = true
-		if s.backup = h.o.Balance.ChooseCopy(work, lease.Endpoint); s.backup != nil {
+		if s.backup = h.o.Balance.ChooseCopy(s.req.work(), lease.Endpoint); s.backup != nil {
 			attempt.BackupTo = s.backup.Endpoint.Address
 		}
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -27,9 +27,8 @@
 	// PeerSecret signs the messages between instances.
 	PeerSecret string
 
-	// MemoryBytes bounds the process, MaxFiles its open files; 0 is unknown.
+	// MemoryBytes bounds the process; 0 is unknown.
 	MemoryBytes int64
-	MaxFiles    int
 	// StopTimeout is how long the process may run after it was told to stop.
 	StopTimeout time.Duration
 
