Serve callers that return while an instance starts

They were refused until the store had been read and told to come back after up to 2 s; the first continued stream listed the prompts of no engine, and that empty list counted for 1.5 s, so others read their prompts again. Callers with a held prompt also waited for the slowest engine's list and for load reports.

Change: a request waits up to an eighth of its caller's patience, 600 ms at most, until configuration and endpoints are known. A holder is used as soon as one engine names it; a list of no engines is not kept; no load reports where the prompt is held. A line says when an answer begins.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,9 @@
 	Clock   bootclock.Func
 	Log     *slog.Logger
 	Scope   tally.Scope
+	// Known is closed once the instance has a configuration and endpoints.
+	// Requests that arrive earlier wait for it a little; nil does not wait.
+	Known <-chan struct{}
 	// Stopping reports whether the instance is about to stop, and how long it
 	// still runs.
 	Stopping func() (bool, time.Duration)
@@ -114,6 +117,7 @@
 		h.refuse(w, call, h.o.Log.With("request", call.ID), reason.From(err))
 		return
 	}
+	h.awaitStart(r.Context(), call)
 	req, refusal := h.admit(w, r, call, received)
 	if refusal != nil {
 		h.refuse(w, call, h.o.Log.With("request", call.ID), refusal)
--- a/forward/run.go
+++ b/forward/run.go
@@ -220,6 +220,8 @@
 	s.w.Header().Del("Content-Length")
 	s.w.WriteHeader(http.StatusOK)
 	s.h.latency.RecordDuration(now - s.req.received)
+	s.req.log.Info("answer begun", "endpoint", r.lease.Endpoint.ID, "after_event", s.last,
+		"age_ms", (now - s.req.received).Milliseconds())
 }
 
 // noteResumed measures the pause that the loss of an engine caused.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -190,9 +190,10 @@
 }
 
 // askLoads asks the engines that come first for the work how busy they are, and
-// returns them. Without an answer an engine's work here decides.
+// returns them. Without an answer an engine's work here decides. Where the
+// prompt is held the question would only delay the next event.
 func (s *stream) askLoads(work balance.Work) []api.EndpointID {
-	if s.h.o.Loads == nil || work.Tokens == 0 {
+	if s.h.o.Loads == nil || work.Tokens == 0 || len(work.Prefer) > 0 {
 		return nil
 	}
 	engines := s.h.o.Balance.Candidates(work, candidates)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,6 +140,7 @@
 			Instances: g.instances,
 		}),
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
+		Known: g.follower.Known(),
 	})
 	return g, nil
 }
--- a/prefixcache/prefixcache.go
+++ b/prefixcache/prefixcache.go
@@ -67,28 +67,50 @@
 	services map[string]*snapshot
 }
 
-// snapshot is the result of asking all engines of a service.
+// snapshot is one round of lists of the engines of a service.
 type snapshot struct {
-	done    chan struct{}
-	at      time.Duration
+	at time.Duration
+
+	mu      sync.Mutex
 	holders map[string][]Holder
+	open    int // lists that have not come yet
+	// changed is closed and replaced when a list comes.
+	changed chan struct{}
 }
 
 // New returns an empty index.
 func New(o Options) *Index { return &Index{o: o, services: make(map[string]*snapshot)} }
 
-// Find returns the engines of the service that hold the part, those with the
-// most tokens first. It waits for at most one round of lists.
+// Find returns engines of the service that hold the part, those with the most
+// tokens first. It returns as soon as one engine says that it holds the part,
+// since engines in another region answer later than the caller's next event is
+// due, and waits for at most one round of lists.
 func (i *Index) Find(ctx context.Context, service, part string) []Holder {
 	s := i.current(service)
-	select {
-	case <-s.done:
-		return s.holders[part]
-	case <-ctx.Done():
-		return nil
+	for {
+		holders, changed := s.lookup(part)
+		if len(holders) > 0 || changed == nil {
+			return holders
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
 	}
 }
 
+// lookup returns the known holders of a part, and what is closed when another
+// list comes, or nil if there is none to come.
+func (s *snapshot) lookup(part string) ([]Holder, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == 0 {
+		return s.holders[part], nil
+	}
+	return s.holders[part], s.changed
+}
+
 // current returns the latest snapshot and starts a new one if it is old.
 func (i *Index) current(service string) *snapshot {
 	i.mu.Lock()
@@ -97,26 +119,43 @@
 	if s, ok := i.services[service]; ok && now-s.at < freshness {
 		return s
 	}
-	s := &snapshot{done: make(chan struct{}), at: now}
-	i.services[service] = s
-	go i.refresh(s, service)
+	engines := i.o.Engines(service)
+	s := &snapshot{at: now, open: len(engines), changed: make(chan struct{}), holders: make(map[string][]Holder)}
+	if len(engines) > 0 {
+		i.services[service] = s
+		go i.refresh(s, service, engines)
+	}
 	return s
 }
 
-func (i *Index) refresh(s *snapshot, service string) {
-	defer close(s.done)
-	engines := i.o.Engines(service)
-	lists := make([][]Part, len(engines))
+func (i *Index) refresh(s *snapshot, service string, engines []registry.Endpoint) {
 	var group sync.WaitGroup
-	for n, engine := range engines {
-		group.Go(func() { lists[n] = i.list(engine) })
+	for _, engine := range engines {
+		group.Go(func() { s.add(engine, i.list(engine)) })
 	}
 	group.Wait()
-	s.holders = index(engines, lists)
 	i.o.Log.Info("held prompts listed", "service", service, "engines", len(engines), "parts", len(s.holders),
 		"took_ms", (i.o.Clock() - s.at).Milliseconds())
 }
 
+// add takes over the list of one engine.
+func (s *snapshot) add(engine registry.Endpoint, parts []Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range parts {
+		known := s.holders[part.ID]
+		if part.Tokens < leastTokens || (known == nil && len(s.holders) >= maxSessions) {
+			continue
+		}
+		known = append(slices.Clone(known), Holder{Endpoint: engine.ID, Tokens: part.Tokens})
+		slices.SortStableFunc(known, func(a, b Holder) int { return cmp.Compare(b.Tokens, a.Tokens) })
+		s.holders[part.ID] = known
+	}
+	s.open--
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (i *Index) list(engine registry.Endpoint) []Part {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
@@ -128,20 +167,3 @@
 	}
 	return parts
 }
-
-// index inverts the lists of the engines.
-func index(engines []registry.Endpoint, lists [][]Part) map[string][]Holder {
-	holders := make(map[string][]Holder)
-	for n, parts := range lists {
-		for _, part := range parts {
-			if part.Tokens < leastTokens || (len(holders) >= maxSessions && holders[part.ID] == nil) {
-				continue
-			}
-			holders[part.ID] = append(holders[part.ID], Holder{Endpoint: engines[n].ID, Tokens: part.Tokens})
-		}
-	}
-	for _, list := range holders {
-		slices.SortStableFunc(list, func(a, b Holder) int { return cmp.Compare(b.Tokens, a.Tokens) })
-	}
-	return holders
-}
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,10 @@
 	table     *Contact
 	endpoints *Contact
 	listed    atomic.Bool
+	// known is closed once there is a configuration and a list of endpoints.
+	known     chan struct{}
+	knownOnce sync.Once
+	hasList   atomic.Bool
 }
 
 // New returns a follower that has not yet reached the store, which counts as
@@ -113,6 +118,7 @@
 		o:         o,
 		table:     newContact("configuration", o.Clock, tableLost),
 		endpoints: newContact("registrations", o.Clock, endpointsLost),
+		known:     make(chan struct{}),
 	}
 }
 
@@ -122,6 +128,17 @@
 // Endpoints returns the contact with the store about registrations.
 func (f *Follower) Endpoints() *Contact { return f.endpoints }
 
+// Known is closed once a configuration is in force and a list of the
+// registrations has been read, from wherever.
+func (f *Follower) Known() <-chan struct{} { return f.known }
+
+// noteKnown closes the channel of Known if both have been read.
+func (f *Follower) noteKnown() {
+	if f.hasList.Load() && f.o.Table.Load() != nil {
+		f.knownOnce.Do(func() { close(f.known) })
+	}
+}
+
 // Listed reports whether the registrations have been read from the store.
 func (f *Follower) Listed() bool { return f.listed.Load() }
 
@@ -173,6 +190,7 @@
 	if !f.o.Table.Apply(table) {
 		return
 	}
+	f.noteKnown()
 	f.o.Scope.Gauge("configuration_version").Update(float64(table.Version))
 	f.o.Log.Info("configuration in force", "version", table.Version, "before", before,
 		"routes", table.Routes(), "source", source, "store_age_ms", f.table.Age().Milliseconds())
@@ -210,6 +228,7 @@
 		f.unreadable(list.Unreadable)
 		if list.Old {
 			f.o.Registry.Apply(registry.Learned{Endpoints: list.Endpoints})
+			f.noteList()
 			pause(ctx, retryPause)
 			return 0, nil
 		}
@@ -217,6 +236,7 @@
 		f.o.Recorder.RecordList(list)
 		f.o.Registry.Apply(registry.Listed{Endpoints: list.Endpoints})
 		f.listed.Store(true)
+		f.noteList()
 		return list.Revision, nil
 	}
 	changes, err := f.o.Store.WatchEndpoints(ctx, revision, endpointWait)
@@ -233,6 +253,11 @@
 	return changes.Revision, nil
 }
 
+func (f *Follower) noteList() {
+	f.hasList.Store(true)
+	f.noteKnown()
+}
+
 func (f *Follower) unreadable(errors []error) {
 	for _, err := range errors {
 		f.count("registrations_unreadable")
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -174,6 +174,18 @@
 		Eventually(current.Version).Should(BeEquivalentTo(1))
 	})
 
+	// Guards against requests that are placed while only the configuration, or
+	// none of the endpoints, is known.
+	It("says when both the configuration and the endpoints are known", func() {
+		start()
+		Eventually(entries.Endpoints).Should(HaveLen(1))
+		Consistently(follower.Known(), "30ms").ShouldNot(BeClosed())
+		store.put(1)
+		Eventually(follower.Known()).Should(BeClosed())
+		Expect(entries.Endpoints()).To(HaveLen(1))
+		Expect(current.Version()).To(BeEquivalentTo(1))
+	})
+
 	// Guards against a version that stays unknown because the watch was deaf when
 	// it came and its history is gone.
 	It("learns what came while watches were deaf and the history was dropped", func() {
