Rank requests in an engine's queue by account and route

Cause: priorities of accounts and routes were decoded and not used; the engines admitted by arrival.

Change: the account's priority, or else the route's, sets the rank that the engine admits by.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -39,6 +39,7 @@
 	headerCopy        = "Test-Copy"
 	headerNotExecuted = "Test-Not-Executed"
 	headerSigned      = "Test-Signed"
+	headerRank        = "Test-Rank"
 )
 
 // testProtocol is a minimal protocol.
@@ -64,6 +65,7 @@
 	if a.BackupTo != "" {
 		h.Set(headerBackup, a.BackupTo)
 	}
+	h.Set(headerRank, strconv.Itoa(a.QueueRank))
 	if a.CopyAt != "" {
 		h.Set(headerCopy, a.CopyAt+"/"+a.CopyOf)
 	}
@@ -180,13 +182,18 @@
 	for i := range routes {
 		routes[i].Host = "service.example"
 		routes[i].MaxAttempts = 3
+		routes[i].Priority = 2
 		routes[i].Services = []routing.Share{{Service: "s", Weight: 1}}
 		if change != nil {
 			change(&routes[i])
 		}
 	}
 	services := []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 8, KVCapacity: 100000, Backups: true}}}
-	accounts := []routing.Account{{ID: "acme", Keys: []string{"key"}}}
+	accounts := []routing.Account{
+		{ID: "acme", Keys: []string{"key"}},
+		{ID: "first", Keys: []string{"urgent"}, HasPriority: true},
+		{ID: "last", Keys: []string{"patient"}, Priority: 40, HasPriority: true},
+	}
 	w.table.Apply(routing.New(w.table.Version()+1, routes, services, accounts, routing.Limits{}))
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -87,6 +87,7 @@
 	route    routing.Route
 	service  routing.Service
 	account  api.AccountID
+	priority int // 0 is the highest
 	received time.Duration
 	// deadline is when the answer is of no more use; 0 is none.
 	deadline time.Duration
@@ -152,7 +153,7 @@
 	}
 	req := &request{
 		call: call, route: route, received: received, version: table.Version,
-		inbound: r, target: target,
+		inbound: r, target: target, priority: route.Priority,
 	}
 	if table.Keyed() {
 		account, ok := table.Account(call.Key)
@@ -160,6 +161,7 @@
 			return nil, reason.New(reason.Unauthenticated, "the key belongs to no account")
 		}
 		req.account = account.ID
+		req.priority = account.PriorityOn(route)
 	}
 	req.service = table.Services[route.Pick(call.ID)]
 	if req.service.Name == "" {
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -42,6 +42,9 @@
 	// CopyOf the run's name there; "" reads the prompt.
 	CopyAt string
 	CopyOf string
+	// QueueRank orders the attempts that wait at an engine: 1 is admitted first,
+	// lastRank last. 0 leaves it to the engine.
+	QueueRank int
 }
 
 // Answer is what the header of an endpoint's answer says.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -138,6 +138,9 @@
 	if copied {
 		attempt.CopyAt, attempt.CopyOf = lease.Endpoint.Address, s.req.call.ID
 	}
+	if s.req.service.Engine != nil {
+		attempt.QueueRank = queueRank(s.req.priority)
+	}
 	if engine := s.req.service.Engine; engine != nil && engine.Backups && s.req.route.Repeat == routing.RepeatFromEvent {
 		if s.backup = h.o.Balance.ChooseCopy(s.req.work(), lease.Endpoint); s.backup != nil {
 			attempt.BackupTo = s.backup.Endpoint.Address
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -40,6 +40,21 @@
 		Expect(string(first) + string(rest)).To(Equal(wholeStream(2)))
 	})
 
+	// Guards against an urgent account that waits behind others at an engine, and
+	// against ranks that engines do not know.
+	DescribeTable("is ranked by the account's priority, else by the route's",
+		func(key, rank string) {
+			w.endpoint("a", events(1, complete))
+			response, err := w.call(context.Background(), http.MethodPost, "/stream/x", nil, http.Header{headerKey: {key}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			Expect(w.seen()[0].header.Get(headerRank)).To(Equal(rank))
+		},
+		Entry("an account without a priority", "key", "3"),
+		Entry("an urgent account", "urgent", "1"),
+		Entry("an account that waits", "patient", "10"),
+	)
+
 	// fails serves part of a stream at the first engine that is asked, and whole
 	// streams at all others.
 	fails := func(first http.HandlerFunc) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -94,6 +94,15 @@
 	HasPriority bool
 }
 
+// PriorityOn returns the priority of the account's requests on a route; 0 is the
+// highest.
+func (a Account) PriorityOn(route Route) int {
+	if a.HasPriority {
+		return a.Priority
+	}
+	return route.Priority
+}
+
 // Table is one version of the configuration.
 type Table struct {
 	Version  uint64
