Keep streams without a copy at a slow engine longer

Cause: at six times the callers 61 streams moved after 525 ms of silence at engines that took connections and were only slow.

Change: a stream without a copy moves after half of its target latency, about what reading its prompt takes. Probes come as often as before, so the loss of an engine is seen as early.

--- a/forward/silence.go
+++ b/forward/silence.go
@@ -14,6 +14,10 @@
 	// gapShare is the part of the longest pause on time after which a stream
 	// moves although its engine takes connections.
 	gapShare = 0.75
+	// rereadShare is the part of the target latency after which a stream without a
+	// copy moves although its engine takes connections. Another engine would read
+	// the prompt again, which takes longer than the pauses of a busy engine.
+	rereadShare = 0.5
 	// defaultGap applies to a route without a target for the pause.
 	defaultGap = time.Second
 	// firstEventShare is the part of the target latency that an engine gets for
@@ -41,6 +45,7 @@
 	gap        time.Duration // longest pause that is on time
 	firstEvent time.Duration // target for the first event
 	started    bool          // an event has arrived from this engine
+	copied     bool          // another engine keeps a copy of the run
 	since      time.Duration // last event, or the start of the run
 	probed     time.Duration // last probe; 0 is none in this silence
 }
@@ -72,8 +77,11 @@
 }
 
 func (s *silence) moveAfter() time.Duration {
-	if s.started {
+	switch {
+	case s.started && s.copied:
 		return share(s.gap, gapShare, defaultGap)
+	case s.started:
+		return max(share(s.gap, gapShare, defaultGap), share(s.firstEvent, rereadShare, defaultFirstEvent))
 	}
 	return share(s.firstEvent, firstEventShare, defaultFirstEvent)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -150,7 +150,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &run{
 		lease: lease, cancel: cancel, steps: make(chan step, eventBuffer), copied: copied,
-		quiet: silence{gap: s.req.route.TargetGap, firstEvent: s.req.route.TargetLatency, since: now, started: copied},
+		quiet: silence{gap: s.req.route.TargetGap, firstEvent: s.req.route.TargetLatency, since: now, started: copied, copied: attempt.BackupTo != ""},
 	}
 	s.req.log.Info("run started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
 		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "copied", copied,
