Refuse generations that would begin late

Nothing was refused before an engine's own queue was full.

Change: the balancer measures how long a prompt takes until the first event. A new generation is not placed where the known prompts would take more than 0.6 of the target latency; up to nine engines are asked, and if all are that busy it is refused at once and told to return after 0.45 of the target. Streams that have begun are never refused. Placing has a file of its own.

In the play goodput at four times the load is above 0.9 of the capacity.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -81,6 +81,9 @@
 	Among []api.EndpointID
 	// Exclude lists endpoints that were tried.
 	Exclude []api.EndpointID
+	// LongestWait is how long the first event may take; 0 is any time. Engines
+	// whose prompts would make it longer are not chosen.
+	LongestWait time.Duration
 
 	session uint64 // hash of Session
 }
@@ -157,6 +160,9 @@
 	// use is the share of the engines' memory that is in use, by service, as a
 	// moving average of reports.
 	use map[string]float64
+	// readTime is how long a prompt takes at an engine, by service, as a moving
+	// average in nanoseconds.
+	readTime map[string]float64
 }
 
 type domainKey struct {
@@ -173,6 +179,7 @@
 		domainUntil: make(map[domainKey]time.Duration),
 		capacity:    make(map[string]int),
 		use:         make(map[string]float64),
+		readTime:    make(map[string]float64),
 	}
 }
 
@@ -219,7 +226,7 @@
 // Choose returns the endpoint for the work and counts the work there.
 func (c *Core) Choose(now time.Duration, work Work) (*Lease, *reason.Error) {
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
-	leaving, excluded := 0, 0
+	leaving, excluded, late := 0, 0, 0
 	work.session = xxhash.Sum64String(work.Session)
 	for _, e := range c.byService[work.Service] {
 		switch {
@@ -229,6 +236,9 @@
 		case slices.Contains(work.Exclude, e.ID):
 			excluded++
 			continue
+		case c.late(now, e, work):
+			late++
+			continue
 		case c.full(now, e, work) || (work.Among != nil && !slices.Contains(work.Among, e.ID)):
 			continue
 		}
@@ -240,6 +250,9 @@
 		work.Among = nil
 		return c.Choose(now, work)
 	}
+	if best == nil && late > 0 {
+		return nil, reason.New(reason.Overloaded, "prompts wait at all engines")
+	}
 	if best == nil {
 		return nil, c.refusal(work, leaving, excluded)
 	}
@@ -321,6 +334,7 @@
 	tokens   int
 	started  time.Duration
 	prefill  bool
+	held     bool // the endpoint holds the prompt
 	copy     bool
 	released bool
 	// Suspected says that the endpoint was chosen although it is suspected of
@@ -334,7 +348,7 @@
 }
 
 func (c *Core) lease(now time.Duration, e *endpoint, work Work) *Lease {
-	l := &Lease{Endpoint: e.Endpoint, endpoint: e, tokens: work.Tokens, started: now}
+	l := &Lease{Endpoint: e.Endpoint, endpoint: e, tokens: work.Tokens, started: now, held: slices.Contains(work.Prefer, e.ID)}
 	l.Suspected = now < e.suspectUntil
 	l.Load, l.ReportAge = e.load(now)
 	if e.failures > 0 {
@@ -413,7 +427,7 @@
 	work.session = xxhash.Sum64String(work.Session)
 	var list []candidate
 	for _, e := range c.byService[work.Service] {
-		if e.Draining || slices.Contains(work.Exclude, e.ID) || c.full(now, e, work) {
+		if e.Draining || slices.Contains(work.Exclude, e.ID) || c.full(now, e, work) || c.late(now, e, work) {
 			continue
 		}
 		if cost := c.cost(now, e, work); cost < domainOutCost {
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -57,6 +57,13 @@
 	return b.core.ChooseCopy(b.o.Clock(), work, primary)
 }
 
+// HasRoom reports whether one of the endpoints in Among can take the work.
+func (b *Balancer) HasRoom(work Work) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.HasRoom(b.o.Clock(), work)
+}
+
 // Promote turns the lease of a copy into that of the running generation.
 func (b *Balancer) Promote(l *Lease) {
 	b.mu.Lock()
--- a/balance/health.go
+++ b/balance/health.go
@@ -12,6 +12,7 @@
 	if l.prefill {
 		l.prefill = false
 		e.prefilling--
+		c.noteRead(now, l)
 	}
 }
 
--- a/balance/overload_test.go
+++ b/balance/overload_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscusstair/hibiscusstair/balance"
+	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 )
 
@@ -101,6 +102,8 @@
 	cores   []*balance.Core
 	engines []*playEngine
 	runs    []*playRun
+	// longestWait is what the callers allow for the first event; 0 is any time.
+	longestWait time.Duration
 }
 
 func newFleetPlay(instances, engines int) *fleetPlay {
@@ -123,9 +126,16 @@
 
 func (p *fleetPlay) arrive(now time.Duration, core *balance.Core, session string) {
 	w := work(session)
-	for _, candidate := range core.Candidates(now, w, 3) {
-		core.Reported(now, candidate, p.at(candidate).report())
-		w.Among = append(w.Among, candidate.ID)
+	w.LongestWait = p.longestWait
+	for range 3 {
+		w.Among = nil
+		for _, candidate := range core.Candidates(now, w, 3) {
+			core.Reported(now, candidate, p.at(candidate).report())
+			w.Among = append(w.Among, candidate.ID)
+		}
+		if core.HasRoom(now, w) {
+			break
+		}
 	}
 	lease, refused := core.Choose(now, w)
 	if refused != nil {
@@ -160,6 +170,22 @@
 // play lets callers arrive at a rate a second for some time, and returns the
 // share of them whose first event came on time.
 func (p *fleetPlay) play(rate float64, length time.Duration, seed uint64) float64 {
+	p.arrivals(rate, length, seed)
+	return float64(p.onTime()) / float64(len(p.runs))
+}
+
+// onTime returns the number of callers whose first event came on time.
+func (p *fleetPlay) onTime() int {
+	good := 0
+	for _, r := range p.runs {
+		if r.first > 0 && r.first-r.arrived <= onTime {
+			good++
+		}
+	}
+	return good
+}
+
+func (p *fleetPlay) arrivals(rate float64, length time.Duration, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	next := time.Duration(0)
 	for now := playStep; now < length+decodeTime*slowdown; now += playStep {
@@ -169,13 +195,6 @@
 		}
 		p.step(now)
 	}
-	good := 0
-	for _, r := range p.runs {
-		if r.first > 0 && r.first-r.arrived <= onTime {
-			good++
-		}
-	}
-	return float64(good) / float64(len(p.runs))
 }
 
 // Load: the callers of a press triple for 20 s, which is close to what its
@@ -201,3 +220,54 @@
 		Expect(copied).To(BeNumerically(">=", len(p.runs)*95/100))
 	})
 })
+
+// Load: four times the generations that the engines can begin on time. Callers
+// allow 0.6 of the target for the prompts at an engine.
+var _ = Describe("An overload by generations", func() {
+	const capacity = 18.0 // generations a second that 24 engines begin on time
+
+	limited := func() *fleetPlay {
+		p := newFleetPlay(8, 24)
+		p.longestWait = onTime * 6 / 10
+		return p
+	}
+
+	// Guards against engines that begin every answer late because none is refused.
+	It("leaves nine tenths of the capacity to answers on time", func() {
+		usual, overload := 0, 0
+		for seed := range uint64(10) {
+			p := limited()
+			p.play(capacity, 20*time.Second, seed)
+			usual += p.onTime()
+			p = limited()
+			p.play(4*capacity, 20*time.Second, seed)
+			overload += p.onTime()
+		}
+		Expect(overload).To(BeNumerically(">=", usual*9/10))
+	})
+
+	// Guards against refusals while engines have room.
+	It("does not begin at a third of the capacity", func() {
+		p := limited()
+		Expect(p.play(capacity/3, 20*time.Second, 1)).To(BeNumerically("==", 1))
+	})
+
+	// Guards against an average that was measured in an overload and keeps callers
+	// from idle engines after it.
+	It("ends when an engine has no prompt to read", func() {
+		core := newCore("i", 1)
+		w := work("s")
+		lease, err := core.Choose(0, w)
+		Expect(err).To(BeNil())
+		core.Heard(time.Minute, lease)
+		w.LongestWait = time.Second
+		lease, err = core.Choose(time.Minute, w)
+		Expect(err).To(BeNil())
+		_, err = core.Choose(time.Minute, w)
+		Expect(err.Reason).To(Equal(reason.Overloaded))
+		Expect(err.Run).To(Equal(reason.RunNo))
+		core.Release(time.Minute, lease, balance.Cancelled)
+		_, err = core.Choose(time.Minute, w)
+		Expect(err).To(BeNil())
+	})
+})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
@@ -17,15 +16,6 @@
 	eventBuffer = 16
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 5 * time.Second
-	// candidates is the number of engines that are asked for their load before a
-	// generation is placed. Two are far better than one, and each one more adds
-	// less.
-	candidates = 3
-	// noEngineWait bounds how long a stream looks for an engine while all are
-	// down; engines that crash are back after a second or more.
-	noEngineWait = 2500 * time.Millisecond
-	// noEnginePause is the pause between two looks.
-	noEnginePause = 60 * time.Millisecond
 )
 
 // stream is a streamed answer in progress.
@@ -161,64 +151,6 @@
 	return r, nil
 }
 
-// place returns the lease of the next run and whether it uses a copy.
-func (s *stream) place() (*balance.Lease, bool, *reason.Error) {
-	if backup := s.backup; backup != nil {
-		s.backup = nil
-		if s.h.o.Balance.Alive(backup.Endpoint) {
-			s.h.o.Balance.Promote(backup)
-			return backup, true, nil
-		}
-		s.h.o.Balance.Release(backup, balance.Cancelled)
-	}
-	until := s.h.o.Clock() + noEngineWait
-	for {
-		work := s.req.work()
-		work.Among = s.askLoads(work)
-		lease, err := s.h.o.Balance.Choose(work)
-		if err == nil {
-			return lease, false, nil
-		}
-		if err.Reason == reason.AttemptsExhausted && len(s.req.tried) > 0 {
-			// Engines that were lost may be back.
-			s.req.tried = nil
-			continue
-		}
-		if s.h.o.Clock() >= until || s.ctx.Err() != nil || !s.begun {
-			if s.ran {
-				err = err.WithRun(reason.RunUnknown)
-			}
-			return nil, false, err.WithRetryAfter(returnPause(s.req.call.Patience))
-		}
-		sleep(s.ctx, noEnginePause)
-	}
-}
-
-// askLoads asks the engines that come first for the work how busy they are, and
-// returns them. Without an answer an engine's work here decides. Where the
-// prompt is held the question would only delay the next event.
-func (s *stream) askLoads(work balance.Work) []api.EndpointID {
-	if s.h.o.Loads == nil || work.Tokens == 0 || len(work.Prefer) > 0 {
-		return nil
-	}
-	engines := s.h.o.Balance.Candidates(work, candidates)
-	s.h.o.Loads.Refresh(s.ctx, engines)
-	var among []api.EndpointID
-	for _, engine := range engines {
-		among = append(among, engine.ID)
-	}
-	return among
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // lose notes the end of a run without its answer's end.
 func (s *stream) lose(r *run, why *reason.Error) {
 	now := s.h.o.Clock()
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 )
 
@@ -55,6 +56,26 @@
 		Entry("an account that waits", "patient", "10"),
 	)
 
+	// Load: an engine that takes 300 ms to a first event has five prompts to read,
+	// and the target is a second. Guards against a caller that waits for an answer
+	// which is known to be late, and against refusing one that has begun.
+	It("is refused at once if it would begin late, unless its caller continues it", func() {
+		engine := w.endpoint("a", func(rw http.ResponseWriter, r *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			events(3, complete)(rw, r)
+		})
+		code, _, _ := w.get("/stream/x")
+		Expect(code).To(Equal(http.StatusOK))
+		w.balance.Reported(engine, balance.Load{Running: 5, Prefilling: 5})
+		code, _, header := w.get("/stream/x")
+		Expect(code).To(Equal(http.StatusServiceUnavailable))
+		Expect(header.Get("Test-Reason")).To(Equal("overloaded"))
+		Expect(w.seen()).To(HaveLen(1))
+		response, err := w.call(context.Background(), http.MethodPost, "/stream/x", nil, http.Header{headerLastEvent: {"1"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	// fails serves part of a stream at the first engine that is asked, and whole
 	// streams at all others.
 	fails := func(first http.HandlerFunc) {
