Add an emulator with scenarios, and engines that batch and fill up

Cause: the platform's stand-in could only run the soak.

Change: stand-in engines read prompts in chunks between the tokens of other runs, share their memory between runs, copies and kept prompts, and report both. The soak's processes become a deployment of their own, which the new command emulate uses: scenario files, callers that come back, a table, a plot, a JSON result, and a comparison of two results.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SEED ?= 20261204
 
-.PHONY: build test lint demo bench bench-quick fuzz generate soak
+.PHONY: build test lint demo bench bench-quick fuzz generate soak emulate
 
 build:
 	$(GO) build -o out/ ./cmd/... ./standins/...
@@ -37,3 +37,9 @@
 SOAK_SEEDS ?= 5
 soak: build
 	out/soak -seeds $(SOAK_SEEDS)
+
+# Load and faults of a scenario on real instances against the platform's
+# stand-in. Two results: out/emulate compare RESULT RESULT
+SCENARIO ?= standins/platform/scenarios/overload.toml
+emulate: build
+	out/emulate run $(SCENARIO)
--- a/standins/platform/soak/config.go
+++ b/standins/platform/deployment/config.go
@@ -1,4 +1,4 @@
-package soak
+package deployment
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 // settingsText is the platform's settings file of an instance. Addresses are
 // those for callers, readiness, control and metrics, and the store's.
-func settingsText(n *node, addresses, controls []string) string {
+func settingsText(n *Node, addresses, controls []string) string {
 	seeds := make([]string, 0, 3)
 	for _, control := range controls[:min(3, len(controls))] {
 		seeds = append(seeds, fmt.Sprintf("%q", control))
@@ -37,7 +37,7 @@
 budget-slack = 150
 [provider]
 address = %q
-`, n.name, metricsHost, n.domain, metricsPort, metricsPort, strings.Join(seeds, ","),
+`, n.Name, metricsHost, n.Domain, metricsPort, metricsPort, strings.Join(seeds, ","),
 		addresses[0], addresses[1], addresses[2], addresses[4])
 }
 
@@ -85,35 +85,41 @@
 	Keys []string `json:"api-keys"`
 }
 
-// configure writes the next version of the configuration.
-func (s *soak) configure() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version += 1 + uint64(s.version%3)
-	s.store.Put("config", "main", manifest{
-		Version: s.version,
+// Configure writes the next version of the configuration.
+func (d *Deployment) Configure() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version += 1 + d.version%3
+	d.Store.Put("config", "main", manifest{
+		Version: d.version,
 		Routes: []manifestRoute{
-			{Name: "stream", Host: host, Prefix: "/stream/", Type: "streaming", TimeoutMS: 10000, TargetMS: 2000, GapMS: 700, Service: "llm", MaxAttempts: 5, Resumable: true},
-			{Name: "order", Host: host, Prefix: "/order/", Type: "non_idempotent", TimeoutMS: 1500, TargetMS: 200, Service: "desk", MaxAttempts: 2},
-			{Name: "lookup", Host: host, Prefix: "/lookup/", Type: "idempotent", TimeoutMS: 1500, TargetMS: 200, Service: "desk", MaxAttempts: 3},
+			{Name: "stream", Host: Host, Prefix: "/stream/", Type: "streaming", TimeoutMS: int(StreamTimeout.Milliseconds()), TargetMS: int(StreamTarget.Milliseconds()), GapMS: int(StreamGap.Milliseconds()), Service: "llm", MaxAttempts: 5, Resumable: true},
+			{Name: "order", Host: Host, Prefix: "/order/", Type: "non_idempotent", TimeoutMS: 1500, TargetMS: int(DeskTarget.Milliseconds()), Service: "desk", MaxAttempts: 2},
+			{Name: "lookup", Host: Host, Prefix: "/lookup/", Type: "idempotent", TimeoutMS: 1500, TargetMS: int(DeskTarget.Milliseconds()), Service: "desk", MaxAttempts: 3},
 		},
 		Services: []manifestService{
-			{Name: "llm", HealthPath: "/healthz", Engine: &manifestEngine{Slots: 16, Capacity: 88000, Backups: true, HandleS: 4, Models: []manifestModel{{"m"}}}},
+			{Name: "llm", HealthPath: "/healthz", Engine: &manifestEngine{Slots: d.o.Model.Slots, Capacity: d.o.Model.Capacity, Backups: true, HandleS: 4, Models: []manifestModel{{"m"}}}},
 			{Name: "desk", HealthPath: "/healthz"},
 		},
-		Tenants: []manifestTenant{{Name: account, Keys: append([]string(nil), s.keys...)}},
+		Tenants: []manifestTenant{{Name: Account, Keys: append([]string(nil), d.keys...)}},
 	})
 }
 
-// revoke takes one key away, as long as enough are left, and adds another.
-func (s *soak) revoke() {
-	s.mu.Lock()
-	s.sequence++
-	gone := s.keys[0]
-	s.keys = append(s.keys[1:], fmt.Sprintf("key-new-%d", s.sequence))
-	s.mu.Unlock()
-	s.configure()
-	s.mu.Lock()
-	s.removed[gone] = time.Now()
-	s.mu.Unlock()
+// Keys returns the keys of the account.
+func (d *Deployment) Keys() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.keys...)
+}
+
+// Revoke takes one key away, adds another, and returns the one that is gone and
+// when the store had its removal.
+func (d *Deployment) Revoke() (gone string, at time.Time) {
+	d.mu.Lock()
+	d.added++
+	gone = d.keys[0]
+	d.keys = append(d.keys[1:], fmt.Sprintf("key-new-%d", d.added))
+	d.mu.Unlock()
+	d.Configure()
+	return gone, time.Now()
 }
--- a/standins/platform/soak/callers.go
+++ b/standins/platform/soak/callers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/deployment"
 	"github.com/hibiscusstair/hibiscusstair/standins/platform/world"
 )
 
@@ -31,22 +32,23 @@
 	}
 }
 
-func (s *soak) pick(random *rand.Rand) *node {
-	ready := s.ready()
+func (s *soak) pick(random *rand.Rand) *deployment.Node {
+	ready := s.Ready()
 	if len(ready) == 0 {
 		return nil
 	}
 	return ready[random.IntN(len(ready))]
 }
 
-func (s *soak) request(random *rand.Rand, n *node) world.Request {
+func (s *soak) request(random *rand.Rand, n *deployment.Node) world.Request {
 	s.mu.Lock()
 	s.sequence++
 	number := s.sequence
-	key := s.keys[random.IntN(len(s.keys))]
 	s.mu.Unlock()
+	keys := s.Keys()
+	key := keys[random.IntN(len(keys))]
 	r := world.Request{
-		Attempt: fmt.Sprintf("a%d", number), Instance: n.caller, Host: host, Key: key,
+		Attempt: fmt.Sprintf("a%d", number), Instance: n.Caller, Host: deployment.Host, Key: key,
 		Body: fmt.Appendf(nil, "body-%d", number), Patience: deskPatience,
 	}
 	switch draw := random.IntN(10); {
--- a/standins/platform/soak/check.go
+++ b/standins/platform/soak/check.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/deployment"
 	"github.com/hibiscusstair/hibiscusstair/standins/platform/world"
 )
 
@@ -32,7 +33,7 @@
 		s.keep(o)
 		if !o.Whole {
 			broken = append(broken, fmt.Sprintf("recovery: %s %s at %s ended with status %d after event %d: %v",
-				o.Request.Kind, o.Request.Attempt, n.name, o.Status, o.Last, o.Err))
+				o.Request.Kind, o.Request.Attempt, n.Name, o.Status, o.Last, o.Err))
 		}
 	}
 	return broken
@@ -43,7 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := Report{Seed: s.o.Seed, Requests: len(s.outcomes), Faults: s.injected, Broken: broken}
-	arrivals := s.book.Arrivals()
+	arrivals := s.Book.Arrivals()
 	runs := make(map[string]int)
 	for _, a := range arrivals {
 		runs[a.Attempt]++
@@ -93,7 +94,7 @@
 	if a.Target != request.Target || a.Body != world.Hash(body) {
 		broken = append(broken, fmt.Sprintf("%s: target or body changed: %s", a.Attempt, a.Target))
 	}
-	if a.Account != account || a.Key != "" {
+	if a.Account != deployment.Account || a.Key != "" {
 		broken = append(broken, fmt.Sprintf("%s: account %q, key passed on: %t", a.Attempt, a.Account, a.Key != ""))
 	}
 	if at, gone := s.removed[request.Key]; gone && a.At.Sub(at) > revokeBound && request.Kind != world.KindStream {
--- a/standins/platform/soak/faults.go
+++ b/standins/platform/soak/faults.go
@@ -8,7 +8,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/standins/cutproxy"
 	"github.com/hibiscusstair/hibiscusstair/standins/harness"
-	"github.com/hibiscusstair/hibiscusstair/standins/platform/world"
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/deployment"
 )
 
 const (
@@ -46,41 +46,29 @@
 // crashDomain ends most engines of a failure domain at once. They start again
 // under new identifiers at the same addresses.
 func (s *soak) crashDomain(random *rand.Rand) {
-	chosen := domain(random.IntN(3))
+	chosen := deployment.Domain(random.IntN(3))
 	s.note("crash of the engines in %s", chosen)
-	type dead struct {
-		engine *world.Endpoint
-		id     string
-	}
-	var list []dead
-	for _, e := range s.engines {
-		if e.Domain == chosen && random.IntN(10) > 0 {
-			list = append(list, dead{e, e.Crash()})
-		}
-	}
+	restart := s.CrashDomain(chosen, func() bool { return random.IntN(10) == 0 })
 	time.Sleep(upTo(random, 500*time.Millisecond, lapseTime))
-	for _, d := range list {
-		if err := d.engine.Start(); err != nil {
-			s.note("engine did not start: %s", err)
-		}
-		d.engine.Lapse(d.id)
+	for _, err := range restart() {
+		s.note("engine did not start: %s", err)
 	}
 }
 
 // silenceEngines freezes connections to one engine, so that nothing arrives and
 // nothing is reset.
 func (s *soak) silenceEngines(random *rand.Rand) {
-	i := random.IntN(len(s.engines))
+	i := random.IntN(len(s.Engines))
 	s.note("silence of engine %d", i)
-	s.proxies[i].Freeze("", random.IntN(2) == 0, cutproxy.Up, cutproxy.Down)
+	s.Links[i].Freeze("", random.IntN(2) == 0, cutproxy.Up, cutproxy.Down)
 	time.Sleep(upTo(random, 500*time.Millisecond, 3*time.Second))
-	s.proxies[i].Cut("")
-	s.proxies[i].Heal("")
+	s.Links[i].Cut("")
+	s.Links[i].Heal("")
 }
 
 // drainEngine lets an engine leave and come back.
 func (s *soak) drainEngine(random *rand.Rand) {
-	e := s.engines[random.IntN(len(s.engines))]
+	e := s.Engines[random.IntN(len(s.Engines))]
 	s.note("an engine of %s leaves", e.Domain)
 	e.Drain()
 	time.Sleep(2500 * time.Millisecond)
@@ -98,24 +86,22 @@
 }
 
 // withInstance runs a fault on one instance that no other fault holds.
-func (s *soak) withInstance(random *rand.Rand, what string, fault func(*node, *harness.Process)) {
-	n := s.nodes[random.IntN(len(s.nodes))]
-	n.mu.Lock()
-	process, busy := n.process, n.held
-	n.mu.Unlock()
-	if busy || !process.Alive() {
+func (s *soak) withInstance(random *rand.Rand, what string, fault func(*deployment.Node, *harness.Process)) {
+	n := s.Nodes[random.IntN(len(s.Nodes))]
+	process := n.Process()
+	if !process.Alive() {
 		return
 	}
-	s.note("%s: %s", n.name, what)
+	s.note("%s: %s", n.Name, what)
 	fault(n, process)
 }
 
 func (s *soak) killInstance(random *rand.Rand) {
-	s.withInstance(random, "killed", func(_ *node, p *harness.Process) { p.Kill() })
+	s.withInstance(random, "killed", func(_ *deployment.Node, p *harness.Process) { p.Kill() })
 }
 
 func (s *soak) pauseInstance(random *rand.Rand) {
-	s.withInstance(random, "paused", func(_ *node, p *harness.Process) {
+	s.withInstance(random, "paused", func(_ *deployment.Node, p *harness.Process) {
 		p.Freeze()
 		time.Sleep(upTo(random, 200*time.Millisecond, 3*time.Second))
 		p.Thaw()
@@ -123,7 +109,7 @@
 }
 
 func (s *soak) stopInstance(random *rand.Rand) {
-	s.withInstance(random, "told to stop", func(_ *node, p *harness.Process) {
+	s.withInstance(random, "told to stop", func(_ *deployment.Node, p *harness.Process) {
 		p.Terminate()
 		if random.IntN(3) == 0 {
 			time.Sleep(upTo(random, 10*time.Millisecond, time.Second))
@@ -133,7 +119,7 @@
 }
 
 func (s *soak) hangup(random *rand.Rand) {
-	s.withInstance(random, "told to reload", func(_ *node, p *harness.Process) { p.Hangup() })
+	s.withInstance(random, "told to reload", func(_ *deployment.Node, p *harness.Process) { p.Hangup() })
 }
 
 func (s *soak) killAll(random *rand.Rand) {
@@ -141,69 +127,69 @@
 		return
 	}
 	s.note("all instances killed")
-	for _, n := range s.nodes {
-		n.mu.Lock()
-		process := n.process
-		n.mu.Unlock()
-		process.Kill()
+	for _, n := range s.Nodes {
+		n.Process().Kill()
 	}
 }
 
 func (s *soak) cutStore(random *rand.Rand) {
-	n := s.nodes[random.IntN(len(s.nodes))]
-	s.note("%s: cut off from the store", n.name)
+	n := s.Nodes[random.IntN(len(s.Nodes))]
+	s.note("%s: cut off from the store", n.Name)
 	switch random.IntN(3) {
 	case 0:
-		n.proxy.Cut("")
+		n.StoreLink.Cut("")
 	case 1:
-		n.proxy.Freeze("", true, cutproxy.Up, cutproxy.Down)
+		n.StoreLink.Freeze("", true, cutproxy.Up, cutproxy.Down)
 	default:
-		n.proxy.Freeze("", true, cutproxy.Down)
+		n.StoreLink.Freeze("", true, cutproxy.Down)
 	}
 	time.Sleep(upTo(random, 500*time.Millisecond, 5*time.Second))
-	n.proxy.Cut("")
-	n.proxy.Heal("")
+	n.StoreLink.Cut("")
+	n.StoreLink.Heal("")
 }
 
 func (s *soak) storeDown(random *rand.Rand) {
 	s.note("the store is down")
-	s.store.SetDown(true)
+	s.Store.SetDown(true)
 	time.Sleep(upTo(random, 500*time.Millisecond, 4*time.Second))
-	s.store.SetDown(false)
+	s.Store.SetDown(false)
 }
 
 func (s *soak) storeSlow(random *rand.Rand) {
 	s.note("the store is slow")
-	s.store.SetDelay(200 * time.Millisecond)
+	s.Store.SetDelay(200 * time.Millisecond)
 	time.Sleep(upTo(random, 500*time.Millisecond, 4*time.Second))
-	s.store.SetDelay(0)
+	s.Store.SetDelay(0)
 }
 
 func (s *soak) storeDeaf(*rand.Rand) {
 	s.note("watches are deaf, then the history goes")
-	s.store.SetDeaf(true)
-	s.configure()
+	s.Store.SetDeaf(true)
+	s.Configure()
 	time.Sleep(time.Second)
-	s.store.SetDeaf(false)
+	s.Store.SetDeaf(false)
 }
 
 func (s *soak) changeConfiguration(random *rand.Rand) {
 	s.note("versions in quick succession")
 	for range 1 + random.IntN(5) {
-		s.configure()
+		s.Configure()
 		time.Sleep(30 * time.Millisecond)
 	}
 }
 
 func (s *soak) revokeKeys(*rand.Rand) {
 	s.note("a key is taken away")
-	s.revoke()
+	gone, at := s.Revoke()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removed[gone] = at
 }
 
 // faultyDesk makes the desk fail a part of its requests in one way.
 func (s *soak) faultyDesk(random *rand.Rand) {
 	s.note("the desk fails")
-	shares := []interface{ Store(int32) }{&s.faults.Fail, &s.faults.Lose, &s.faults.Hang, &s.faults.Cut, &s.faults.Foreign}
+	shares := []interface{ Store(int32) }{&s.DeskFaults.Fail, &s.DeskFaults.Lose, &s.DeskFaults.Hang, &s.DeskFaults.Cut, &s.DeskFaults.Foreign}
 	chosen := shares[random.IntN(len(shares))]
 	chosen.Store(20)
 	time.Sleep(upTo(random, time.Second, 4*time.Second))
--- a/standins/platform/world/caller.go
+++ b/standins/platform/world/caller.go
@@ -43,10 +43,13 @@
 	Request Request
 	Sent    time.Time
 	Ended   time.Time
-	Status  int    // 0: no answer
-	Last    int    // last event of a stream
-	Whole   bool   // a complete answer
-	Fault   string // a broken promise that the caller can see by itself
+	Status  int           // 0: no answer
+	First   time.Time     // first event of a stream; zero is none
+	Pause   time.Duration // longest pause between two events
+	Return  time.Duration // advice when to come back after a refusal
+	Last    int           // last event of a stream
+	Whole   bool          // a complete answer
+	Fault   string        // a broken promise that the caller can see by itself
 	Err     error
 }
 
@@ -75,6 +78,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	o.Status = response.StatusCode
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		o.Return = time.Duration(seconds * float64(time.Second))
+	}
 	if r.Kind == KindStream && response.StatusCode == http.StatusOK {
 		o.readStream(response)
 	} else {
@@ -140,11 +146,16 @@
 	}
 	body := Hash(o.Request.Body)
 	var pending []byte
+	var heard time.Time
 	buffer := make([]byte, 4096)
 	for {
 		n, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
+		before := o.Last
 		pending = o.takeEvents(pending, body)
+		if o.Last > before {
+			heard = o.noteEvents(heard)
+		}
 		if err == nil {
 			continue
 		}
@@ -160,6 +171,17 @@
 	}
 }
 
+// noteEvents measures the pause before events that have just come.
+func (o *Outcome) noteEvents(before time.Time) (now time.Time) {
+	now = time.Now()
+	if before.IsZero() {
+		o.First = now
+		return now
+	}
+	o.Pause = max(o.Pause, now.Sub(before))
+	return now
+}
+
 func (o *Outcome) takeEvents(pending []byte, body uint64) []byte {
 	for {
 		end := bytes.Index(pending, []byte("\n\n"))
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -68,6 +68,7 @@
 	Service string
 	Domain  string
 	Slots   int
+	queue   int // requests beyond the slots that wait
 	store   *Store
 	book    *Book
 	serve   func(e *Endpoint, id string, w http.ResponseWriter, r *http.Request)
@@ -82,6 +83,9 @@
 	draining bool
 	born     int64
 	active   int
+	// onStart begins what the endpoint does by itself. It is called with the lock
+	// held.
+	onStart func()
 	// onCrash drops what only lived in the endpoint's memory.
 	onCrash func()
 }
@@ -110,6 +114,9 @@
 	e.born = time.Now().UnixMilli()
 	e.draining = false
 	e.listener = listener
+	if e.onStart != nil {
+		e.onStart()
+	}
 	id := e.id
 	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.handle(id, w, r) })}
 	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
@@ -132,6 +139,13 @@
 	return e.address
 }
 
+// Visible returns where others reach the endpoint.
+func (e *Endpoint) Visible() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.visible
+}
+
 // register is called with the lock held. A store that is down takes nothing.
 func (e *Endpoint) register() {
 	if e.store.Down() {
@@ -226,7 +240,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if e.count(1) > e.Slots {
+	if e.count(1) > e.Slots+e.queue {
 		e.count(-1)
 		w.Header().Set("Hibiscusstair-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standins/platform/world/engine.go
+++ b/standins/platform/world/engine.go
@@ -1,113 +1,115 @@
 package world
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
 const (
-	// promptTokensPerMS is how fast an engine reads a prompt.
-	promptTokensPerMS = 8
-	// eventInterval is the time between two events of a stream.
-	eventInterval = 15 * time.Millisecond
 	// tokensPerEvent is the number of tokens that an event holds.
 	tokensPerEvent = 6
 	// copyInterval is how often a run's memory goes to the engine of its copy.
 	copyInterval = 60 * time.Millisecond
 )
 
-// Copies holds the copies of running generations by engine address. It stands
-// for the memory of all engines.
-type Copies struct {
-	mu   sync.Mutex
-	held map[string]map[string]int // engine address -> run -> events
-}
-
-// NewCopies returns an empty memory.
-func NewCopies() *Copies { return &Copies{held: make(map[string]map[string]int)} }
-
-func (c *Copies) put(address, run string, events int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.held[address] == nil {
-		c.held[address] = make(map[string]int)
-	}
-	c.held[address][run] = events
-}
-
-func (c *Copies) take(address, run string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ok := c.held[address][run]
-	delete(c.held[address], run)
-	return ok
-}
-
-func (c *Copies) drop(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.held, address)
+// engine is a model engine with the batch of its current lifetime.
+type engine struct {
+	copies *Copies
+	batch  *batch
+	stop   context.CancelFunc
 }
 
 // NewEngine returns a model engine that is not started.
-func NewEngine(service, domain string, slots int, store *Store, book *Book, copies *Copies) *Endpoint {
-	e := &Endpoint{Service: service, Domain: domain, Slots: slots, store: store, book: book}
-	e.serve = func(e *Endpoint, id string, w http.ResponseWriter, r *http.Request) { serveEngine(e, copies, id, w, r) }
-	e.onCrash = func() { copies.drop(e.visible) }
+func NewEngine(service, domain string, model EngineModel, store *Store, book *Book, copies *Copies) *Endpoint {
+	m := &engine{copies: copies, stop: func() {}}
+	e := &Endpoint{Service: service, Domain: domain, Slots: model.Slots, queue: model.Queue, store: store, book: book}
+	e.onStart = func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		b := &batch{model: model, copies: copies, self: e.Visible}
+		m.batch, m.stop = b, cancel
+		go b.run(ctx)
+	}
+	e.onCrash = func() {
+		e.mu.Lock()
+		stop := m.stop
+		e.mu.Unlock()
+		stop()
+		copies.drop(e.Visible())
+	}
+	e.serve = m.serve
 	return e
 }
 
-func serveEngine(e *Endpoint, copies *Copies, id string, w http.ResponseWriter, r *http.Request) {
+func (m *engine) serve(e *Endpoint, id string, w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	b, born := m.batch, e.born
+	e.mu.Unlock()
 	switch r.URL.Path {
 	case "/api/report":
-		e.mu.Lock()
-		active, born := e.active, e.born
-		e.mu.Unlock()
-		writeJSON(w, map[string]any{
-			"phase": "prefill_decode", "models": []map[string]any{{"name": "m", "version": 1}}, "queued": 0, "active": active,
-			"kv-used": 0, "kv-total": 90000, "handles": 0, "runs": [][]any{}, "born": born,
-		})
+		writeJSON(w, b.report(born))
 		return
 	case "/api/kv-list":
-		writeJSON(w, map[string]any{"epoch": 1, "next-page-token": "", "held": [][]any{}})
+		writeJSON(w, map[string]any{"epoch": 1, "next-page-token": "", "held": b.held()})
 		return
 	}
-	run := r.Header.Get("Hibiscusstair-Attempt-Id")
-	from := r.Header.Get("Kv-From")
-	if from != "" && !copies.take(e.visible, strings.TrimPrefix(from, e.visible+"/")) {
+	g, ok := m.decode(e.Visible(), r)
+	if !ok || !b.add(g) {
 		w.Header().Set("Hibiscusstair-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer b.remove(g)
 	body := e.ran(id, r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Hibiscusstair-Server-Signature", "s."+id)
+	stream(w, r, g, Hash(body))
+}
+
+// decode returns the run that a request asks for, or false if it goes on from a
+// copy that is not here.
+func (m *engine) decode(self string, r *http.Request) (*generation, bool) {
 	prompt, output := usage(r.Header.Get("Hibiscusstair-Token-Usage"))
-	if from == "" && !sleep(r.Context(), time.Duration(prompt/promptTokensPerMS)*time.Millisecond) {
-		return
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	prefix := r.Header.Get("Hibiscusstair-Prompt-Prefix")
+	part, _, _ := strings.Cut(prefix[strings.LastIndexByte(prefix, ',')+1:], ":")
+	g := &generation{
+		id: r.Header.Get("Hibiscusstair-Attempt-Id"), part: part, prompt: prompt, unread: prompt,
+		after: last, made: last * tokensPerEvent, output: output, events: make(chan int, Events(output)+1),
+		copyTo: r.Header.Get("Hibiscusstair-Kv-Backup"),
+	}
+	if from := r.Header.Get("Kv-From"); from != "" {
+		if !m.copies.take(self, strings.TrimPrefix(from, self+"/")) {
+			return nil, false
+		}
+		g.unread = 0
 	}
-	stream(w, r, copies, run, id, Hash(body), output)
+	return g, true
 }
 
-// stream sends the events after the last one that the caller has.
-func stream(w http.ResponseWriter, r *http.Request, copies *Copies, run, id string, body uint64, output int) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Hibiscusstair-Server-Signature", "s."+id)
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	backup, copied := r.Header.Get("Hibiscusstair-Kv-Backup"), time.Now()
+// stream sends the events as they are made. A run that ends early, since its
+// engine has crashed, breaks the answer.
+func stream(w http.ResponseWriter, r *http.Request, g *generation, body uint64) {
 	control := http.NewResponseController(w)
-	for event := last + 1; event <= output/tokensPerEvent; event++ {
-		if !sleep(r.Context(), eventInterval) {
+	sent := g.after
+	for {
+		select {
+		case <-r.Context().Done():
 			return
-		}
-		if _, err := fmt.Fprint(w, EventText(body, event)); err != nil || control.Flush() != nil {
-			return
-		}
-		if backup != "" && (event == last+1 || time.Since(copied) > copyInterval) {
-			copied = time.Now()
-			copies.put(backup, run, event)
+		case event, open := <-g.events:
+			if !open && sent < Events(g.output) {
+				panic(http.ErrAbortHandler)
+			}
+			if !open {
+				return
+			}
+			sent = event
+			if _, err := fmt.Fprint(w, EventText(body, event)); err != nil || control.Flush() != nil {
+				return
+			}
 		}
 	}
 }
