Log no second line for an attempt whose answer is passed on

Change: the last line of a request names the endpoint and the status, so a successful attempt has no line of its own.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -201,7 +201,12 @@
 	return err
 }
 
+// logAttempt says how an attempt ended. One whose answer is passed on has no line
+// of its own, since the request's last line names its endpoint and status.
 func (h *Handler) logAttempt(req *request, number int, r result) {
+	if r.final() {
+		return
+	}
 	status, why := 0, reason.Reason("")
 	if r.response != nil {
 		status = r.response.StatusCode
