--- a/standins/platform/emulate/emulate_test.go
+++ b/standins/platform/emulate/emulate_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,6 +48,29 @@
 		}
 	})
 
+	// Guards against requests that wait for a reader of the logs. The pipes fill
+	// up within the first second.
+	It("serve every caller although nobody reads their logs", func() {
+		directory := GinkgoT().TempDir()
+		for i := range 3 {
+			path := filepath.Join(directory, fmt.Sprintf("front-%d.log", i))
+			Expect(syscall.Mkfifo(path, 0o600)).To(Succeed())
+			pipe, err := os.OpenFile(path, os.O_RDWR, 0)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(pipe.Close)
+		}
+		scenario := emulate.Scenario{
+			Name: "stalled-logs", Seed: 1, Seconds: 5, Instances: 3, Engines: 3, Slots: 16, Capacity: 88000, StepMS: 2.5,
+			Loads: []emulate.Load{{Lookups: 150, Orders: 150, Streams: 3, Prompt: 800, Output: 120}},
+		}
+		result, err := emulate.Run(context.Background(), scenario, directory)
+		Expect(err).NotTo(HaveOccurred())
+		for _, kind := range result.Kinds {
+			Expect(kind.Failed).To(BeZero(), kind.Name)
+			Expect(kind.Share()).To(BeNumerically(">=", 0.95), kind.Name)
+		}
+	})
+
 	// Guards against streams that end with their engines' failure domain or their
 	// instance. Without moving to another engine 4 of 54 streams fail here.
 	It("serve through the loss of each failure domain, of the store and of an instance", func() {
