Leave the retry budget alone when an endpoint could not be reached

An instance of 71 sees about 0.7 generations a second, so its part of the retry budget is a few repetitions, and moves away from endpoints that nothing had reached used them up.

Change: the budget counts what reaches endpoints; a repetition after a failure to connect is free.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -153,6 +153,10 @@
 // newStartingWorld returns a world whose handler knows a configuration and
 // endpoints once the channel is closed.
 func newStartingWorld(known chan struct{}) *world {
+	return newWorldWith(known, forward.BudgetOptions{Ratio: 1, Baseline: 100, Window: 10 * time.Second})
+}
+
+func newWorldWith(known chan struct{}, budget forward.BudgetOptions) *world {
 	w := &world{table: &routing.Current{}, known: known}
 	w.balance = balance.New(balance.Options{
 		CoreOptions: balance.CoreOptions{Instance: "i", Place: api.Place{Region: "r", FailureDomain: "d0"}},
@@ -161,7 +165,7 @@
 	w.handler = forward.New(forward.Options{
 		Protocol: testProtocol{}, Table: w.table, Balance: w.balance,
 		Pool:   upstream.New(upstream.Options{Clock: bootclock.Now}),
-		Budget: forward.NewBudget(forward.BudgetOptions{Ratio: 1, Baseline: 100, Window: 10 * time.Second}),
+		Budget: forward.NewBudget(budget),
 		Clock:  bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		Marks:    &w.marks,
 		Known:    w.known,
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -143,7 +143,8 @@
 	if p.req.attempts >= p.req.route.MaxAttempts || len(p.req.tried) > maxTried {
 		return false
 	}
-	if !p.h.o.Budget.Repeat(p.h.o.Clock(), p.req.service.Name) {
+	// The retry budget counts what reaches endpoints.
+	if why != reason.ConnectFailed && !p.h.o.Budget.Repeat(p.h.o.Clock(), p.req.service.Name) {
 		p.h.refusals.Inc(reason.RetryBudget)
 		return false
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// mayMove decides whether the answer goes on at another engine.
+// mayMove decides whether the answer goes on at another engine. The retry budget
+// counts what reaches engines, so a move after a failure to connect is free.
 func (s *stream) mayMove() *reason.Error {
 	refused := s.lost.Run == reason.RunNo
 	switch {
@@ -100,7 +101,7 @@
 		return s.lost
 	case s.req.attempts >= s.req.route.MaxAttempts || s.moves >= maxMoves:
 		return s.lost
-	case !s.h.o.Budget.Repeat(s.h.o.Clock(), s.req.service.Name):
+	case s.lost.Reason != reason.ConnectFailed && !s.h.o.Budget.Repeat(s.h.o.Clock(), s.req.service.Name):
 		s.h.refusals.Inc(reason.RetryBudget)
 		return s.lost
 	}
