--- a/standins/platform/emulate/run.go
+++ b/standins/platform/emulate/run.go
@@ -69,8 +69,8 @@
 // play starts callers at random times, and faults, and waits for all answers.
 func (p *player) play(ctx context.Context) {
 	var group sync.WaitGroup
-	for i, f := range p.scenario.Faults {
-		group.Go(func() { p.fault(ctx, i, f) })
+	for _, f := range p.scenario.Faults {
+		group.Go(func() { p.fault(ctx, f) })
 	}
 	for i, l := range p.scenario.Loads {
 		for k, rate := range map[world.Kind]float64{world.KindStream: l.Streams, world.KindLookup: l.Lookups, world.KindOrder: l.Orders} {
@@ -81,7 +81,8 @@
 	group.Wait()
 }
 
-func (p *player) fault(ctx context.Context, _ int, f Fault) {
+// fault begins a fault at its time and ends it.
+func (p *player) fault(ctx context.Context, f Fault) {
 	if !p.waitUntil(ctx, seconds(f.At)) {
 		return
 	}
@@ -173,6 +174,8 @@
 	p.answers = append(p.answers, answer)
 }
 
+// instance returns where the balancer sends a caller: to a ready instance, or to
+// any if none is.
 func (p *player) instance(choice uint64) *deployment.Node {
 	ready := p.d.Ready()
 	if len(ready) == 0 {
@@ -181,6 +184,8 @@
 	return ready[choice%uint64(len(ready))]
 }
 
+// comesBack reports whether the caller sends its request once more. An order is
+// sent again only if it has not run.
 func (p *player) comesBack(o world.Outcome, r world.Request, sent time.Time, attempts int) bool {
 	if o.Whole || attempts > returns || time.Since(sent) > r.Patience/2 {
 		return false
--- a/standins/platform/emulate/scenario.go
+++ b/standins/platform/emulate/scenario.go
@@ -47,7 +47,7 @@
 	Output  int     `toml:"output_tokens"`
 }
 
-// Fault is a disturbance from outside the instances.
+// Fault is a disturbance from outside the instances; see Kinds.
 type Fault struct {
 	At   float64 `toml:"at_s"`
 	For  float64 `toml:"for_s"`
