Compute an endpoint's load in one place

Cause: cost, full and load each added the report to the own work; an age of 0 in the line of a run's start meant both "just now" and "no report"; silence.copied and run.copied meant different things.

Change: cost and full use load; Lease.Reported says whether a report counts; names say what they hold. No decision changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -157,9 +157,9 @@
 	// domainUntil is when the suspicion against a domain of a service ends.
 	domainUntil map[domainKey]time.Duration
 	capacity    map[string]int // tokens of an engine, by service
-	// use is the share of the engines' memory that is in use, by service, as a
-	// moving average of reports.
-	use map[string]float64
+	// memoryUse is the share of the engines' memory that is in use, by service, as
+	// a moving average of reports.
+	memoryUse map[string]float64
 	// readTime is how long a prompt takes at an engine, by service, as a moving
 	// average in nanoseconds.
 	readTime map[string]float64
@@ -178,7 +178,7 @@
 		byService:   make(map[string][]*endpoint),
 		domainUntil: make(map[domainKey]time.Duration),
 		capacity:    make(map[string]int),
-		use:         make(map[string]float64),
+		memoryUse:   make(map[string]float64),
 		readTime:    make(map[string]float64),
 	}
 }
@@ -279,11 +279,8 @@
 		return false
 	}
 	capacity := c.capacity[work.Service]
-	foreign := 0
-	if now-e.reportedAt < reportLife {
-		foreign = e.foreign.Tokens
-	}
-	return e.running+e.copies >= e.Slots || (capacity > 0 && e.tokens+foreign+work.Tokens > capacity)
+	load, _ := e.load(now)
+	return e.running+e.copies >= e.Slots || (capacity > 0 && load.Tokens+work.Tokens > capacity)
 }
 
 func (c *Core) cost(now time.Duration, e *endpoint, work Work) float64 {
@@ -291,13 +288,12 @@
 	if slices.Contains(work.Prefer, e.ID) {
 		cost -= preferGain
 	}
+	load, _ := e.load(now)
+	cost += float64(load.Running) + prefillCost*float64(load.Prefilling)
 	if work.Tokens > 0 {
-		cost += float64(e.running) + prefillCost*float64(e.prefilling) + copyCost*float64(e.copies) + affinityCost*e.affinity(work.session)
+		cost += copyCost*float64(e.copies) + affinityCost*e.affinity(work.session)
 	} else {
-		cost += float64(e.running) + e.latency/plainLatencyUnit
-	}
-	if now-e.reportedAt < reportLife {
-		cost += float64(e.foreign.Running) + prefillCost*float64(e.foreign.Prefilling)
+		cost += e.latency / plainLatencyUnit
 	}
 	if e.Cold > 0 {
 		cost += coldCost
@@ -343,14 +339,19 @@
 	// Load is the work at the endpoint as it was known when the lease was given,
 	// without the lease's own.
 	Load Load
-	// ReportAge is the age of the report in Load; 0 if it counts no report.
+	// Reported says that Load counts a report of the endpoint, ReportAge how old
+	// that is.
+	Reported  bool
 	ReportAge time.Duration
 }
 
 func (c *Core) lease(now time.Duration, e *endpoint, work Work) *Lease {
 	l := &Lease{Endpoint: e.Endpoint, endpoint: e, tokens: work.Tokens, started: now, held: slices.Contains(work.Prefer, e.ID)}
 	l.Suspected = now < e.suspectUntil
-	l.Load, l.ReportAge = e.load(now)
+	l.Load, l.Reported = e.load(now)
+	if l.Reported {
+		l.ReportAge = now - e.reportedAt
+	}
 	if e.failures > 0 {
 		e.probing = true
 	}
@@ -363,26 +364,25 @@
 	return l
 }
 
-// load returns the work at the endpoint as it is known, and the age of the
-// report that it counts.
-func (e *endpoint) load(now time.Duration) (Load, time.Duration) {
+// load returns the work at the endpoint as it is known, and whether it counts a
+// report of the endpoint.
+func (e *endpoint) load(now time.Duration) (_ Load, reported bool) {
 	own := Load{Running: e.running, Prefilling: e.prefilling, Tokens: e.tokens}
-	age := now - e.reportedAt
-	if age >= reportLife {
-		return own, 0
+	if now-e.reportedAt >= reportLife {
+		return own, false
 	}
 	return Load{
 		Running:    own.Running + e.foreign.Running,
 		Prefilling: own.Prefilling + e.foreign.Prefilling,
 		Tokens:     own.Tokens + e.foreign.Tokens,
-	}, age
+	}, true
 }
 
 // ChooseCopy returns the engine that keeps the copy of a generation which runs
 // on the primary, or nil if no engine outside the primary's failure domain has
 // room or the engines' memory is short.
 func (c *Core) ChooseCopy(now time.Duration, work Work, primary registry.Endpoint) *Lease {
-	if c.use[work.Service] > copyUse {
+	if c.memoryUse[work.Service] > copyUse {
 		return nil
 	}
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
@@ -451,7 +451,7 @@
 	}
 	e.reportedAt = now
 	if capacity := c.capacity[e.Service]; capacity > 0 {
-		c.use[e.Service] += useWeight * (float64(load.Tokens)/float64(capacity) - c.use[e.Service])
+		c.memoryUse[e.Service] += useWeight * (float64(load.Tokens)/float64(capacity) - c.memoryUse[e.Service])
 	}
 	e.foreign = Load{
 		Running:    max(0, load.Running-e.running),
--- a/forward/core_test.go
+++ b/forward/core_test.go
@@ -96,7 +96,7 @@
 	// Guards against a stream that moves too late to be on time. The move, a new
 	// connection between regions and the first event from a copy take 150 ms.
 	It("moves a running stream with a copy before its pause is too long", func() {
-		s := &silence{gap: target, started: true, copied: true, since: time.Second}
+		s := &silence{gap: target, started: true, hasCopy: true, since: time.Second}
 		probes, moved := play(s, 5*time.Second)
 		Expect(probes).NotTo(BeEmpty())
 		Expect(moved - time.Second).To(BeNumerically("<=", target-150*time.Millisecond))
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -45,7 +45,7 @@
 	gap        time.Duration // longest pause that is on time
 	firstEvent time.Duration // target for the first event
 	started    bool          // an event has arrived from this engine
-	copied     bool          // another engine keeps a copy of the run
+	hasCopy    bool          // another engine keeps a copy of the run
 	since      time.Duration // last event, or the start of the run
 	probed     time.Duration // last probe; 0 is none in this silence
 }
@@ -78,7 +78,7 @@
 
 func (s *silence) moveAfter() time.Duration {
 	switch {
-	case s.started && s.copied:
+	case s.started && s.hasCopy:
 		return share(s.gap, gapShare, defaultGap)
 	case s.started:
 		return max(share(s.gap, gapShare, defaultGap), share(s.firstEvent, rereadShare, defaultFirstEvent))
--- a/forward/start.go
+++ b/forward/start.go
@@ -20,12 +20,7 @@
 // has been read, which takes some ten milliseconds. A refusal costs them one of
 // their few attempts and the pause before the next one.
 func (h *Handler) awaitStart(ctx context.Context, call Call) {
-	select {
-	case <-h.o.Known:
-		return
-	default:
-	}
-	if h.o.Known == nil {
+	if h.o.Known == nil || closed(h.o.Known) {
 		return
 	}
 	began := h.o.Clock()
@@ -41,6 +36,15 @@
 	h.o.Log.Info("waited for the start", "request", call.ID, "known", known, "waited_ms", (h.o.Clock() - began).Milliseconds())
 }
 
+func closed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 // startWait is how long a request waits for the instance's start.
 func startWait(patience time.Duration) time.Duration {
 	if patience <= 0 {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -141,12 +141,12 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &run{
 		lease: lease, cancel: cancel, steps: make(chan step, eventBuffer), copied: copied,
-		quiet: silence{gap: s.req.route.TargetGap, firstEvent: s.req.route.TargetLatency, since: now, started: copied, copied: attempt.BackupTo != ""},
+		quiet: silence{gap: s.req.route.TargetGap, firstEvent: s.req.route.TargetLatency, since: now, started: copied, hasCopy: attempt.BackupTo != ""},
 	}
 	s.req.log.Info("run started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
 		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "copied", copied,
 		"engine_runs", lease.Load.Running, "engine_prompts", lease.Load.Prefilling, "engine_tokens", lease.Load.Tokens,
-		"report_age_ms", lease.ReportAge.Milliseconds(),
+		"reported", lease.Reported, "report_age_ms", lease.ReportAge.Milliseconds(),
 		"backup", attempt.BackupTo, "after_event", s.last, "age_ms", (now - s.req.received).Milliseconds())
 	go h.readRun(ctx, r, h.outbound(ctx, s.req, lease.Endpoint, attempt))
 	return r, nil
