--- a/balance/overload_test.go
+++ b/balance/overload_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -118,9 +121,10 @@
 }
 
 func (p *fleetPlay) at(e registry.Endpoint) *playEngine {
-	var number int
-	_, err := fmt.Sscanf(string(e.ID), "e%d", &number)
-	Expect(err).NotTo(HaveOccurred())
+	number, err := strconv.Atoi(strings.TrimPrefix(string(e.ID), "e"))
+	if err != nil {
+		panic("the play has no endpoint " + string(e.ID))
+	}
 	return p.engines[number]
 }
 
@@ -271,3 +275,23 @@
 		Expect(err).To(BeNil())
 	})
 })
+
+// BenchmarkOverload reports how many generations a second begin on time at a
+// rate of arrivals, with a limit of 0.6 of the target for the prompts.
+func BenchmarkOverload(b *testing.B) {
+	const length, seeds = 20 * time.Second, 5
+	for _, rate := range []float64{9, 18, 36, 72} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) {
+			good := 0
+			for range b.N {
+				for seed := range uint64(seeds) {
+					p := newFleetPlay(8, 24)
+					p.longestWait = onTime * 6 / 10
+					p.play(rate, length, seed)
+					good += p.onTime()
+				}
+			}
+			b.ReportMetric(float64(good)/(float64(b.N)*seeds*length.Seconds()), "on_time/s")
+		})
+	}
+}
