Keep prompt parts that crash engines from engines

What callers saw: one part of a prompt crashes each engine that begins to generate on it. Cause: crash marks belong to account, path and body. Change: package quarantine records which prompts waited for their first event at an engine that crashed, and which parts engines generated events with. Instances exchange the records; a new one is sent at once (fleet.SendDeltas), and an instance that starts gets all of them. An attempt that still waits for its first event is ended when its prompt is found.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -167,6 +167,8 @@
 	duplicateID             bool // another process uses the ID of this instance
 	leaving                 bool
 	lastHeartbeatAt         time.Duration
+	urgentPending           bool          // a delta source has an urgent change
+	lastUrgentAt            time.Duration // last round of urgent exchanges; 0 is none
 	lastListReadAt          time.Duration
 	instanceListReadUrgent  bool // a member was declared dead since the last read of the instance list
 	lastRegistrationsReadAt time.Duration
@@ -242,6 +244,9 @@
 		return c.expelDone(now, e)
 	case TicketStatus:
 		return c.applyTicketStatus(now, e)
+	case DeltasUrgent:
+		c.urgentPending = true
+		return c.sendUrgent(now)
 	case LeaveStarted:
 		c.leaving = true
 		c.setOwnState(now, api.MemberLeaving)
@@ -295,6 +300,7 @@
 		c.lastHeartbeatAt = now
 		actions = append(actions, c.heartbeat(now)...)
 	}
+	actions = append(actions, c.sendUrgent(now)...)
 	return append(actions, c.reconnect(now)...)
 }
 
--- a/fleet/deltas.go
+++ b/fleet/deltas.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// snapshotInto adds the whole state of the sources that provide it.
+func (d *deltaSources) snapshotInto(into *peerpb.Deltas) {
+	for _, source := range d.sources {
+		if s, ok := source.(Snapshotter); ok && into != nil {
+			proto.Merge(into, s.Snapshot())
+		}
+	}
+}
+
 // distribute passes the changes of a received message to all sources.
 func (d *deltaSources) distribute(from *peerpb.Deltas) {
 	if from == nil {
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -78,6 +78,10 @@
 	ExpelledIncarnation uint64
 }
 
+// DeltasUrgent reports that a delta source has a change that other instances should
+// receive at once.
+type DeltasUrgent struct{}
+
 // LeaveStarted begins a graceful shutdown: the instance accepts no new work.
 type LeaveStarted struct{}
 
@@ -93,6 +97,7 @@
 func (RegistrationsDone) event() {}
 func (ExpelDone) event()         {}
 func (TicketStatus) event()      {}
+func (DeltasUrgent) event()      {}
 func (LeaveStarted) event()      {}
 func (LeaveCompleted) event()    {}
 
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -41,6 +41,12 @@
 	Merge(*peerpb.Deltas)
 }
 
+// Snapshotter is a DeltaSource that sends its whole state to an instance that asks
+// for the full table, as one does that has just started.
+type Snapshotter interface {
+	Snapshot() *peerpb.Deltas
+}
+
 // TicketState is the state of the ticket component that membership depends on.
 type TicketState interface {
 	// Ready reports whether a configuration was read from the store or a peer.
@@ -248,6 +254,11 @@
 // postEvent queues the result of I/O. It blocks while the event queue is full.
 func (r *Runner) postEvent(ev Event) { _ = r.events.Put(r.ctx, queuedEvent{event: ev}) }
 
+// SendDeltas starts exchanges with other instances without waiting for the next
+// heartbeat. It does not block; if the event queue is full, the heartbeats send the
+// changes.
+func (r *Runner) SendDeltas() { r.events.TryPut(queuedEvent{event: DeltasUrgent{}}) }
+
 // Members returns the member table including this instance. The caller must not
 // modify it.
 func (r *Runner) Members() []api.Member { return *r.members.Load() }
@@ -323,6 +334,9 @@
 	select {
 	case response := <-queued.respond:
 		r.deltas.collectInto(response.GetDeltas())
+		if request.GetFull() {
+			r.deltas.snapshotInto(response.GetDeltas())
+		}
 		return response, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
@@ -40,6 +42,7 @@
 	headerNotExecuted = "Test-Not-Executed"
 	headerSigned      = "Test-Signed"
 	headerRank        = "Test-Rank"
+	headerParts       = "Test-Shared-Parts" // separated by spaces
 )
 
 // testProtocol is a minimal implementation of forward.Protocol.
@@ -50,7 +53,7 @@
 	return forward.RequestInfo{
 		ID: r.Header.Get(headerID), APIKey: r.Header.Get(headerKey),
 		Timeout: time.Duration(ms) * time.Millisecond, LastEventID: r.Header.Get(headerLastEvent),
-		PromptTokens: 100, OutputTokens: 10,
+		PromptTokens: 100, OutputTokens: 10, SharedPartIDs: strings.Fields(r.Header.Get(headerParts)),
 	}, nil
 }
 
@@ -137,7 +140,9 @@
 	server   *httptest.Server
 	stopping bool
 	marks    fakeCrashMarks
-	synced   chan struct{} // see forward.Options
+	// quarantine never sends anything to other instances.
+	quarantine *quarantine.Runner
+	synced     chan struct{} // see forward.Options
 
 	mu        sync.Mutex
 	requests  []receivedRequest
@@ -158,6 +163,7 @@
 
 func newFixtureWithBudget(synced chan struct{}, budget forward.RetryBudgetOptions) *fixture {
 	f := &fixture{table: &routing.CurrentTable{}, synced: synced}
+	f.quarantine = quarantine.New(quarantine.Options{Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
 	f.balance = balance.New(balance.Options{
 		CoreOptions: balance.CoreOptions{Instance: "i", Place: api.Place{Region: "r", FailureDomain: "d0"}},
 		Clock:       bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
@@ -167,9 +173,9 @@
 		Pool:        upstream.New(upstream.Options{Clock: bootclock.Now}),
 		RetryBudget: forward.NewRetryBudget(budget),
 		Clock:       bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
-		CrashMarks: &f.marks,
-		Synced:     f.synced,
-		Stopping:   func() (bool, time.Duration) { return f.stopping, time.Second },
+		CrashMarks: &f.marks, Quarantine: f.quarantine,
+		Synced:   f.synced,
+		Stopping: func() (bool, time.Duration) { return f.stopping, time.Second },
 	})
 	f.server = httptest.NewServer(f.handler)
 	DeferCleanup(f.server.Close)
@@ -228,6 +234,14 @@
 	return e
 }
 
+// reportCrash records a crash while a prompt with the shared part waited.
+func (f *fixture) reportCrash(endpoint, part string) {
+	f.quarantine.ReportCrash(quarantine.EngineCrashed{
+		Endpoint: api.EndpointID(endpoint), Domain: api.FailureDomain("d" + endpoint),
+		Waiting: [][]quarantine.Part{{quarantine.PartOf(part)}},
+	})
+}
+
 func (f *fixture) received() []receivedRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/loadprobe"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
+	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
@@ -39,6 +40,8 @@
 	RetryBudget *RetryBudget
 	// CrashMarks tracks content that crashes endpoints; nil disables the check.
 	CrashMarks CrashMarks
+	// Quarantine tracks prompt parts that crash engines; nil disables the check.
+	Quarantine Quarantine
 	// LoadProber queries engines for their load before one is chosen; nil
 	// disables the queries.
 	LoadProber *loadprobe.Prober
@@ -66,7 +69,7 @@
 	responseLatency tally.Histogram
 	resumeLatency   tally.Histogram // gap in a stream that an interruption caused
 	active          atomic.Int64
-	running         runningContent
+	running         runningRequests
 }
 
 // New returns a handler.
@@ -74,7 +77,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return &Handler{
 		o:               o,
-		running:         runningContent{digests: make(map[api.EndpointID][]api.Digest)},
+		running:         runningRequests{byEndpoint: make(map[api.EndpointID][]*runningRequest)},
 		refusals:        telemetry.NewReasonCounters(o.Scope, "refused"),
 		retries:         telemetry.NewReasonCounters(o.Scope, "retried"),
 		responseLatency: o.Scope.Histogram("answer_latency", buckets),
@@ -101,9 +104,11 @@
 	path         string // escaped path, byte for byte
 	body         []byte
 	digest       api.Digest
-	log          *slog.Logger
-	attempts     int
-	tried        []api.EndpointID
+	// sharedParts are the parts of the prompt that other requests may have too.
+	sharedParts []quarantine.Part
+	log         *slog.Logger
+	attempts    int
+	tried       []api.EndpointID
 	// holders are, for a stream that the caller resumes, the engines that hold
 	// the KV cache of its prompt.
 	holders []api.EndpointID
@@ -188,7 +193,8 @@
 	}
 	req.body = body
 	req.digest = contentDigest(req.account, r.RequestURI, body)
-	if refusal := h.contentRefusal(req.digest); refusal != nil {
+	req.sharedParts = hashParts(info.SharedPartIDs)
+	if refusal := h.crashRefusal(req); refusal != nil {
 		return nil, refusal
 	}
 	req.log = h.o.Log.With("request", info.ID, "route", route.Name)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -135,7 +135,7 @@
 	if ran && p.req.route.RetryPolicy != routing.RetryAlways {
 		return false
 	}
-	if p.h.contentRefusal(p.req.digest) != nil {
+	if p.h.crashRefusal(p.req) != nil {
 		return false
 	}
 	if r.outcome == balance.Unreachable {
@@ -178,9 +178,9 @@
 		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "in_flight", p.inFlight,
 		"age_ms", (p.h.o.Clock() - p.req.received).Milliseconds(), "configuration", p.req.tableVersion)
 	go func() {
-		p.h.running.add(lease.Endpoint.ID, p.req.digest)
+		running := p.h.running.add(lease.Endpoint.ID, p.req)
 		r := p.h.sendPlain(p.ctx, p.req, lease)
-		p.h.concludeAttempt(p.req, lease, r.outcome)
+		p.h.concludeAttempt(p.req, lease, running, r.outcome)
 		p.h.logAttempt(p.req, number, r)
 		p.results <- r
 	}()
@@ -189,14 +189,14 @@
 
 // concludeAttempt releases the lease of an attempt and updates the crash marks
 // according to its outcome.
-func (h *Handler) concludeAttempt(req *request, lease *balance.Lease, outcome balance.Outcome) {
+func (h *Handler) concludeAttempt(req *request, lease *balance.Lease, running *runningRequest, outcome balance.Outcome) {
 	switch outcome {
 	case balance.Interrupted:
-		h.detectCrash(lease, req.digest)
+		h.detectCrash(lease)
 	case balance.Completed:
 		h.recordCompletion(req.digest)
 	}
-	h.running.remove(lease.Endpoint.ID, req.digest)
+	h.running.remove(lease.Endpoint.ID, running)
 	h.o.Balance.Release(lease, outcome)
 }
 
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -21,6 +21,9 @@
 	// LastPartID identifies the last part of the prompt, which is specific to
 	// the request or its session; "" is unknown.
 	LastPartID string
+	// SharedPartIDs identify the parts of the prompt before the last, which
+	// requests of other sessions may have too.
+	SharedPartIDs []string
 	// PromptTokens and OutputTokens are the sizes of a generation; 0 is
 	// unknown.
 	PromptTokens int
--- a/forward/run.go
+++ b/forward/run.go
@@ -24,6 +24,7 @@
 // streamAttempt is one attempt of a streamed request at one engine.
 type streamAttempt struct {
 	lease          *balance.Lease
+	running        *runningRequest
 	cancel         context.CancelFunc
 	messages       chan attemptMessage
 	stall          stallDetector
@@ -91,10 +92,10 @@
 // true when the response is complete; otherwise s.interruption says why the
 // attempt ended.
 func (s *stream) deliverAttempt(r *streamAttempt) (bool, *reason.Error) {
-	s.h.running.add(r.lease.Endpoint.ID, s.req.digest)
+	r.running = s.h.running.add(r.lease.Endpoint.ID, s.req)
 	end := s.processMessages(r)
 	r.cancel()
-	s.h.concludeAttempt(s.req, r.lease, end.outcome)
+	s.h.concludeAttempt(s.req, r.lease, r.running, end.outcome)
 	if end.interruption != nil {
 		s.recordInterruption(r, end.interruption)
 	}
@@ -110,6 +111,9 @@
 		case <-s.ctx.Done():
 			return attemptResult{finalError: s.contextError(), outcome: balance.Cancelled}
 		case <-timer.C:
+			if refusal := s.refusedWhileWaiting(r); refusal != nil {
+				return attemptResult{finalError: refusal, outcome: balance.Cancelled}
+			}
 			if s.handleStall(r, timer) {
 				interruption := reason.New(reason.EngineSilent, "the engine sent nothing within the bound").WithRun(reason.RunUnknown)
 				return attemptResult{interruption: interruption, outcome: balance.TimedOut}
@@ -193,6 +197,7 @@
 	r.eventsReceived++
 	now := s.h.o.Clock()
 	r.stall.recordEvent(now)
+	s.recordServed(r)
 	s.h.o.Balance.RecordResponse(r.lease)
 	if e.hasID {
 		switch {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -101,7 +101,7 @@
 		return s.contextError()
 	case !notRun && s.req.route.RetryPolicy == routing.RetryNever:
 		return s.interruption
-	case s.h.contentRefusal(s.req.digest) != nil:
+	case s.h.crashRefusal(s.req) != nil:
 		s.h.refusals.Inc(reason.CrashSuspect)
 		return s.interruption
 	case s.req.attempts >= s.req.route.MaxAttempts || s.failovers >= maxFailovers:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscusstair/hibiscusstair/loadprobe"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
+	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/relay"
 	"github.com/hibiscusstair/hibiscusstair/revive"
@@ -93,6 +94,7 @@
 	follower        *storesync.Follower
 	restartDetector *revive.RestartDetector
 	crashMarks      *suspect.Runner
+	quarantine      *quarantine.Runner
 	loadProber      *loadprobe.Prober
 	relayCache      *relay.Cache
 	peerClients     *peer.Clients
@@ -128,6 +130,9 @@
 	if g.crashMarks, err = suspect.New(suspect.Options{Log: o.Log, Scope: scope.SubScope("suspect"), Clock: clock}); err != nil {
 		return nil, err
 	}
+	g.quarantine = quarantine.New(quarantine.Options{
+		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
+	})
 	if err := g.buildFleet(); err != nil {
 		return nil, err
 	}
@@ -142,7 +147,7 @@
 		Lister: o.PartLister, Engines: g.balancer.AvailableEndpoints, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
 	})
 	g.forwarder = forward.New(forward.Options{
-		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, CrashMarks: g.crashMarks,
+		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, CrashMarks: g.crashMarks, Quarantine: g.quarantine,
 		RetryBudget: forward.NewRetryBudget(forward.RetryBudgetOptions{
 			Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
 			InstanceCount: g.liveInstanceCount,
@@ -182,12 +187,19 @@
 	g.fleet, err = fleet.New(fleet.Options{
 		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(),
 		SeedAddresses: g.seedAddresses(), Store: noRegistrations{}, Clients: g.peerClients, Tickets: configVersions{g}, ExpelMode: "manual",
-		DeltaSources: []fleet.DeltaSource{g.crashMarks},
+		DeltaSources: []fleet.DeltaSource{g.quarantine, g.crashMarks},
 		Log:          g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
 	})
 	return err
 }
 
+// sendDeltas sends changes of the delta sources to other instances at once.
+func (g *Gateway) sendDeltas() {
+	if g.fleet != nil {
+		g.fleet.SendDeltas()
+	}
+}
+
 // knownMembers returns the known instances. The store reader may call it before the
 // fleet component is built.
 func (g *Gateway) knownMembers() []api.Member {
@@ -240,6 +252,7 @@
 	g.addTask(&group, "registrations", g.follower.FollowEndpoints)
 	g.addTask(&group, "restarted engines", g.restartDetector.Run)
 	g.addTask(&group, "crash marks", g.crashMarks.Run)
+	g.addTask(&group, "quarantine", g.quarantine.Run)
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
 	if g.fleet != nil {
 		g.addTask(&group, "fleet", g.fleet.Run)
--- /dev/null
+++ b/quarantine/runner.go
@@ -0,0 +1,115 @@
+package quarantine
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+)
+
+// tickInterval is the time between Tick events.
+const tickInterval = 10 * time.Second
+
+// Options configures a Runner.
+type Options struct {
+	Clock bootclock.Func
+	Log   *slog.Logger
+	Scope tally.Scope
+	// OnUrgent is called when other instances should learn of a change at once. It
+	// must not block; nil is none.
+	OnUrgent func()
+}
+
+// Runner makes a core safe for concurrent use. A crash has to take effect before the
+// next request is placed, so calls lock the core instead of passing through a queue.
+type Runner struct {
+	o       Options
+	mu      sync.Mutex
+	core    *Core
+	records tally.Gauge
+	crashes tally.Counter
+}
+
+// New returns a runner without records.
+func New(o Options) *Runner {
+	return &Runner{
+		o: o, core: NewCore(),
+		records: o.Scope.Gauge("crash_records"), crashes: o.Scope.Counter("crashes"),
+	}
+}
+
+// Refused returns the parts for which a request with the given parts is refused; nil
+// if it is not.
+func (r *Runner) Refused(parts []Part) []Part {
+	if len(parts) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Refused(r.o.Clock(), parts)
+}
+
+// ReportCrash records the crash of an engine and the prompts that waited there.
+func (r *Runner) ReportCrash(crash EngineCrashed) {
+	if len(crash.Waiting) == 0 {
+		return
+	}
+	r.crashes.Inc(1)
+	r.o.Log.Warn("engine crashed while prompts waited for their first event", "endpoint", crash.Endpoint,
+		"failure_domain", crash.Domain, "incarnation", crash.Incarnation, "prompts", crash.Waiting)
+	r.step(crash)
+}
+
+// ReportServed records that an engine generated events with the parts.
+func (r *Runner) ReportServed(parts []Part) { r.step(PartsServed{Parts: parts}) }
+
+// Collect returns new records for another instance, at most maxBytes.
+func (r *Runner) Collect(maxBytes int) *peerpb.Deltas {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Collect(r.o.Clock(), maxBytes)
+}
+
+// Snapshot returns all records for an instance that has just started.
+func (r *Runner) Snapshot() *peerpb.Deltas {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Snapshot(r.o.Clock())
+}
+
+// Merge adds the records of another instance.
+func (r *Runner) Merge(deltas *peerpb.Deltas) {
+	if len(deltas.GetPromptCrashes()) == 0 && len(deltas.GetServedParts()) == 0 {
+		return
+	}
+	r.step(recordsFromProto(deltas))
+}
+
+func (r *Runner) step(ev Event) {
+	r.mu.Lock()
+	urgent := r.core.Step(r.o.Clock(), ev)
+	r.records.Update(float64(len(r.core.records)))
+	r.mu.Unlock()
+	if urgent && r.o.OnUrgent != nil {
+		r.o.OnUrgent()
+	}
+}
+
+// Run removes old records until the context ends.
+func (r *Runner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.step(Tick{})
+		}
+	}
+}
