Keep a silent engine whose stream cannot continue elsewhere

Callers saw a response end in the middle although its engine was sound and its connection open.

Cause: an engine that sent nothing for the failover delay, or accepted no new connection, lost its attempt first.

Change: the engine that continues the response is reserved, and the retry counted, before the running attempt ends. If that is not possible, the open connection is kept and the check repeated every failoverCheckInterval (250 ms). failoverLimit holds the limits of this check and of tryFailover. The replacement is the available backup, or an engine other than the current one that is not suspect and has capacity after the load probe. A stall logs "failover postponed" once and counts failover_postponed by reason.

A refusal by the replacement still counts as an attempt: max-attempts is the number of engines that a request may be sent to.

A stream on a hung connection whose service has no other engine with capacity is no longer sent to the same engine again; it ends by the engine, the caller or the deadline.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -55,13 +55,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.advance(now, service)
-	if sum(u.retries)+1 > b.o.Ratio*sum(u.requests)+b.baselineShare() {
+	if !b.allows(u) {
 		return false
 	}
 	u.retries[u.bucket%budgetBuckets]++
 	return true
 }
 
+// CanRetry reports whether a retry is allowed, without counting it.
+func (b *RetryBudget) CanRetry(now time.Duration, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.advance(now, service))
+}
+
+// allows reports whether the usage leaves room for one more retry.
+func (b *RetryBudget) allows(u *serviceUsage) bool {
+	return sum(u.retries)+1 <= b.o.Ratio*sum(u.requests)+b.baselineShare()
+}
+
 // baselineShare is this instance's share of the baseline. If instances share
 // it, each has at least one retry.
 func (b *RetryBudget) baselineShare() float64 {
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -47,3 +47,15 @@
 		Expect(f.received()).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("A retry budget", func() {
+	// Guards against a check that uses up a retry which is then not made.
+	It("is not used by asking whether a retry is allowed", func() {
+		budget := forward.NewRetryBudget(forward.RetryBudgetOptions{Baseline: 1, Window: 10 * time.Second})
+		for range 3 {
+			Expect(budget.CanRetry(time.Second, "s")).To(BeTrue())
+		}
+		Expect(budget.TryRetry(time.Second, "s")).To(BeTrue())
+		Expect(budget.CanRetry(time.Second, "s")).To(BeFalse())
+	})
+})
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -142,6 +142,7 @@
 	mu        sync.Mutex
 	requests  []receivedRequest
 	cancelled []string // endpoints whose request was cancelled
+	servers   map[string]*httptest.Server
 }
 
 func newFixture() *fixture {
@@ -157,7 +158,7 @@
 }
 
 func newFixtureWithBudget(synced chan struct{}, budget forward.RetryBudgetOptions) *fixture {
-	f := &fixture{table: &routing.CurrentTable{}, synced: synced}
+	f := &fixture{table: &routing.CurrentTable{}, synced: synced, servers: make(map[string]*httptest.Server)}
 	f.balance = balance.New(balance.Options{
 		CoreOptions: balance.CoreOptions{Instance: "i", Place: api.Place{Region: "r", FailureDomain: "d0"}},
 		Clock:       bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
@@ -219,6 +220,9 @@
 		serve(rw, r)
 	}))
 	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
+	f.mu.Lock()
+	f.servers[name] = server
+	f.mu.Unlock()
 	return f.addEndpoint(name, server.Listener.Addr().String())
 }
 
@@ -228,6 +232,13 @@
 	return e
 }
 
+// refuseConnections closes an endpoint's listener; open connections continue.
+func (f *fixture) refuseConnections(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.servers[name].Listener.Close()
+}
+
 func (f *fixture) received() []receivedRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,6 +61,8 @@
 	o        Options
 	refusals *telemetry.ReasonCounters
 	retries  *telemetry.ReasonCounters
+	// postponed counts stalls in which the stream could not fail over.
+	postponed *telemetry.ReasonCounters
 	// responseLatency is the time to the whole response of a plain request, and
 	// to the response header of a stream.
 	responseLatency tally.Histogram
@@ -77,6 +79,7 @@
 		running:         runningContent{digests: make(map[api.EndpointID][]api.Digest)},
 		refusals:        telemetry.NewReasonCounters(o.Scope, "refused"),
 		retries:         telemetry.NewReasonCounters(o.Scope, "retried"),
+		postponed:       telemetry.NewReasonCounters(o.Scope, "failover_postponed"),
 		responseLatency: o.Scope.Histogram("answer_latency", buckets),
 		resumeLatency:   o.Scope.Histogram("resume_latency", buckets),
 	}
--- a/forward/place.go
+++ b/forward/place.go
@@ -37,6 +37,11 @@
 // placeAttempt returns the lease of the next attempt and whether it continues
 // from a backup.
 func (s *stream) placeAttempt() (*balance.Lease, bool, *reason.Error) {
+	if lease := s.reservedLease; lease != nil {
+		s.reservedLease = nil
+		s.releaseBackup()
+		return lease, false, nil
+	}
 	if backup := s.backup; backup != nil {
 		s.backup = nil
 		if s.h.o.Balance.IsAvailable(backup.Endpoint) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -111,8 +111,7 @@
 			return attemptResult{finalError: s.contextError(), outcome: balance.Cancelled}
 		case <-timer.C:
 			if s.handleStall(r, timer) {
-				interruption := reason.New(reason.EngineSilent, "the engine sent nothing within the bound").WithRun(reason.RunUnknown)
-				return attemptResult{interruption: interruption, outcome: balance.TimedOut}
+				return attemptResult{interruption: engineSilentError(), outcome: balance.TimedOut}
 			}
 		case next, open := <-r.messages:
 			if !open {
@@ -253,18 +252,38 @@
 	return s.controller.Flush()
 }
 
+func engineSilentError() *reason.Error {
+	return reason.New(reason.EngineSilent, "the engine sent nothing within the bound").WithRun(reason.RunUnknown)
+}
+
 // handleStall performs the action that is due for a silent engine, sets the
 // timer to the next check and reports whether the attempt is abandoned. Only
-// routes that retry from the last event fail over.
+// routes that retry from the last event fail over, and only once the engine
+// that continues the response is reserved: the open connection of a silent
+// engine may still deliver the rest.
 func (s *stream) handleStall(r *streamAttempt, timer *time.Timer) bool {
 	now := s.h.o.Clock()
 	decision, at := r.stall.nextAction(now)
 	timer.Reset(max(time.Millisecond, at-now))
+	if s.req.route.RetryPolicy != routing.RetryFromLastEvent || !s.failoverDue(r, decision, now) {
+		return false
+	}
+	limit := s.reserveFailover(r)
+	if limit == "" {
+		return true
+	}
+	s.recordPostponement(r, limit)
+	return false
+}
+
+// failoverDue performs the action and reports whether the stream should fail
+// over.
+func (s *stream) failoverDue(r *streamAttempt, decision stallAction, now time.Duration) bool {
 	switch decision {
 	case actionFailOver:
-		return s.req.route.RetryPolicy == routing.RetryFromLastEvent && !s.extendPrefillWait(r, now)
+		return !s.extendPrefillWait(r, now)
 	case actionProbe:
-		return s.req.route.RetryPolicy == routing.RetryFromLastEvent && !s.probeConnection(r)
+		return !s.probeConnection(r)
 	}
 	return false
 }
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -35,6 +35,10 @@
 	// prefillProbeInterval is the delay before the first probe and the interval
 	// between probes while no event has been received.
 	prefillProbeInterval = 300 * time.Millisecond
+	// failoverCheckInterval is the interval between two checks whether a
+	// stream whose engine is silent may continue at another engine. A check may
+	// query the load of engines.
+	failoverCheckInterval = 250 * time.Millisecond
 )
 
 // stallAction is what the handler does about a silent engine.
@@ -56,6 +60,9 @@
 	hasBackup      bool          // another engine keeps a backup of the attempt
 	silentSince    time.Duration // time of the last event, or the start of the attempt
 	lastProbe      time.Duration // time of the last probe since then; 0 is none
+	// postponedUntil is the time before which a failover that was not possible
+	// is not attempted again; 0 is none since silentSince.
+	postponedUntil time.Duration
 }
 
 // recordEvent resets the detector after an event.
@@ -63,6 +70,15 @@
 	d.prefilled = true
 	d.silentSince = now
 	d.lastProbe = 0
+	d.postponedUntil = 0
+}
+
+// postponeFailover delays the next action, because the stream cannot fail over
+// now. It reports whether this is the first time in the stall.
+func (d *stallDetector) postponeFailover(now time.Duration) bool {
+	first := d.postponedUntil == 0
+	d.postponedUntil = now + failoverCheckInterval
+	return first
 }
 
 // nextAction returns the action due now and the time of the next check.
@@ -75,6 +91,8 @@
 		probeAt = d.lastProbe + interval
 	}
 	switch {
+	case now < d.postponedUntil:
+		return actionWait, d.postponedUntil
 	case now >= failoverAt:
 		return actionFailOver, failoverAt
 	case now >= probeAt:
--- /dev/null
+++ b/forward/stall_test.go
@@ -0,0 +1,123 @@
+package forward_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+)
+
+var _ = Describe("A stream whose engine pauses", func() {
+	const (
+		length = 30
+		// stallPause exceeds the failover delay without a backup, 500 ms.
+		stallPause = 800 * time.Millisecond
+		// firstEventPause exceeds the failover delay before the first event, 1.3 s.
+		firstEventPause = 1600 * time.Millisecond
+	)
+
+	// stalledEngine describes the engine that receives the request first.
+	type stalledEngine struct {
+		events  int
+		pause   time.Duration
+		refuses bool // accepts no connections during the pause
+	}
+	midStream := stalledEngine{events: 10, pause: stallPause}
+	midStreamRefusing := stalledEngine{events: 10, pause: stallPause, refuses: true}
+	beforeFirstEvent := stalledEngine{pause: firstEventPause}
+	beforeFirstEventRefusing := stalledEngine{pause: firstEventPause, refuses: true}
+
+	// startEndpoints starts endpoints of which the first to receive a request
+	// stalls, and the others serve complete streams.
+	startEndpoints := func(f *fixture, stalled stalledEngine, names ...string) {
+		var asked atomic.Bool
+		for _, name := range names {
+			f.startEndpoint(name, func(rw http.ResponseWriter, r *http.Request) {
+				if !asked.CompareAndSwap(false, true) {
+					streamEvents(length, endStream)(rw, r)
+					return
+				}
+				streamEvents(stalled.events, func(rw http.ResponseWriter, r *http.Request) {
+					if stalled.refuses {
+						f.refuseConnections(name)
+					}
+					select {
+					case <-time.After(stalled.pause):
+					case <-r.Context().Done():
+					}
+					_, _ = rw.Write([]byte(streamText(length)[len(streamText(stalled.events)):]))
+				})(rw, r)
+			})
+		}
+	}
+
+	attemptsUsedUp := func(stalled stalledEngine) *fixture {
+		f := newFixture()
+		f.applyTable(func(r *routing.Route) { r.MaxAttempts = 1 })
+		startEndpoints(f, stalled, "a", "b")
+		return f
+	}
+	budgetUsedUp := func(stalled stalledEngine) *fixture {
+		synced := make(chan struct{})
+		close(synced)
+		f := newFixtureWithBudget(synced, forward.RetryBudgetOptions{Window: 10 * time.Second})
+		f.applyTable(nil)
+		startEndpoints(f, stalled, "a", "b")
+		return f
+	}
+	noOtherEngine := func(stalled stalledEngine) *fixture {
+		f := newFixture()
+		f.applyTable(nil)
+		startEndpoints(f, stalled, "a")
+		return f
+	}
+	otherEngineFull := func(stalled stalledEngine) *fixture {
+		f := noOtherEngine(stalled)
+		full := f.startEndpoint("full", streamEvents(length, endStream))
+		full.Slots = 0
+		f.balance.Apply(registry.Change{Kind: registry.Updated, Endpoint: full})
+		return f
+	}
+
+	// Guards against aborting the response of a sound engine that no other
+	// engine may replace.
+	DescribeTable("is completed by the engine if it may not continue elsewhere",
+		func(limit func(stalledEngine) *fixture, stalled stalledEngine) {
+			f := limit(stalled)
+			code, body, _ := f.get("/stream/x")
+			Expect(code).To(Equal(http.StatusOK))
+			Expect(body).To(Equal(streamText(length)))
+			Expect(f.received()).To(HaveLen(1))
+		},
+		Entry("because its attempts are used up", attemptsUsedUp, midStream),
+		Entry("because the retry budget is used up", budgetUsedUp, midStream),
+		Entry("because there is no other engine", noOtherEngine, midStream),
+		Entry("because the other engine is full", otherEngineFull, midStream),
+		Entry("because its attempts are used up, while new connections fail", attemptsUsedUp, midStreamRefusing),
+		Entry("because the retry budget is used up, while new connections fail", budgetUsedUp, midStreamRefusing),
+		Entry("because there is no other engine, while new connections fail", noOtherEngine, midStreamRefusing),
+		Entry("because the other engine is full, while new connections fail", otherEngineFull, midStreamRefusing),
+		Entry("because its attempts are used up before its first event", attemptsUsedUp, beforeFirstEvent),
+		Entry("because the retry budget is used up before its first event", budgetUsedUp, beforeFirstEvent),
+		Entry("because there is no other engine before its first event", noOtherEngine, beforeFirstEvent),
+		Entry("because its attempts are used up before its first event, while new connections fail", attemptsUsedUp, beforeFirstEventRefusing),
+		Entry("because there is no other engine before its first event, while new connections fail", noOtherEngine, beforeFirstEventRefusing),
+	)
+
+	// Guards against keeping a hung engine after another one becomes available.
+	It("continues elsewhere once another engine has capacity", func() {
+		f := noOtherEngine(stalledEngine{events: 10, pause: time.Hour})
+		time.AfterFunc(stallPause, func() { f.startEndpoint("b", streamEvents(length, endStream)) })
+		_, body, _ := f.get("/stream/x")
+		Expect(body).To(Equal(streamText(length)))
+		received := f.received()
+		Expect(received).To(HaveLen(2))
+		Expect(received[1].header.Get(headerLastEvent)).To(Equal("10"))
+	})
+})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -33,9 +33,15 @@
 	mayHaveRun bool
 	// backup is the lease of the engine with the backup of the current attempt;
 	// nil is none.
-	backup            *balance.Lease
-	interruptedAt     time.Duration // time of the last event before the interruption; 0 after a resume or if nothing was delivered
-	failovers         int
+	backup        *balance.Lease
+	interruptedAt time.Duration // time of the last event before the interruption; 0 after a resume or if nothing was delivered
+	failovers     int
+	// reserved is true if the next failover is already within all limits and
+	// counted in the retry budget.
+	reserved bool
+	// reservedLease is the lease of the engine for that failover; nil means the
+	// engine with the backup.
+	reservedLease     *balance.Lease
 	interruption      *reason.Error // why the last attempt ended
 	callerWriteFailed bool          // a write to the caller failed
 }
@@ -56,6 +62,7 @@
 	}
 	err := s.runUntilComplete()
 	s.releaseBackup()
+	s.releaseReserved()
 	s.finish(err)
 }
 
@@ -90,35 +97,6 @@
 	}
 }
 
-// tryFailover counts a failover and returns nil if the response may continue at
-// another engine, else the final error. The retry budget counts only requests
-// that reach engines, so a failover after a failed connection is not counted
-// there.
-func (s *stream) tryFailover() *reason.Error {
-	notRun := s.interruption.Run == reason.RunNo
-	switch {
-	case s.ctx.Err() != nil:
-		return s.contextError()
-	case !notRun && s.req.route.RetryPolicy == routing.RetryNever:
-		return s.interruption
-	case s.h.contentRefusal(s.req.digest) != nil:
-		s.h.refusals.Inc(reason.CrashSuspect)
-		return s.interruption
-	case s.req.attempts >= s.req.route.MaxAttempts || s.failovers >= maxFailovers:
-		return s.interruption
-	case s.interruption.Reason != reason.ConnectFailed && !s.h.o.RetryBudget.TryRetry(s.h.o.Clock(), s.req.service.Name):
-		s.h.refusals.Inc(reason.RetryBudget)
-		return s.interruption
-	}
-	s.failovers++
-	s.h.retries.Inc(s.interruption.Reason)
-	return nil
-}
-
-// maxFailovers bounds the failovers of one response, including those to engines
-// that were down.
-const maxFailovers = 8
-
 // startAttempt starts an attempt at the engine with the backup of the last one,
 // or at a new engine.
 func (s *stream) startAttempt() (*streamAttempt, *reason.Error) {
