Set the write deadline again when a streamed response completes

Callers saw a stream cut before its end when the engine ended the response more than 5 s after its last event.

Cause: the write deadline set at the last event (writeTimeout, 5 s) still applied when net/http wrote the final chunk after the handler returned.

Evidence: before the change the new spec in forward/stream_test.go, an end 5.2 s after the last event, fails at stream_test.go:162 with "unexpected EOF".

Change: finish sets the deadline again for a complete response.

The spec takes 5.3 s.

--- a/forward/run.go
+++ b/forward/run.go
@@ -243,9 +243,7 @@
 
 // writeEvent writes an event to the caller and flushes it.
 func (s *stream) writeEvent(raw []byte) error {
-	// The error is ignored: all response writers of net/http support deadlines,
-	// those of tests may not.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.extendWriteDeadline()
 	if _, err := s.w.Write(raw); err != nil {
 		return err
 	}
@@ -256,6 +254,13 @@
 	return reason.New(reason.EngineSilent, "the engine sent nothing within the bound").WithRun(reason.RunUnknown)
 }
 
+// extendWriteDeadline gives the next write to the caller writeTimeout from now.
+func (s *stream) extendWriteDeadline() {
+	// The error is ignored: all response writers of net/http support deadlines,
+	// those of tests may not.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // handleStall performs the action that is due for a silent engine, sets the
 // timer to the next check and reports whether the attempt is abandoned. Only
 // routes that retry from the last event fail over, and only once the engine
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -180,6 +180,7 @@
 	age := s.h.o.Clock() - s.req.received
 	switch {
 	case err == nil:
+		s.extendWriteDeadline() // net/http writes the end of the response
 		s.req.log.Info("response complete", "attempts", s.req.attempts, "events", s.lastEventID, "age_ms", age.Milliseconds(),
 			"configuration", s.req.tableVersion)
 		return
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -151,6 +151,18 @@
 		Expect(f.received()[2].header.Get(headerLastEvent)).To(Equal("10"))
 	})
 
+	// Guards against a write deadline of the last event that cuts the end of the response.
+	It("is complete although its end comes long after its last event", func() {
+		f.startEndpoint("a", streamEvents(length, func(http.ResponseWriter, *http.Request) {
+			time.Sleep(5200 * time.Millisecond)
+		}))
+		response, err := f.call(context.Background(), http.MethodPost, "/stream/x", nil, http.Header{headerTimeout: {"9000"}})
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal(streamText(length)))
+	})
+
 	// Guards against two attempts of a stream that must not be retried, and
 	// against a truncated response that looks complete.
 	It("is visibly aborted if it must not be continued", func() {
