Stop checking silent engines of streams that never fail over

Callers saw nothing directly; the processor time was missing for other work of the instance.

Cause: on a route that does not retry from the last event, the timer of a silent engine fired every millisecond once the failover delay was over.

Change: the timer of such a stream is not set again.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -138,6 +139,8 @@
 	stopping bool
 	marks    fakeCrashMarks
 	synced   chan struct{} // see forward.Options
+	// clockReads counts the handler's reads of the clock.
+	clockReads atomic.Int64
 
 	mu        sync.Mutex
 	requests  []receivedRequest
@@ -158,25 +161,35 @@
 }
 
 func newFixtureWithBudget(synced chan struct{}, budget forward.RetryBudgetOptions) *fixture {
+	return newFixtureWithOptions(synced, func(_ *fixture, o *forward.Options) { o.RetryBudget = forward.NewRetryBudget(budget) })
+}
+
+func newFixtureWithOptions(synced chan struct{}, change func(*fixture, *forward.Options)) *fixture {
 	f := &fixture{table: &routing.CurrentTable{}, synced: synced, servers: make(map[string]*httptest.Server)}
 	f.balance = balance.New(balance.Options{
 		CoreOptions: balance.CoreOptions{Instance: "i", Place: api.Place{Region: "r", FailureDomain: "d0"}},
 		Clock:       bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
-	f.handler = forward.New(forward.Options{
+	options := forward.Options{
 		Protocol: testProtocol{}, Table: f.table, Balance: f.balance,
-		Pool:        upstream.New(upstream.Options{Clock: bootclock.Now}),
-		RetryBudget: forward.NewRetryBudget(budget),
-		Clock:       bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		Pool:  upstream.New(upstream.Options{Clock: bootclock.Now}),
+		Clock: f.readClock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		CrashMarks: &f.marks,
 		Synced:     f.synced,
 		Stopping:   func() (bool, time.Duration) { return f.stopping, time.Second },
-	})
+	}
+	change(f, &options)
+	f.handler = forward.New(options)
 	f.server = httptest.NewServer(f.handler)
 	DeferCleanup(f.server.Close)
 	return f
 }
 
+func (f *fixture) readClock() time.Duration {
+	f.clockReads.Add(1)
+	return bootclock.Now()
+}
+
 // applyTable activates a configuration with one route of each kind.
 func (f *fixture) applyTable(change func(*routing.Route)) {
 	routes := []routing.Route{
--- a/forward/run.go
+++ b/forward/run.go
@@ -262,15 +262,18 @@
 }
 
 // handleStall performs the action that is due for a silent engine, sets the
-// timer to the next check and reports whether the attempt is abandoned. Only
+// timer to the next check if there is one, and reports whether the attempt is abandoned. Only
 // routes that retry from the last event fail over, and only once the engine
 // that continues the response is reserved: the open connection of a silent
 // engine may still deliver the rest.
 func (s *stream) handleStall(r *streamAttempt, timer *time.Timer) bool {
+	if s.req.route.RetryPolicy != routing.RetryFromLastEvent {
+		return false
+	}
 	now := s.h.o.Clock()
 	decision, at := r.stall.nextAction(now)
 	timer.Reset(max(time.Millisecond, at-now))
-	if s.req.route.RetryPolicy != routing.RetryFromLastEvent || !s.failoverDue(r, decision, now) {
+	if !s.failoverDue(r, decision, now) {
 		return false
 	}
 	limit := s.reserveFailover(r)
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -120,4 +120,14 @@
 		Expect(received).To(HaveLen(2))
 		Expect(received[1].header.Get(headerLastEvent)).To(Equal("10"))
 	})
+
+	// Guards against an instance that checks a silent engine every millisecond.
+	It("takes little processor time if it may never continue elsewhere", func() {
+		f := newFixture()
+		f.applyTable(func(r *routing.Route) { r.RetryPolicy = routing.RetryNever })
+		startEndpoints(f, midStream, "a")
+		_, body, _ := f.get("/stream/x")
+		Expect(body).To(Equal(streamText(length)))
+		Expect(f.clockReads.Load()).To(BeNumerically("<", 100))
+	})
 })
