Keep an attempt whose next event arrives during the failover check

Callers got the rest of a response later than needed, from another engine. With no attempts or retry budget left for a later failure, the response was aborted.

Cause: the check of a silent engine opens a connection or queries the engine. What the engine sent meanwhile waited in the channel of the attempt, and the attempt was ended all the same.

Evidence: before the change the new spec in forward/stall_test.go fails at stall_test.go:177: the engine sends its first event 30 ms before the check ends, and a second engine gets the request.

Change: an attempt with a message that is not handled yet is kept, both before a replacement is reserved and before its retry is counted.

--- a/forward/failover.go
+++ b/forward/failover.go
@@ -53,27 +53,31 @@
 }
 
 // reserveFailover reserves the engine that continues the response of a silent
-// engine and counts the failover in the retry budget. It returns the reason if
-// the response cannot continue elsewhere now; nothing is reserved or counted
-// then.
-func (s *stream) reserveFailover(r *streamAttempt) reason.Reason {
+// engine and counts the failover in the retry budget. It returns false and
+// reserves and counts nothing if the engine has sent something meanwhile, or,
+// with the reason, if the response cannot continue elsewhere now.
+func (s *stream) reserveFailover(r *streamAttempt) (bool, reason.Reason) {
 	budget := s.h.o.RetryBudget
 	if limit := s.failoverLimit(engineSilentError(), budget.CanRetry); limit != "" {
-		return limit
+		return false, limit
 	}
 	if !s.backupUsable(r) {
 		lease, err := s.reserveLease(r)
 		if err != nil {
-			return err.Reason
+			return false, err.Reason
 		}
 		s.reservedLease = lease
 	}
+	if r.messagePending() {
+		s.releaseReserved()
+		return false, ""
+	}
 	if !budget.TryRetry(s.h.o.Clock(), s.req.service.Name) {
 		s.releaseReserved()
-		return reason.RetryBudget
+		return false, reason.RetryBudget
 	}
 	s.reserved = true
-	return ""
+	return true, ""
 }
 
 // backupUsable reports whether the attempt can continue from its backup. An
--- a/forward/run.go
+++ b/forward/run.go
@@ -273,17 +273,20 @@
 	now := s.h.o.Clock()
 	decision, at := r.stall.nextAction(now)
 	timer.Reset(max(time.Millisecond, at-now))
-	if !s.failoverDue(r, decision, now) {
+	if !s.failoverDue(r, decision, now) || r.messagePending() {
 		return false
 	}
-	limit := s.reserveFailover(r)
-	if limit == "" {
-		return true
+	reserved, limit := s.reserveFailover(r)
+	if limit != "" {
+		s.recordPostponement(r, limit)
 	}
-	s.recordPostponement(r, limit)
-	return false
+	return reserved
 }
 
+// messagePending reports whether the engine has sent something that is not
+// handled yet. The queries of a failover check take up to probeTimeout.
+func (r *streamAttempt) messagePending() bool { return len(r.messages) > 0 }
+
 // failoverDue performs the action and reports whether the stream should fail
 // over.
 func (s *stream) failoverDue(r *streamAttempt, decision stallAction, now time.Duration) bool {
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -1,18 +1,39 @@
 package forward_test
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscusstair/hibiscusstair/balance"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/loadprobe"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 )
 
+// delayedReport is an engine client whose answer to HasRequest comes after the
+// engine was released and sent its first event.
+type delayedReport struct{ release func() }
+
+func (delayedReport) FetchLoad(context.Context, string) (balance.Load, error) {
+	return balance.Load{}, nil
+}
+
+func (c delayedReport) HasRequest(context.Context, string, string) (bool, error) {
+	c.release()
+	time.Sleep(30 * time.Millisecond)
+	return false, nil
+}
+
 var _ = Describe("A stream whose engine pauses", func() {
 	const (
 		length = 30
@@ -130,4 +151,29 @@
 		Expect(body).To(Equal(streamText(length)))
 		Expect(f.clockReads.Load()).To(BeNumerically("<", 100))
 	})
+
+	// Guards against ending an attempt while its next event waits to be handled.
+	It("is completed by the engine if an event arrives during the failover check", func() {
+		released := make(chan struct{})
+		release := sync.OnceFunc(func() { close(released) })
+		synced := make(chan struct{})
+		close(synced)
+		f := newFixtureWithOptions(synced, func(f *fixture, o *forward.Options) {
+			o.RetryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{Baseline: 100, Window: 10 * time.Second})
+			o.LoadProber = loadprobe.New(loadprobe.Options{
+				Client: delayedReport{release}, Balance: f.balance, Clock: bootclock.Now,
+				Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			})
+		})
+		f.applyTable(nil)
+		for _, name := range []string{"a", "b"} {
+			f.startEndpoint(name, func(rw http.ResponseWriter, r *http.Request) {
+				<-released
+				streamEvents(length, endStream)(rw, r)
+			})
+		}
+		_, body, _ := f.get("/stream/x")
+		Expect(body).To(Equal(streamText(length)))
+		Expect(f.received()).To(HaveLen(1))
+	})
 })
