Log the size and decode time of configurations and late timers

Cause: beside a large configuration, engines that run look silent and unreachable, and the logs cannot tell a full link from a busy processor. Metrics count the documents that the relay sends and receives. No decision changes. Checks: go vet; go test -race -count=1 ./relay ./peer ./storesync ./gateway ./platform ./routing: ok.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,7 +117,7 @@
 	g.registry = registry.New(registry.Options{
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("registry"), OnChange: g.applyEndpointChange,
 	})
-	g.relayCache = relay.NewCache()
+	g.relayCache = relay.NewCache(scope.SubScope("relay"))
 	g.peerClients = peer.NewClients(s.PeerSecret, scope.SubScope("peer"))
 	g.follower = storesync.New(storesync.Options{
 		Store: g.newStoreReader(), Table: g.table, Registry: g.registry, Recorder: g.relayCache,
@@ -241,6 +241,7 @@
 	g.addTask(&group, "restarted engines", g.restartDetector.Run)
 	g.addTask(&group, "crash marks", g.crashMarks.Run)
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
+	g.addTask(&group, "lateness", g.measureLateness)
 	if g.fleet != nil {
 		g.addTask(&group, "fleet", g.fleet.Run)
 	}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
@@ -33,6 +34,7 @@
 // Cache holds what this instance last read from the store and serves it to
 // other instances. It is safe for concurrent use.
 type Cache struct {
+	scope           tally.Scope
 	tableContact    StoreContact
 	endpointContact StoreContact
 
@@ -57,9 +59,9 @@
 	_ storesync.Recorder = (*Cache)(nil)
 )
 
-// NewCache returns an empty cache.
-func NewCache() *Cache {
-	return &Cache{endpoints: make(map[api.EndpointID]registry.Endpoint), changed: make(chan struct{})}
+// NewCache returns an empty cache. What it sends is counted in the scope.
+func NewCache(scope tally.Scope) *Cache {
+	return &Cache{scope: scope, endpoints: make(map[api.EndpointID]registry.Endpoint), changed: make(chan struct{})}
 }
 
 // StoreContact is the state of contact with the store about one kind of object.
@@ -162,6 +164,10 @@
 		response.Document = c.table.Document
 		return true
 	})
+	if err == nil && len(response.GetDocument()) > 0 {
+		c.scope.Counter("documents_sent").Inc(1)
+		c.scope.Counter("document_bytes_sent").Inc(int64(len(response.GetDocument())))
+	}
 	return response, err
 }
 
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/registry"
@@ -27,6 +29,7 @@
 	// acceptStale accepts the instance's data even if the instance has lost
 	// contact with the store.
 	acceptStale bool
+	scope       tally.Scope
 }
 
 var _ storesync.Store = (*peerStore)(nil)
@@ -48,6 +51,7 @@
 	}
 	read := storesync.TableRead{Revision: response.GetRevision(), Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale}
 	if len(response.GetDocument()) > 0 {
+		p.scope.Counter("document_bytes_received").Inc(int64(len(response.GetDocument())))
 		read.Table, err = p.decode(response.GetDocument())
 	}
 	return read, err
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -95,7 +95,7 @@
 func (c fakeContact) Lost() bool         { return c.lost.Load() }
 
 func newNode(name, domain string) *peerNode {
-	n := &peerNode{cache: relay.NewCache()}
+	n := &peerNode{cache: relay.NewCache(tally.NoopScope)}
 	n.cache.SetContacts(fakeContact{n, &n.tableContactLost}, fakeContact{n, &n.endpointContactLost})
 	server := httptest.NewServer(peerpb.NewRelayServer(n.cache))
 	DeferCleanup(server.Close)
--- a/relay/source.go
+++ b/relay/source.go
@@ -99,7 +99,7 @@
 			s.o.Scope.Counter("read_through_leader").Inc(1)
 			return response, err
 		}
-		s.recordPeerFailure(leader)
+		s.recordPeerFailure(leader, err)
 	}
 	if s.storeInBackoff() {
 		if response, err := readThroughPeers(s, call); err == nil {
@@ -130,7 +130,7 @@
 			s.o.Scope.Counter("read_through_helper").Inc(1)
 			return response, nil
 		}
-		s.recordPeerFailure(address)
+		s.recordPeerFailure(address, err)
 	}
 	return response, err
 }
@@ -138,7 +138,7 @@
 var errNoPeer = errors.New("no other instance to read the store through")
 
 func (s *Source) storeAt(address string, acceptStale bool) storesync.Store {
-	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale}
+	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale, scope: s.o.Scope}
 }
 
 // leader returns the address of the instance that reads for this failure
@@ -200,7 +200,10 @@
 	return addresses[:min(maxPeersAsked, len(addresses))]
 }
 
-func (s *Source) recordPeerFailure(address string) {
+// recordPeerFailure starts the backoff of an instance, so that there is at most
+// one line for each instance and peerBackoff.
+func (s *Source) recordPeerFailure(address string, err error) {
+	s.o.Log.Info("store read through another instance failed", "address", address, "error", err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backoffUntil[address] = s.o.Clock() + peerBackoff
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -115,6 +115,8 @@
 	// Document is the encoded form that the table was decoded from. Instances send
 	// it to each other.
 	Document []byte
+	// DecodeTime is how long decoding took, including waits for the processor.
+	DecodeTime time.Duration
 
 	byHost      map[string][]Route // longest prefix first
 	accounts    map[string]Account // by key
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -202,7 +202,8 @@
 	f.checkSynced()
 	f.o.Scope.Gauge("configuration_version").Update(float64(table.Version))
 	f.o.Log.Info("configuration activated", "version", table.Version, "before", before,
-		"routes", table.RouteCount(), "source", source, "store_age_ms", f.tableContact.Age().Milliseconds())
+		"routes", table.RouteCount(), "source", source, "store_age_ms", f.tableContact.Age().Milliseconds(),
+		"bytes", len(table.Document), "decode_ms", table.DecodeTime.Milliseconds())
 }
 
 // FollowEndpoints keeps the registry up to date until the context ends.
