Fail an attempt whose response body has no end

Callers saw: an endpoint that sends a body without end (no length, a huge length or chunks) gave a 200 with the first 16 MiB of it, on routes with and without retries. Cause: sendPlain read through a LimitReader and took its end for the end of the body. 64 such responses at once would also need 1 GiB.

Change: a body above maxResponseBytes, now 512 KiB, ends the attempt as a broken connection does: another endpoint is tried where the route allows it, else the caller gets a 502 with the reason engine_closed, and the connection is closed.

--- /dev/null
+++ b/forward/endless_test.go
@@ -0,0 +1,145 @@
+package forward_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// signedHeader starts a signed response with neither a length nor chunks.
+	signedHeader = "HTTP/1.1 200 OK\r\n" + headerID + ": attempt-1\r\n" + headerSigned + ": raw\r\n"
+	// maxSocketBytes bounds what the kernel buffers of one connection beyond
+	// the bytes that the handler has read.
+	maxSocketBytes = 8 << 20
+)
+
+// rawEndpoint answers each request with raw bytes.
+type rawEndpoint struct {
+	asked  atomic.Int64 // requests received
+	sent   atomic.Int64 // bytes written over all connections
+	closed atomic.Int64 // connections that the handler has closed
+}
+
+// startRawEndpoint starts an endpoint that answers with start, then repeats a
+// block until the connection is closed; an empty block closes it. The endpoint
+// is in the instance's failure domain, so that it is chosen before others.
+func (f *fixture) startRawEndpoint(start, block string) *rawEndpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	e := &rawEndpoint{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn, start, block)
+		}
+	}()
+	f.addEndpoint("0", listener.Addr().String())
+	return e
+}
+
+func (e *rawEndpoint) serve(conn net.Conn, start, block string) {
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	e.asked.Add(1)
+	_, err := io.WriteString(conn, start)
+	for err == nil && block != "" {
+		var n int
+		n, err = io.WriteString(conn, block)
+		e.sent.Add(int64(n))
+	}
+	e.closed.Add(1)
+}
+
+// expectCutOff expects that the endpoint was asked, that its connections are
+// closed soon and that little more than limit was read from each.
+func (e *rawEndpoint) expectCutOff(limit int64) {
+	GinkgoHelper()
+	Expect(e.asked.Load()).To(BeNumerically(">", 0))
+	Eventually(e.closed.Load, time.Second).Should(Equal(e.asked.Load()))
+	Expect(e.sent.Load()).To(BeNumerically("<", e.asked.Load()*(limit+maxSocketBytes)))
+}
+
+var _ = Describe("An endpoint that sends bytes without end", func() {
+	const (
+		// maxHeaderBytes and maxBodyBytes are the limits of a response.
+		maxHeaderBytes = 64 << 10
+		maxBodyBytes   = 512 << 10
+	)
+	block := strings.Repeat("x", 32<<10)
+	chunk := "8000\r\n" + block + "\r\n"
+	var f *fixture
+
+	BeforeEach(func() {
+		f = newFixture()
+		f.applyTable(nil)
+	})
+
+	plainEntries := []TableEntry{
+		Entry("that are no HTTP", int64(maxHeaderBytes), "", block),
+		Entry("in one header line", int64(maxHeaderBytes), signedHeader+"Long: ", block),
+		Entry("in many header lines", int64(maxHeaderBytes), signedHeader, strings.Repeat("Long: x\r\n", 1000)),
+		Entry("in informational responses", int64(maxHeaderBytes), "", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000)),
+		Entry("in a body without a length", int64(maxBodyBytes), signedHeader+"\r\n", block),
+		Entry("in a body with a huge length", int64(maxBodyBytes), signedHeader+"Content-Length: 9000000000000\r\n\r\n", block),
+		Entry("in chunks", int64(maxBodyBytes), signedHeader+"Transfer-Encoding: chunked\r\n\r\n", chunk),
+		Entry("in a chunk extension", int64(maxBodyBytes), signedHeader+"Transfer-Encoding: chunked\r\n\r\n5;", block),
+		Entry("in chunk extensions", int64(maxBodyBytes), signedHeader+"Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1;"+strings.Repeat("x", 200)+"\r\nx\r\n", 100)),
+		Entry("in trailers", int64(maxBodyBytes), signedHeader+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", strings.Repeat("Long: x\r\n", 1000)),
+	}
+
+	// Guards against a truncated body that is forwarded as a success.
+	DescribeTable("does not keep a repeatable request from another endpoint",
+		func(limit int64, start, block string) {
+			raw := f.startRawEndpoint(start, block)
+			f.startEndpoint("a", respond("sound"))
+			code, body, _ := f.get("/lookup/x")
+			Expect(code).To(Equal(http.StatusOK))
+			Expect(body).To(HaveLen(len("sound")))
+			Expect(body).To(Equal("sound"))
+			raw.expectCutOff(limit)
+		}, plainEntries)
+
+	// Guards against a truncated body, and against a second run of a request
+	// that must not run twice.
+	DescribeTable("fails a request that must not be repeated",
+		func(limit int64, start, block string) {
+			raw := f.startRawEndpoint(start, block)
+			f.startEndpoint("a", respond("sound"))
+			code, _, header := f.get("/order/x")
+			Expect(code).To(Equal(http.StatusBadGateway))
+			Expect(header.Get("Test-Reason")).To(Equal("engine_closed"))
+			Expect(f.received()).To(BeEmpty())
+			raw.expectCutOff(limit)
+		}, plainEntries)
+})
+
+var _ = Describe("A response with neither a length nor chunks", func() {
+	var f *fixture
+
+	BeforeEach(func() {
+		f = newFixture()
+		f.applyTable(nil)
+	})
+
+	// Guards against a complete response that is taken as broken off.
+	It("is forwarded whole", func() {
+		f.startRawEndpoint(signedHeader+"\r\nwhole", "")
+		code, body, _ := f.get("/order/x")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("whole"))
+	})
+})
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,10 +14,11 @@
 )
 
 const (
-	// maxResponseBytes bounds a plain response, which is buffered completely
-	// before it is forwarded, so that a truncated response can still be
-	// retried.
-	maxResponseBytes = 16 << 20
+	// maxResponseBytes bounds the body of a plain response, which is buffered
+	// completely before it is forwarded, so that a truncated response can still
+	// be retried. Bodies have about 1 KB. 64 bodies of this size take 32 MiB, a
+	// quarter of the memory limit of the smallest instance (0.7 x 184 MB).
+	maxResponseBytes = 512 << 10
 	// hedgeShare is the share of the target latency after which a request that
 	// may always be retried and has no response is also sent to a second
 	// endpoint.
@@ -249,18 +251,31 @@
 		r.err, r.outcome = h.attemptError(ctx, "the connection ended before the answer")
 		return r
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := readBody(response)
 	_ = response.Body.Close()
 	info := h.o.Protocol.DecodeResponse(response)
 	if err != nil || (info.ID != "" && info.ID != req.info.ID) {
 		conn.Close()
-		r.err, r.outcome = h.attemptError(ctx, "the answer broke off or belongs to another request")
+		r.err, r.outcome = h.attemptError(ctx, "the answer broke off, is too large or belongs to another request")
 		return r
 	}
 	h.o.Pool.Put(conn, response)
 	return h.classifyResponse(r, response, body, info)
 }
 
+// errResponseTooLarge means that the body of a plain response exceeds
+// maxResponseBytes.
+var errResponseTooLarge = errors.New("the body of the response is too large")
+
+// readBody reads the whole body of a plain response.
+func readBody(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		return nil, errResponseTooLarge
+	}
+	return body, err
+}
+
 // classifyResponse derives the result of an attempt from a complete response.
 func (h *Handler) classifyResponse(r result, response *http.Response, body []byte, info ResponseInfo) result {
 	switch {
--- a/forward/run.go
+++ b/forward/run.go
@@ -165,7 +165,7 @@
 		return interrupted(reason.EngineRefused, reason.RunYes, balance.Failed, "the engine answered with a failure")
 	}
 	// An error response of the engine below status 500 is forwarded unchanged.
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := readBody(response)
 	if err != nil {
 		return interrupted(reason.EngineClosed, reason.RunUnknown, balance.Interrupted, "the answer broke off")
 	}
