Read the failure of a stream's engine in one place

Callers saw: a failure below status 500 on a stream route reached them without the first bytes of its body, without all of it if it is short. Cause: the goroutine of the attempt went on to read events from the body that handleHeader read at the same time. handleHeader also waited for the body outside the stall detector.

Evidence: before the change the spec "A failure of the engine of a stream is forwarded with its whole body" failed: the body began within the text instead of at its start. The spec with a body without end passed before and after.

Change: the goroutine of the attempt reads the body of a response that is no stream, up to maxResponseBytes, and passes it on as one message.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -143,3 +143,36 @@
 		Expect(body).To(Equal("whole"))
 	})
 })
+
+var _ = Describe("A failure of the engine of a stream", func() {
+	// Guards against two readers that share the body of the failure.
+	It("is forwarded with its whole body", func() {
+		f := newFixture()
+		f.applyTable(nil)
+		body := strings.Repeat("a failure. ", 10000)
+		f.startEndpoint("a", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerSigned, "yes")
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = io.WriteString(w, body)
+		})
+		for range 20 {
+			code, received, _ := f.get("/stream/x")
+			Expect(code).To(Equal(http.StatusNotFound))
+			Expect(received).To(HaveLen(len(body)))
+			Expect(received == body).To(BeTrue())
+		}
+	})
+
+	// Guards against a truncated failure, and against a stalled stream while
+	// its body is read.
+	It("with a body without end is not forwarded", func() {
+		f := newFixture()
+		f.applyTable(nil)
+		raw := f.startRawEndpoint(strings.Replace(signedHeader, "200 OK", "404 Not Found", 1)+"\r\n", strings.Repeat("x", 32<<10))
+		f.startEndpoint("a", streamEvents(3, endStream))
+		code, body, _ := f.get("/stream/x")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(body).To(Equal(streamText(3)))
+		raw.expectCutOff(512 << 10)
+	})
+})
--- a/forward/run.go
+++ b/forward/run.go
@@ -13,9 +13,12 @@
 )
 
 // attemptMessage is a message from the goroutine of an attempt: the response
-// header, an event, or the end of the response.
+// header, the whole body of a response that is no stream, an event, or the end
+// of the response.
 type attemptMessage struct {
 	response *http.Response
+	whole    bool // body is the whole body of response
+	body     []byte
 	event    event
 	complete bool // the response ended after a complete event
 	err      error
@@ -59,6 +62,11 @@
 	if !send(attemptMessage{response: response}) {
 		return
 	}
+	if response.StatusCode != http.StatusOK {
+		body, err := readBody(response)
+		send(attemptMessage{response: response, whole: err == nil, body: body, err: err})
+		return
+	}
 	events := newEventReader(response.Body)
 	for {
 		next, err := events.next()
@@ -129,19 +137,21 @@
 // attempt continues.
 func (s *stream) handleMessage(r *streamAttempt, next attemptMessage) *attemptResult {
 	switch {
+	case next.whole:
+		return s.deliverFailure(r, next)
+	case next.err != nil:
+		return s.handleError(next.err)
 	case next.response != nil:
 		r.header = next.response.Header
 		return s.handleHeader(r, next.response)
 	case next.complete:
 		return &attemptResult{complete: true, outcome: balance.Completed}
-	case next.err != nil:
-		return s.handleError(next.err)
 	}
 	return s.handleEvent(r, next.event)
 }
 
 // handleHeader handles the response header. It returns a result if the engine
-// did not run the request or if the response is not a stream.
+// did not run the request or if its failure is not forwarded.
 func (s *stream) handleHeader(r *streamAttempt, response *http.Response) *attemptResult {
 	info := s.h.o.Protocol.DecodeResponse(response)
 	interrupted := func(why reason.Reason, run reason.RunStatus, outcome balance.Outcome, message string) *attemptResult {
@@ -164,13 +174,15 @@
 	case response.StatusCode >= http.StatusInternalServerError || s.headerWritten:
 		return interrupted(reason.EngineRefused, reason.RunYes, balance.Failed, "the engine answered with a failure")
 	}
-	// An error response of the engine below status 500 is forwarded unchanged.
-	body, err := readBody(response)
-	if err != nil {
-		return interrupted(reason.EngineClosed, reason.RunUnknown, balance.Interrupted, "the answer broke off")
-	}
+	// The body of an error response follows in a message of its own.
+	return nil
+}
+
+// deliverFailure forwards an error response of the engine below status 500
+// unchanged.
+func (s *stream) deliverFailure(r *streamAttempt, next attemptMessage) *attemptResult {
 	s.headerWritten = true
-	s.h.deliverResponse(s.w, s.req, result{lease: r.lease, response: response, body: body})
+	s.h.deliverResponse(s.w, s.req, result{lease: r.lease, response: next.response, body: next.body})
 	return &attemptResult{complete: true, outcome: balance.Completed}
 }
 
