Count only events with a new ID as progress of a stream

Callers saw: a stream whose engine repeats delivered events, or sends events without ids, comments or blank lines without end, got no further event and was aborted at its deadline although another engine could continue it. Cause: each block that ends with a blank line reset the stall detector, also one that is then dropped.

Evidence: before the change the five specs "An engine whose stream has no end is left after the bound of a silent engine" failed with "unexpected EOF" after 3 s, the request's deadline. The specs with an event that is too large and with a replay passed before and after.

Change: only an event with a higher ID than all before it in the attempt resets the detector, clears the suspicion of its engine and counts as received. A replay of delivered events still counts, because it ends at the next event. Comments are forwarded as before, but no longer extend the wait for an event.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -176,3 +178,69 @@
 		raw.expectCutOff(512 << 10)
 	})
 })
+
+var _ = Describe("An engine whose stream has no end", func() {
+	const (
+		maxEventBytes = 64 << 10
+		length        = 5
+	)
+	sseHeader := signedHeader + "Content-Type: text/event-stream\r\n\r\n"
+	var f *fixture
+
+	BeforeEach(func() {
+		f = newFixture()
+		f.applyTable(nil)
+	})
+
+	// Guards against an event without end that fills the memory.
+	DescribeTable("is left when an event is too large",
+		func(block string) {
+			raw := f.startRawEndpoint(sseHeader+streamText(2), block)
+			f.startEndpoint("a", streamEvents(length, endStream))
+			code, body, _ := f.get("/stream/x")
+			Expect(code).To(Equal(http.StatusOK))
+			Expect(body).To(Equal(streamText(length)))
+			raw.expectCutOff(maxEventBytes)
+		},
+		Entry("in one line", strings.Repeat("x", 4<<10)),
+		Entry("in many lines", strings.Repeat("data: x\n", 1000)),
+	)
+
+	// Guards against bytes that carry no progress and keep a stream at its engine.
+	DescribeTable("is left after the bound of a silent engine",
+		func(start, block string) {
+			raw := f.startRawEndpoint(sseHeader+start, block)
+			f.startEndpoint("a", streamEvents(length, endStream))
+			code, body, _ := f.get("/stream/x")
+			Expect(code).To(Equal(http.StatusOK))
+			Expect(strings.HasPrefix(body, start)).To(BeTrue())
+			Expect(strings.HasSuffix(body, strings.TrimPrefix(streamText(length), start))).To(BeTrue())
+			Expect(strings.Count(body, "id:")).To(Equal(length))
+			Eventually(raw.closed.Load, time.Second).Should(Equal(raw.asked.Load()))
+		},
+		Entry("with events that were delivered", streamText(2), streamText(2)),
+		Entry("with events without ids", streamText(2), "data: x\n\n"),
+		Entry("with comments", streamText(2), ": alive\n\n"),
+		Entry("with blank lines", streamText(2), "\n"),
+		Entry("with comments before its first event", "", ": alive\n\n"),
+	)
+
+	// Guards against a replay of delivered events that counts as silence.
+	It("is kept while it replays the events before the next one", func() {
+		f.startRawEndpoint("HTTP/1.1 503 Busy\r\n"+headerNotExecuted+": 1\r\nContent-Length: 0\r\n\r\n", "")
+		f.startEndpoint("a", func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Del(headerLastEvent)
+			w.Header().Set(headerSigned, "yes")
+			for id := 1; id <= 12; id++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		response, err := f.call(context.Background(), http.MethodPost, "/stream/x", nil, http.Header{headerLastEvent: {"10"}})
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("id: 11\ndata: 11\n\nid: 12\ndata: 12\n\n"))
+	})
+})
--- a/forward/run.go
+++ b/forward/run.go
@@ -32,7 +32,8 @@
 	stall          stallDetector
 	header         http.Header // of the engine's response
 	fromBackup     bool        // continues from the backup that the engine holds
-	eventsReceived int
+	eventsReceived int         // that carried progress
+	lastReceivedID int64       // highest event ID that this attempt received
 }
 
 // executeAttempt sends the request and passes the response to r.messages event
@@ -202,10 +203,8 @@
 // event IDs interrupts the attempt.
 func (s *stream) handleEvent(r *streamAttempt, e event) *attemptResult {
 	s.mayHaveRun = true
-	r.eventsReceived++
 	now := s.h.o.Clock()
-	r.stall.recordEvent(now)
-	s.h.o.Balance.RecordResponse(r.lease)
+	s.recordProgress(r, e, now)
 	if e.hasID {
 		switch {
 		case e.id <= s.lastEventID:
@@ -228,6 +227,19 @@
 	return nil
 }
 
+// recordProgress resets the stall detector if the event has a higher ID than
+// all before it in the attempt. Comments, blank lines and repeated events could
+// come without end; a replay up to the next event ends.
+func (s *stream) recordProgress(r *streamAttempt, e event, now time.Duration) {
+	if !e.hasID || e.id <= r.lastReceivedID {
+		return
+	}
+	r.lastReceivedID = e.id
+	r.eventsReceived++
+	r.stall.recordEvent(now)
+	s.h.o.Balance.RecordResponse(r.lease)
+}
+
 // writeHeader writes the response header of the first engine that produced an
 // event.
 func (s *stream) writeHeader(r *streamAttempt, now time.Duration) {
