Bound an event of a stream to 64 KiB

Callers saw: nothing directly. An engine could fill the memory of an instance: an attempt keeps up to 16 events of 1 MiB for a slow caller, and one such stream in 64 took up to 1 GiB where the Go memory limit is 129 to 199 MB. Cause: the bound of an event was chosen without regard to the number kept.

Evidence: before the change the spec "is left when an event is too large and ends" failed, because the event of 64 KiB and its fields was forwarded.

Change: maxEventBytes is 64 KiB, 1 MiB for each stream. A larger event ends the attempt, and another engine continues the stream where the route allows it.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -194,16 +194,17 @@
 
 	// Guards against an event without end that fills the memory.
 	DescribeTable("is left when an event is too large",
-		func(block string) {
-			raw := f.startRawEndpoint(sseHeader+streamText(2), block)
+		func(start, block string) {
+			raw := f.startRawEndpoint(sseHeader+streamText(2)+start, block)
 			f.startEndpoint("a", streamEvents(length, endStream))
 			code, body, _ := f.get("/stream/x")
 			Expect(code).To(Equal(http.StatusOK))
 			Expect(body).To(Equal(streamText(length)))
 			raw.expectCutOff(maxEventBytes)
 		},
-		Entry("in one line", strings.Repeat("x", 4<<10)),
-		Entry("in many lines", strings.Repeat("data: x\n", 1000)),
+		Entry("in one line", "", strings.Repeat("x", 4<<10)),
+		Entry("in many lines", "", strings.Repeat("data: x\n", 1000)),
+		Entry("and ends", "id: 3\ndata: "+strings.Repeat("x", maxEventBytes)+"\n\n", ": alive\n\n"),
 	)
 
 	// Guards against bytes that carry no progress and keep a stream at its engine.
--- a/forward/event.go
+++ b/forward/event.go
@@ -8,8 +8,9 @@
 	"strconv"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream. Events have a few hundred bytes.
+// messageBuffer events of this size take 1 MiB for each stream.
+const maxEventBytes = 64 << 10
 
 // errEventTooLarge means that an event exceeds maxEventBytes.
 var errEventTooLarge = errors.New("an event of the stream is too large")
