Take a stream without any event as broken off

Callers saw: an engine that ended its stream before the first event gave a 200 with an empty body and without the engine's signature. A stream with neither a length nor chunks whose second engine was cut off before its first event looked complete. Cause: the end of the connection between two events was always taken as the end of the stream, and the response header is written with the first event only.

Change: a stream without any event is an interrupted attempt, unless its caller has events and a length or the last chunk shows that the response is whole. Then the engine's header is forwarded.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -13,6 +13,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/routing"
 )
 
 const (
@@ -245,3 +247,78 @@
 		Expect(string(body)).To(Equal("id: 11\ndata: 11\n\nid: 12\ndata: 12\n\n"))
 	})
 })
+
+var _ = Describe("A stream with neither a length nor chunks", func() {
+	const (
+		length    = 5
+		sseHeader = signedHeader + "Content-Type: text/event-stream\r\n\r\n"
+	)
+	var f *fixture
+
+	BeforeEach(func() {
+		f = newFixture()
+		f.applyTable(nil)
+	})
+
+	// Guards against a complete stream that is taken as broken off.
+	It("is complete when it ends after an event", func() {
+		f.startRawEndpoint(sseHeader+streamText(length), "")
+		f.startEndpoint("a", streamEvents(length+1, endStream))
+		code, body, _ := f.get("/stream/x")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(body).To(Equal(streamText(length)))
+		Expect(f.received()).To(BeEmpty())
+	})
+
+	// cuts are the streams that break off.
+	cuts := []TableEntry{
+		Entry("before its first event", sseHeader),
+		Entry("within its first event", sseHeader+"id: 1"),
+		Entry("within a later event", sseHeader+streamText(2)+"id: 3\nda"),
+		Entry("before the blank line of an event", sseHeader+streamText(2)+"id: 3\ndata: 3\n"),
+	}
+
+	// Guards against a truncated stream that looks complete.
+	DescribeTable("continues at another engine when it ends",
+		func(start string) {
+			f.startRawEndpoint(start, "")
+			f.startEndpoint("a", streamEvents(length, endStream))
+			code, body, header := f.get("/stream/x")
+			Expect(code).To(Equal(http.StatusOK))
+			Expect(header.Get(headerSigned)).NotTo(BeEmpty())
+			Expect(body).To(Equal(streamText(length)))
+		}, cuts)
+
+	// Guards against a truncated stream that looks complete where no other
+	// engine may continue it.
+	DescribeTable("is never complete on a route without retries when it ends",
+		func(start string) {
+			f.applyTable(func(r *routing.Route) { r.RetryPolicy = routing.RetryNever })
+			f.startRawEndpoint(start, "")
+			f.startEndpoint("a", streamEvents(length, endStream))
+			response, err := f.call(context.Background(), http.MethodPost, "/stream/x", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(response.Body)
+			Expect(err != nil || response.StatusCode == http.StatusBadGateway).To(BeTrue())
+			Expect(f.received()).To(BeEmpty())
+		}, cuts)
+
+	// Guards against a resumed stream without further events that fails or
+	// loses the engine's signature.
+	It("is complete without events when its caller has them all", func() {
+		f.startEndpoint("a", streamEvents(length, endStream))
+		response, err := f.call(context.Background(), http.MethodPost, "/stream/x", nil, http.Header{headerLastEvent: {"5"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(response.Header.Get(headerSigned)).To(Equal("a"))
+	})
+
+	// Guards against a stream that looks complete after its second engine was
+	// cut off before its first event.
+	It("is not complete when the engine that continues it ends without an event", func() {
+		f.startRawEndpoint(sseHeader, "")
+		response, err := f.call(context.Background(), http.MethodPost, "/stream/x", nil, http.Header{headerLastEvent: {"2"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+	})
+})
--- a/forward/run.go
+++ b/forward/run.go
@@ -34,6 +34,9 @@
 	fromBackup     bool        // continues from the backup that the engine holds
 	eventsReceived int         // that carried progress
 	lastReceivedID int64       // highest event ID that this attempt received
+	// endsWithConnection is true if the response has neither a length nor chunks.
+	endsWithConnection bool
+	hasEvent           bool // an event was received, with an ID or without
 }
 
 // executeAttempt sends the request and passes the response to r.messages event
@@ -144,9 +147,10 @@
 		return s.handleError(next.err)
 	case next.response != nil:
 		r.header = next.response.Header
+		r.endsWithConnection = next.response.ContentLength < 0 && len(next.response.TransferEncoding) == 0
 		return s.handleHeader(r, next.response)
 	case next.complete:
-		return &attemptResult{complete: true, outcome: balance.Completed}
+		return s.handleEnd(r)
 	}
 	return s.handleEvent(r, next.event)
 }
@@ -187,6 +191,22 @@
 	return &attemptResult{complete: true, outcome: balance.Completed}
 }
 
+// handleEnd handles the end of a response after a complete event. A stream has
+// at least one event, so that one without any was broken off. An engine that
+// continues a stream may have no further event, but then only a length or the
+// last chunk shows that nothing is missing.
+func (s *stream) handleEnd(r *streamAttempt) *attemptResult {
+	empty := !r.hasEvent && r.endsWithConnection
+	if empty || (s.lastEventID == 0 && !s.headerWritten) {
+		return s.handleError(errNoEvent)
+	}
+	s.writeHeader(r, s.h.o.Clock())
+	return &attemptResult{complete: true, outcome: balance.Completed}
+}
+
+// errNoEvent means that a stream ended before its first event.
+var errNoEvent = errors.New("the stream ended before its first event")
+
 func (s *stream) handleError(err error) *attemptResult {
 	if errors.Is(err, errConnect) {
 		// Nothing was sent, so the engine does not count as an attempt.
@@ -203,6 +223,7 @@
 // event IDs interrupts the attempt.
 func (s *stream) handleEvent(r *streamAttempt, e event) *attemptResult {
 	s.mayHaveRun = true
+	r.hasEvent = true
 	now := s.h.o.Clock()
 	s.recordProgress(r, e, now)
 	if e.hasID {
