Reject an unsigned success on a stream route

Callers saw: a 200 without the engine's signature, with whatever bytes the server at the address sent, on stream routes. Cause: only plain responses were checked for the signature.

Evidence: before the change the spec "A stream with neither a length nor chunks continues at another engine when it is not signed" failed: the caller got the unsigned response.

Change: a response below status 400 without a signature interrupts the attempt, also one that would continue a stream.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -321,4 +321,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
 	})
+
+	// Guards against bytes of another server that are forwarded as the stream.
+	It("continues at another engine when it is not signed", func() {
+		f.startRawEndpoint("HTTP/1.1 200 OK\r\n\r\n"+streamText(2), "")
+		f.startEndpoint("a", streamEvents(length, endStream))
+		code, body, header := f.get("/stream/x")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(header.Get(headerSigned)).To(Equal("a"))
+		Expect(body).To(Equal(streamText(length)))
+	})
 })
--- a/forward/run.go
+++ b/forward/run.go
@@ -174,6 +174,8 @@
 		return interrupted(reason.EngineRefused, reason.RunNo, balance.Refused, "the engine did not run the request")
 	case info.ID != "" && info.ID != s.req.info.ID:
 		return interrupted(reason.ChunkForeign, reason.RunUnknown, balance.Interrupted, "the answer belongs to another request")
+	case !info.Signed && response.StatusCode < http.StatusBadRequest:
+		return interrupted(reason.ChunkForeign, reason.RunUnknown, balance.Interrupted, "the answer is not signed")
 	case response.StatusCode == http.StatusOK:
 		return nil
 	case response.StatusCode >= http.StatusInternalServerError || s.headerWritten:
