--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,7 +13,6 @@
 	"github.com/hibiscusstair/hibiscusstair/gateway"
 	"github.com/hibiscusstair/hibiscusstair/platform"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
-	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
 // Names of the subcommands' flags.
@@ -87,8 +85,8 @@
 	metrics := telemetry.NewMetrics()
 	defer func() { _ = metrics.Close() }()
 	lines.SetDropCounter(metrics.Scope.Counter("log_lines_dropped"))
-	storeClient := newHTTPClient()
-	engines := platform.NewEngineClient(newHTTPClient())
+	storeClient := platform.NewHTTPClient()
+	engines := platform.NewEngineClient(platform.NewHTTPClient())
 	g, err := gateway.New(gateway.Options{
 		Settings:       settings,
 		LoadSettings:   loadSettings,
@@ -111,9 +109,3 @@
 	}
 	return nil
 }
-
-// newHTTPClient returns a client that closes connections whose remote end stops
-// responding.
-func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: upstream.Dialer().DialContext, DisableCompression: true}}
-}
