--- a/forward/run.go
+++ b/forward/run.go
@@ -13,9 +13,12 @@
 )
 
 // attemptMessage is a message from the goroutine of an attempt: the response
-// header, an event, or the end of the response.
+// header, the whole body of a response that is no stream, an event, or the end
+// of the response.
 type attemptMessage struct {
 	response *http.Response
+	whole    bool // body is the whole body of response
+	body     []byte
 	event    event
 	complete bool // the response ended after a complete event
 	err      error
@@ -29,7 +32,11 @@
 	stall          stallDetector
 	header         http.Header // of the engine's response
 	fromBackup     bool        // continues from the backup that the engine holds
-	eventsReceived int
+	eventsReceived int         // that carried progress
+	lastReceivedID int64       // highest event ID that this attempt received
+	// endsWithConnection is true if the response has neither a length nor chunks.
+	endsWithConnection bool
+	hasEvent           bool // an event was received, with an ID or without
 }
 
 // executeAttempt sends the request and passes the response to r.messages event
@@ -59,6 +66,11 @@
 	if !send(attemptMessage{response: response}) {
 		return
 	}
+	if response.StatusCode != http.StatusOK {
+		body, err := readBody(response)
+		send(attemptMessage{response: response, whole: err == nil, body: body, err: err})
+		return
+	}
 	events := newEventReader(response.Body)
 	for {
 		next, err := events.next()
@@ -128,19 +140,22 @@
 // attempt continues.
 func (s *stream) handleMessage(r *streamAttempt, next attemptMessage) *attemptResult {
 	switch {
+	case next.whole:
+		return s.deliverFailure(r, next)
+	case next.err != nil:
+		return s.handleError(next.err)
 	case next.response != nil:
 		r.header = next.response.Header
+		r.endsWithConnection = next.response.ContentLength < 0 && len(next.response.TransferEncoding) == 0
 		return s.handleHeader(r, next.response)
 	case next.complete:
-		return &attemptResult{complete: true, outcome: balance.Completed}
-	case next.err != nil:
-		return s.handleError(next.err)
+		return s.handleEnd(r)
 	}
 	return s.handleEvent(r, next.event)
 }
 
 // handleHeader handles the response header. It returns a result if the engine
-// did not run the request or if the response is not a stream.
+// did not run the request or if its failure is not forwarded.
 func (s *stream) handleHeader(r *streamAttempt, response *http.Response) *attemptResult {
 	info := s.h.o.Protocol.DecodeResponse(response)
 	interrupted := func(why reason.Reason, run reason.RunStatus, outcome balance.Outcome, message string) *attemptResult {
@@ -158,21 +173,41 @@
 		return interrupted(reason.EngineRefused, reason.RunNo, balance.Refused, "the engine did not run the request")
 	case info.ID != "" && info.ID != s.req.info.ID:
 		return interrupted(reason.ChunkForeign, reason.RunUnknown, balance.Interrupted, "the answer belongs to another request")
+	case !info.Signed && response.StatusCode < http.StatusBadRequest:
+		return interrupted(reason.ChunkForeign, reason.RunUnknown, balance.Interrupted, "the answer is not signed")
 	case response.StatusCode == http.StatusOK:
 		return nil
 	case response.StatusCode >= http.StatusInternalServerError || s.headerWritten:
 		return interrupted(reason.EngineRefused, reason.RunYes, balance.Failed, "the engine answered with a failure")
 	}
-	// An error response of the engine below status 500 is forwarded unchanged.
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
-		return interrupted(reason.EngineClosed, reason.RunUnknown, balance.Interrupted, "the answer broke off")
-	}
+	// The body of an error response follows in a message of its own.
+	return nil
+}
+
+// deliverFailure forwards an error response of the engine below status 500
+// unchanged.
+func (s *stream) deliverFailure(r *streamAttempt, next attemptMessage) *attemptResult {
 	s.headerWritten = true
-	s.h.deliverResponse(s.w, s.req, result{lease: r.lease, response: response, body: body})
+	s.h.deliverResponse(s.w, s.req, result{lease: r.lease, response: next.response, body: next.body})
+	return &attemptResult{complete: true, outcome: balance.Completed}
+}
+
+// handleEnd handles the end of a response after a complete event. A stream has
+// at least one event, so that one without any was broken off. An engine that
+// continues a stream may have no further event, but then only a length or the
+// last chunk shows that nothing is missing.
+func (s *stream) handleEnd(r *streamAttempt) *attemptResult {
+	empty := !r.hasEvent && r.endsWithConnection
+	if empty || (s.lastEventID == 0 && !s.headerWritten) {
+		return s.handleError(errNoEvent)
+	}
+	s.writeHeader(r, s.h.o.Clock())
 	return &attemptResult{complete: true, outcome: balance.Completed}
 }
 
+// errNoEvent means that a stream ended before its first event.
+var errNoEvent = errors.New("the stream ended before its first event")
+
 func (s *stream) handleError(err error) *attemptResult {
 	if errors.Is(err, errConnect) {
 		// Nothing was sent, so the engine does not count as an attempt.
@@ -189,10 +224,9 @@
 // event IDs interrupts the attempt.
 func (s *stream) handleEvent(r *streamAttempt, e event) *attemptResult {
 	s.mayHaveRun = true
-	r.eventsReceived++
+	r.hasEvent = true
 	now := s.h.o.Clock()
-	r.stall.recordEvent(now)
-	s.h.o.Balance.RecordResponse(r.lease)
+	s.recordProgress(r, e, now)
 	if e.hasID {
 		switch {
 		case e.id <= s.lastEventID:
@@ -215,6 +249,19 @@
 	return nil
 }
 
+// recordProgress resets the stall detector if the event has a higher ID than
+// all before it in the attempt. Comments, blank lines and repeated events could
+// come without end; a replay up to the next event ends.
+func (s *stream) recordProgress(r *streamAttempt, e event, now time.Duration) {
+	if !e.hasID || e.id <= r.lastReceivedID {
+		return
+	}
+	r.lastReceivedID = e.id
+	r.eventsReceived++
+	r.stall.recordEvent(now)
+	s.h.o.Balance.RecordResponse(r.lease)
+}
+
 // writeHeader writes the response header of the first engine that produced an
 // event.
 func (s *stream) writeHeader(r *streamAttempt, now time.Duration) {
