Fail over from an engine that sends bytes without progress

What callers saw: a stream whose engine sends comments, blank lines or events without ids for ever got no further event and was aborted at its deadline. Cause: the check before a failover gave way to messages that are not handled yet, every time; with such an engine there always are some. Change: pending messages are handled first once for each stall, within 20 ms.

--- a/forward/failover.go
+++ b/forward/failover.go
@@ -68,7 +68,7 @@
 		}
 		s.reservedLease = lease
 	}
-	if r.messagePending() {
+	if r.handlePendingFirst() {
 		s.releaseReserved()
 		return false, ""
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -320,19 +320,38 @@
 	now := s.h.o.Clock()
 	decision, at := r.stall.nextAction(now)
 	timer.Reset(max(time.Millisecond, at-now))
-	if !s.failoverDue(r, decision, now) || r.messagePending() {
+	if !s.failoverDue(r, decision, now) {
+		return false
+	}
+	if r.handlePendingFirst() {
+		timer.Reset(pendingMessagesDelay)
 		return false
 	}
 	reserved, limit := s.reserveFailover(r)
-	if limit != "" {
+	switch {
+	case limit != "":
 		s.recordPostponement(r, limit)
+	case !reserved:
+		timer.Reset(pendingMessagesDelay)
 	}
 	return reserved
 }
 
-// messagePending reports whether the engine has sent something that is not
-// handled yet. The queries of a failover check take up to probeTimeout.
-func (r *streamAttempt) messagePending() bool { return len(r.messages) > 0 }
+// pendingMessagesDelay is the time in which the messages that an attempt has
+// buffered are handled before it is checked again.
+const pendingMessagesDelay = 20 * time.Millisecond
+
+// handlePendingFirst reports whether the engine has sent something that has to
+// be handled before the attempt is judged: the queries of a failover check take
+// up to probeTimeout. It does so once for each stall, because an engine may send
+// bytes without progress for ever.
+func (r *streamAttempt) handlePendingFirst() bool {
+	if r.stall.pendingHandled || len(r.messages) == 0 {
+		return false
+	}
+	r.stall.pendingHandled = true
+	return true
+}
 
 // failoverDue performs the action and reports whether the stream should fail
 // over.
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -63,6 +63,9 @@
 	// postponedUntil is the time before which a failover that was not possible
 	// is not attempted again; 0 is none since silentSince.
 	postponedUntil time.Duration
+	// pendingHandled is true once messages that arrived during the stall were
+	// handled before the failover.
+	pendingHandled bool
 }
 
 // recordEvent resets the detector after an event.
@@ -71,6 +74,7 @@
 	d.silentSince = now
 	d.lastProbe = 0
 	d.postponedUntil = 0
+	d.pendingHandled = false
 }
 
 // postponeFailover delays the next action, because the stream cannot fail over
