--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -143,10 +144,13 @@
 	// quarantine never sends anything to other instances.
 	quarantine *quarantine.Runner
 	synced     chan struct{} // see forward.Options
+	// clockReads counts the handler's reads of the clock.
+	clockReads atomic.Int64
 
 	mu        sync.Mutex
 	requests  []receivedRequest
 	cancelled []string // endpoints whose request was cancelled
+	servers   map[string]*httptest.Server
 }
 
 func newFixture() *fixture {
@@ -162,26 +166,36 @@
 }
 
 func newFixtureWithBudget(synced chan struct{}, budget forward.RetryBudgetOptions) *fixture {
-	f := &fixture{table: &routing.CurrentTable{}, synced: synced}
+	return newFixtureWithOptions(synced, func(_ *fixture, o *forward.Options) { o.RetryBudget = forward.NewRetryBudget(budget) })
+}
+
+func newFixtureWithOptions(synced chan struct{}, change func(*fixture, *forward.Options)) *fixture {
+	f := &fixture{table: &routing.CurrentTable{}, synced: synced, servers: make(map[string]*httptest.Server)}
 	f.quarantine = quarantine.New(quarantine.Options{Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
 	f.balance = balance.New(balance.Options{
 		CoreOptions: balance.CoreOptions{Instance: "i", Place: api.Place{Region: "r", FailureDomain: "d0"}},
 		Clock:       bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
-	f.handler = forward.New(forward.Options{
+	options := forward.Options{
 		Protocol: testProtocol{}, Table: f.table, Balance: f.balance,
-		Pool:        upstream.New(upstream.Options{Clock: bootclock.Now}),
-		RetryBudget: forward.NewRetryBudget(budget),
-		Clock:       bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		Pool:  upstream.New(upstream.Options{Clock: bootclock.Now}),
+		Clock: f.readClock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		CrashMarks: &f.marks, Quarantine: f.quarantine,
 		Synced:   f.synced,
 		Stopping: func() (bool, time.Duration) { return f.stopping, time.Second },
-	})
+	}
+	change(f, &options)
+	f.handler = forward.New(options)
 	f.server = httptest.NewServer(f.handler)
 	DeferCleanup(f.server.Close)
 	return f
 }
 
+func (f *fixture) readClock() time.Duration {
+	f.clockReads.Add(1)
+	return bootclock.Now()
+}
+
 // applyTable activates a configuration with one route of each kind.
 func (f *fixture) applyTable(change func(*routing.Route)) {
 	routes := []routing.Route{
@@ -225,6 +239,9 @@
 		serve(rw, r)
 	}))
 	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
+	f.mu.Lock()
+	f.servers[name] = server
+	f.mu.Unlock()
 	return f.addEndpoint(name, server.Listener.Addr().String())
 }
 
@@ -242,6 +259,13 @@
 	})
 }
 
+// refuseConnections closes an endpoint's listener; open connections continue.
+func (f *fixture) refuseConnections(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.servers[name].Listener.Close()
+}
+
 func (f *fixture) received() []receivedRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -13,9 +13,12 @@
 )
 
 // attemptMessage is a message from the goroutine of an attempt: the response
-// header, an event, or the end of the response.
+// header, the whole body of a response that is no stream, an event, or the end
+// of the response.
 type attemptMessage struct {
 	response *http.Response
+	whole    bool // body is the whole body of response
+	body     []byte
 	event    event
 	complete bool // the response ended after a complete event
 	err      error
@@ -30,7 +33,11 @@
 	stall          stallDetector
 	header         http.Header // of the engine's response
 	fromBackup     bool        // continues from the backup that the engine holds
-	eventsReceived int
+	eventsReceived int         // that carried progress
+	lastReceivedID int64       // highest event ID that this attempt received
+	// endsWithConnection is true if the response has neither a length nor chunks.
+	endsWithConnection bool
+	hasEvent           bool // an event was received, with an ID or without
 }
 
 // executeAttempt sends the request and passes the response to r.messages event
@@ -60,6 +67,11 @@
 	if !send(attemptMessage{response: response}) {
 		return
 	}
+	if response.StatusCode != http.StatusOK {
+		body, err := readBody(response)
+		send(attemptMessage{response: response, whole: err == nil, body: body, err: err})
+		return
+	}
 	events := newEventReader(response.Body)
 	for {
 		next, err := events.next()
@@ -115,8 +127,7 @@
 				return attemptResult{finalError: refusal, outcome: balance.Cancelled}
 			}
 			if s.handleStall(r, timer) {
-				interruption := reason.New(reason.EngineSilent, "the engine sent nothing within the bound").WithRun(reason.RunUnknown)
-				return attemptResult{interruption: interruption, outcome: balance.TimedOut}
+				return attemptResult{interruption: engineSilentError(), outcome: balance.TimedOut}
 			}
 		case next, open := <-r.messages:
 			if !open {
@@ -133,19 +144,22 @@
 // attempt continues.
 func (s *stream) handleMessage(r *streamAttempt, next attemptMessage) *attemptResult {
 	switch {
+	case next.whole:
+		return s.deliverFailure(r, next)
+	case next.err != nil:
+		return s.handleError(next.err)
 	case next.response != nil:
 		r.header = next.response.Header
+		r.endsWithConnection = next.response.ContentLength < 0 && len(next.response.TransferEncoding) == 0
 		return s.handleHeader(r, next.response)
 	case next.complete:
-		return &attemptResult{complete: true, outcome: balance.Completed}
-	case next.err != nil:
-		return s.handleError(next.err)
+		return s.handleEnd(r)
 	}
 	return s.handleEvent(r, next.event)
 }
 
 // handleHeader handles the response header. It returns a result if the engine
-// did not run the request or if the response is not a stream.
+// did not run the request or if its failure is not forwarded.
 func (s *stream) handleHeader(r *streamAttempt, response *http.Response) *attemptResult {
 	info := s.h.o.Protocol.DecodeResponse(response)
 	interrupted := func(why reason.Reason, run reason.RunStatus, outcome balance.Outcome, message string) *attemptResult {
@@ -163,21 +177,41 @@
 		return interrupted(reason.EngineRefused, reason.RunNo, balance.Refused, "the engine did not run the request")
 	case info.ID != "" && info.ID != s.req.info.ID:
 		return interrupted(reason.ChunkForeign, reason.RunUnknown, balance.Interrupted, "the answer belongs to another request")
+	case !info.Signed && response.StatusCode < http.StatusBadRequest:
+		return interrupted(reason.ChunkForeign, reason.RunUnknown, balance.Interrupted, "the answer is not signed")
 	case response.StatusCode == http.StatusOK:
 		return nil
 	case response.StatusCode >= http.StatusInternalServerError || s.headerWritten:
 		return interrupted(reason.EngineRefused, reason.RunYes, balance.Failed, "the engine answered with a failure")
 	}
-	// An error response of the engine below status 500 is forwarded unchanged.
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
-		return interrupted(reason.EngineClosed, reason.RunUnknown, balance.Interrupted, "the answer broke off")
-	}
+	// The body of an error response follows in a message of its own.
+	return nil
+}
+
+// deliverFailure forwards an error response of the engine below status 500
+// unchanged.
+func (s *stream) deliverFailure(r *streamAttempt, next attemptMessage) *attemptResult {
 	s.headerWritten = true
-	s.h.deliverResponse(s.w, s.req, result{lease: r.lease, response: response, body: body})
+	s.h.deliverResponse(s.w, s.req, result{lease: r.lease, response: next.response, body: next.body})
 	return &attemptResult{complete: true, outcome: balance.Completed}
 }
 
+// handleEnd handles the end of a response after a complete event. A stream has
+// at least one event, so that one without any was broken off. An engine that
+// continues a stream may have no further event, but then only a length or the
+// last chunk shows that nothing is missing.
+func (s *stream) handleEnd(r *streamAttempt) *attemptResult {
+	empty := !r.hasEvent && r.endsWithConnection
+	if empty || (s.lastEventID == 0 && !s.headerWritten) {
+		return s.handleError(errNoEvent)
+	}
+	s.writeHeader(r, s.h.o.Clock())
+	return &attemptResult{complete: true, outcome: balance.Completed}
+}
+
+// errNoEvent means that a stream ended before its first event.
+var errNoEvent = errors.New("the stream ended before its first event")
+
 func (s *stream) handleError(err error) *attemptResult {
 	if errors.Is(err, errConnect) {
 		// Nothing was sent, so the engine does not count as an attempt.
@@ -194,11 +228,9 @@
 // event IDs interrupts the attempt.
 func (s *stream) handleEvent(r *streamAttempt, e event) *attemptResult {
 	s.mayHaveRun = true
-	r.eventsReceived++
+	r.hasEvent = true
 	now := s.h.o.Clock()
-	r.stall.recordEvent(now)
-	s.recordServed(r)
-	s.h.o.Balance.RecordResponse(r.lease)
+	s.recordProgress(r, e, now)
 	if e.hasID {
 		switch {
 		case e.id <= s.lastEventID:
@@ -221,6 +253,20 @@
 	return nil
 }
 
+// recordProgress resets the stall detector if the event has a higher ID than
+// all before it in the attempt. Comments, blank lines and repeated events could
+// come without end; a replay up to the next event ends.
+func (s *stream) recordProgress(r *streamAttempt, e event, now time.Duration) {
+	if !e.hasID || e.id <= r.lastReceivedID {
+		return
+	}
+	r.lastReceivedID = e.id
+	r.eventsReceived++
+	s.recordServed(r)
+	r.stall.recordEvent(now)
+	s.h.o.Balance.RecordResponse(r.lease)
+}
+
 // writeHeader writes the response header of the first engine that produced an
 // event.
 func (s *stream) writeHeader(r *streamAttempt, now time.Duration) {
@@ -249,27 +295,77 @@
 
 // writeEvent writes an event to the caller and flushes it.
 func (s *stream) writeEvent(raw []byte) error {
-	// The error is ignored: all response writers of net/http support deadlines,
-	// those of tests may not.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.extendWriteDeadline()
 	if _, err := s.w.Write(raw); err != nil {
 		return err
 	}
 	return s.controller.Flush()
 }
 
+func engineSilentError() *reason.Error {
+	return reason.New(reason.EngineSilent, "the engine sent nothing within the bound").WithRun(reason.RunUnknown)
+}
+
+// extendWriteDeadline gives the next write to the caller writeTimeout from now.
+func (s *stream) extendWriteDeadline() {
+	// The error is ignored: all response writers of net/http support deadlines,
+	// those of tests may not.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // handleStall performs the action that is due for a silent engine, sets the
-// timer to the next check and reports whether the attempt is abandoned. Only
-// routes that retry from the last event fail over.
+// timer to the next check if there is one, and reports whether the attempt is abandoned. Only
+// routes that retry from the last event fail over, and only once the engine
+// that continues the response is reserved: the open connection of a silent
+// engine may still deliver the rest.
 func (s *stream) handleStall(r *streamAttempt, timer *time.Timer) bool {
+	if s.req.route.RetryPolicy != routing.RetryFromLastEvent {
+		return false
+	}
 	now := s.h.o.Clock()
 	decision, at := r.stall.nextAction(now)
 	timer.Reset(max(time.Millisecond, at-now))
+	if !s.failoverDue(r, decision, now) {
+		return false
+	}
+	if r.handlePendingFirst() {
+		timer.Reset(pendingMessagesDelay)
+		return false
+	}
+	reserved, limit := s.reserveFailover(r)
+	switch {
+	case limit != "":
+		s.recordPostponement(r, limit)
+	case !reserved:
+		timer.Reset(pendingMessagesDelay)
+	}
+	return reserved
+}
+
+// pendingMessagesDelay is the time in which the messages that an attempt has
+// buffered are handled before it is checked again.
+const pendingMessagesDelay = 20 * time.Millisecond
+
+// handlePendingFirst reports whether the engine has sent something that has to
+// be handled before the attempt is judged: the queries of a failover check take
+// up to probeTimeout. It does so once for each stall, because an engine may send
+// bytes without progress for ever.
+func (r *streamAttempt) handlePendingFirst() bool {
+	if r.stall.pendingHandled || len(r.messages) == 0 {
+		return false
+	}
+	r.stall.pendingHandled = true
+	return true
+}
+
+// failoverDue performs the action and reports whether the stream should fail
+// over.
+func (s *stream) failoverDue(r *streamAttempt, decision stallAction, now time.Duration) bool {
 	switch decision {
 	case actionFailOver:
-		return s.req.route.RetryPolicy == routing.RetryFromLastEvent && !s.extendPrefillWait(r, now)
+		return !s.extendPrefillWait(r, now)
 	case actionProbe:
-		return s.req.route.RetryPolicy == routing.RetryFromLastEvent && !s.probeConnection(r)
+		return !s.probeConnection(r)
 	}
 	return false
 }
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
@@ -33,11 +34,13 @@
 // Cache holds what this instance last read from the store and serves it to
 // other instances. It is safe for concurrent use.
 type Cache struct {
+	scope           tally.Scope
 	tableContact    StoreContact
 	endpointContact StoreContact
 
 	mu                sync.Mutex
 	table             *routing.Table
+	compressed        *compressedDocument // of table
 	tableRevision     uint64
 	endpoints         map[api.EndpointID]registry.Endpoint
 	endpointsRevision uint64
@@ -57,9 +60,9 @@
 	_ storesync.Recorder = (*Cache)(nil)
 )
 
-// NewCache returns an empty cache.
-func NewCache() *Cache {
-	return &Cache{endpoints: make(map[api.EndpointID]registry.Endpoint), changed: make(chan struct{})}
+// NewCache returns an empty cache. What it sends is counted in the scope.
+func NewCache(scope tally.Scope) *Cache {
+	return &Cache{scope: scope, endpoints: make(map[api.EndpointID]registry.Endpoint), changed: make(chan struct{})}
 }
 
 // StoreContact is the state of contact with the store about one kind of object.
@@ -83,6 +86,7 @@
 	}
 	if table != nil && (c.table == nil || table.Version > c.table.Version) {
 		c.table = table
+		c.compressed = &compressedDocument{document: table.Document, scope: c.scope}
 	}
 	if revision != c.tableRevision {
 		c.tableRevision = revision
@@ -153,16 +157,27 @@
 // accepts any age.
 func (c *Cache) WatchTable(ctx context.Context, r *peerpb.WatchRequest) (*peerpb.TableAnswer, error) {
 	var response *peerpb.TableAnswer
+	var compressed *compressedDocument
 	err := c.wait(ctx, r, c.tableContact, func() bool { return c.table != nil }, func() bool {
 		response = &peerpb.TableAnswer{Revision: c.tableRevision, AgeMs: ageMS(c.tableContact)}
 		if c.table == nil || c.tableRevision <= r.GetAfter() {
 			response.Revision = r.GetAfter()
 			return false
 		}
-		response.Document = c.table.Document
+		response.Document, compressed = c.table.Document, c.compressed
 		return true
 	})
-	return response, err
+	if err != nil || len(response.GetDocument()) == 0 {
+		return response, err
+	}
+	if r.GetAcceptsGzip() {
+		if data := compressed.bytes(); data != nil {
+			response.Document, response.GzipDocument = nil, data
+		}
+	}
+	c.scope.Counter("documents_sent").Inc(1)
+	c.scope.Counter("document_bytes_sent").Inc(int64(len(response.GetDocument()) + len(response.GetGzipDocument())))
+	return response, nil
 }
 
 // WatchEndpoints implements peerpb.Relay. It waits for changes of registrations
