Collect crash marks up to the size of a message

What callers saw: content that crashes engines was refused late or never at other instances when many contents ran on the engines that crashed. Change: Collect takes bytes and counts what fits. The calls in the tests give bytes as well.

--- a/suspect/delta.go
+++ b/suspect/delta.go
@@ -5,13 +5,19 @@
 	"sort"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
 
-// Collect returns at most limit changed marks for a peer, the least often sent
+// markOverheadBytes is what a mark takes in a message in addition to its own size: a
+// tag and a length of one byte each.
+const markOverheadBytes = 2
+
+// Collect returns changed marks for a peer, at most maxBytes, the least often sent
 // first, and counts them as sent.
-func (c *Core) Collect(now time.Duration, limit int) []*peerpb.CrashMark {
+func (c *Core) Collect(now time.Duration, maxBytes int) []*peerpb.CrashMark {
 	var due []api.Digest
 	for digest, m := range c.marks {
 		if m.sendsLeft > 0 {
@@ -25,15 +31,18 @@
 		}
 		return bytes.Compare(due[i][:], due[j][:]) < 0
 	})
-	due = due[:min(len(due), limit)]
-	list := make([]*peerpb.CrashMark, 0, len(due))
+	var list []*peerpb.CrashMark
 	for _, digest := range due {
 		m := c.marks[digest]
-		m.sendsLeft--
-		list = append(list, &peerpb.CrashMark{
+		message := &peerpb.CrashMark{
 			ContentDigest: bytes.Clone(digest[:]), Deaths: m.crashes, Version: m.version,
 			Cleared: m.cleared, AgeMs: uint64((now - m.changedAt).Milliseconds()),
-		})
+		}
+		if maxBytes -= proto.Size(message) + markOverheadBytes; maxBytes < 0 {
+			break
+		}
+		m.sendsLeft--
+		list = append(list, message)
 	}
 	return list
 }
--- a/suspect/poison_test.go
+++ b/suspect/poison_test.go
@@ -160,7 +160,7 @@
 
 func (s *simulation) exchangeMarks(now time.Duration) {
 	for i, core := range s.cores {
-		marks := core.Collect(now, 1000)
+		marks := core.Collect(now, 1<<20)
 		for k := 1; k <= 3; k++ {
 			s.cores[(i+k)%len(s.cores)].Step(now, MarksReceived{Marks: marks})
 		}
--- a/suspect/property_test.go
+++ b/suspect/property_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
@@ -91,9 +92,9 @@
 			c.Step(at, EndpointCrashed{Endpoint: api.EndpointID(fmt.Sprint(e)), Domain: "d", Running: []api.Digest{content(1)}})
 			at += 2 * domainFailureWindow
 		}
-		p.Step(at, MarksReceived{Marks: c.Collect(at, 10)})
+		p.Step(at, MarksReceived{Marks: c.Collect(at, 4096)})
 		c.Step(at, ContentCompleted{Digest: content(1)})
-		p.Step(at, MarksReceived{Marks: c.Collect(at, 10)})
+		p.Step(at, MarksReceived{Marks: c.Collect(at, 4096)})
 		if c.IsolationLevel(at, content(1)) != api.IsolationNone || p.IsolationLevel(at, content(1)) != api.IsolationNone {
 			return fmt.Errorf("completed content is still marked")
 		}
@@ -111,7 +112,7 @@
 		at := time.Duration(0)
 		exchange := func() {
 			at += time.Second
-			fromOne, fromOther := one.Collect(at, 100), other.Collect(at, 100)
+			fromOne, fromOther := one.Collect(at, 4096), other.Collect(at, 4096)
 			one.Step(at, MarksReceived{Marks: fromOther})
 			other.Step(at, MarksReceived{Marks: fromOne})
 			at += refusalDelay
@@ -138,3 +139,23 @@
 		return nil
 	})
 }
+
+// TestCollectKeepsToSize guards against marks that are counted as sent in a message that
+// is dropped because it is too large.
+func TestCollectKeepsToSize(t *testing.T) {
+	const marks, maxBytes = 30, 200
+	one, other := NewCore(CoreOptions{}), NewCore(CoreOptions{})
+	for n := range marks {
+		one.Step(0, EndpointCrashed{Endpoint: api.EndpointID(fmt.Sprint(n)), Domain: api.FailureDomain(fmt.Sprint(n)), Running: []api.Digest{content(n)}})
+	}
+	for range marks * gossipSends {
+		deltas := &peerpb.Deltas{Marks: one.Collect(0, maxBytes)}
+		if size := proto.Size(deltas); size > maxBytes {
+			t.Fatalf("message of %d bytes, want at most %d", size, maxBytes)
+		}
+		other.Step(0, MarksReceived{Marks: deltas.Marks})
+	}
+	if other.Len() != marks {
+		t.Fatalf("%d of %d marks received", other.Len(), marks)
+	}
+}
--- a/suspect/runner.go
+++ b/suspect/runner.go
@@ -104,11 +104,11 @@
 // ReportCompleted clears the marks of content that completed.
 func (r *Runner) ReportCompleted(digest api.Digest) { r.step(ContentCompleted{Digest: digest}) }
 
-// Collect returns at most limit changed marks for a peer and counts them as sent.
-func (r *Runner) Collect(limit int) *peerpb.Deltas {
+// Collect returns changed marks for a peer, at most maxBytes, and counts them as sent.
+func (r *Runner) Collect(maxBytes int) *peerpb.Deltas {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return &peerpb.Deltas{Marks: r.core.Collect(r.options.Clock(), limit)}
+	return &peerpb.Deltas{Marks: r.core.Collect(r.options.Clock(), maxBytes)}
 }
 
 // Merge merges the marks of a peer.
