--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,8 +19,7 @@
 var _ = Describe("A prompt part that crashes engines", func() {
 	const engines = 12
 	var f *fixture
-	var mu sync.Mutex
-	crashed := 0
+	var crashed atomic.Int32
 
 	// startCrashingEngine starts an engine that crashes when it begins to generate for a
 	// prompt with the part "deadly".
@@ -32,9 +31,7 @@
 				streamEvents(5, endStream)(w, r)
 				return
 			}
-			mu.Lock()
-			crashed++
-			mu.Unlock()
+			crashed.Add(1)
 			_ = server.Listener.Close()
 			cutConnection("")(w, r)
 		}))
@@ -45,7 +42,7 @@
 	BeforeEach(func() {
 		f = newFixture()
 		f.applyTable(nil)
-		crashed = 0
+		crashed.Store(0)
 		for i := range engines {
 			startCrashingEngine(fmt.Sprint("e", i))
 		}
@@ -72,7 +69,7 @@
 		Expect(code).NotTo(Equal(http.StatusOK))
 		Expect(header.Get("Test-Reason")).To(Equal("crash_suspect"))
 		// A request in progress may start one more attempt before a crash is detected.
-		Expect(crashed).To(BeNumerically("<=", 5))
+		Expect(crashed.Load()).To(BeNumerically("<=", 5))
 		for _, parts := range []string{"house first0", "house", "first1 season"} {
 			code, _ = ask(parts)
 			Expect(code).To(Equal(http.StatusOK))
@@ -107,6 +104,6 @@
 		code, _ := ask("first deadly")
 		Expect(code).NotTo(Equal(http.StatusOK))
 		Expect(bootclock.Now() - began).To(BeNumerically("<", 200*time.Millisecond))
-		Expect(crashed).To(BeZero())
+		Expect(crashed.Load()).To(BeZero())
 	})
 })
