Complete requests that arrive while an instance exits

What callers saw: a request on a kept connection was cut at the end of a graceful stop, although there was time left. Cause: the listener was closed with its connections after the last count of running requests; a request that arrived between the two was cut. Evidence: TestShutDownCompletesLastRequests fails with EOF when the server is only closed. Change: the listener for callers is shut down, which waits up to 250 ms for requests.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -259,20 +259,21 @@
 		g.addTask(&group, "fleet", g.fleet.Run)
 	}
 	servers := []struct {
-		name    string
-		address netip.AddrPort
-		handler http.Handler
+		name        string
+		address     netip.AddrPort
+		handler     http.Handler
+		stopTimeout time.Duration
 	}{
-		{"caller", g.o.Settings.CallerListen, g.forwarder},
-		{"ready", g.o.Settings.ReadyListen, http.HandlerFunc(g.serveReady)},
-		{"peer", g.o.Settings.PeerListen, g.peerHandler()},
-		{"metrics", g.o.Settings.MetricsListen, g.o.Metrics.Handler()},
+		{"caller", g.o.Settings.CallerListen, g.forwarder, lastRequestsTimeout},
+		{"ready", g.o.Settings.ReadyListen, http.HandlerFunc(g.serveReady), 0},
+		{"peer", g.o.Settings.PeerListen, g.peerHandler(), 0},
+		{"metrics", g.o.Settings.MetricsListen, g.o.Metrics.Handler(), 0},
 	}
 	for _, s := range servers {
 		if !s.address.IsValid() {
 			continue
 		}
-		if err := g.addServer(&group, s.name, s.address, s.handler); err != nil {
+		if err := g.addServer(&group, s.name, s.address, s.handler, s.stopTimeout); err != nil {
 			return err
 		}
 	}
@@ -298,7 +299,9 @@
 	}, func(error) { cancel() })
 }
 
-func (g *Gateway) addServer(group *run.Group, name string, address netip.AddrPort, handler http.Handler) error {
+// addServer adds a server that waits for its requests up to the timeout when the group
+// ends.
+func (g *Gateway) addServer(group *run.Group, name string, address netip.AddrPort, handler http.Handler, stopTimeout time.Duration) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return fmt.Errorf("%s listener: %w", name, err)
@@ -316,7 +319,7 @@
 			return err
 		}
 		return nil
-	}, func(error) { _ = server.Close() })
+	}, func(error) { shutDown(server, stopTimeout) })
 	return nil
 }
 
