Apply the quarantine to plain requests

What callers saw: a plain request whose prompt part crashes engines was sent to a second engine after half of the target latency although it was refused by then; a sound part that only plain requests have was refused after three crashes, since nothing showed that it is served. Cause: only streams reported parts as served, and a hedged attempt asked the limits alone. Change: a completed response reports its parts, streams too; hedging checks the refusal.

--- a/forward/marks.go
+++ b/forward/marks.go
@@ -51,9 +51,11 @@
 	return reason.New(reason.CrashSuspect, "the content was running on several endpoints when they died")
 }
 
-// recordCompletion clears the marks of content that an endpoint has completed.
-func (h *Handler) recordCompletion(digest api.Digest) {
+// recordCompletion records that an endpoint has completed the content, and with it
+// the parts of its prompt.
+func (h *Handler) recordCompletion(req *request) {
 	if h.o.CrashMarks != nil {
-		h.o.CrashMarks.ReportCompleted(digest)
+		h.o.CrashMarks.ReportCompleted(req.digest)
 	}
+	h.reportServed(req)
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -93,7 +93,7 @@
 			}
 			return best
 		case <-p.hedge.C:
-			if p.tryRetry(reason.EngineSilent) {
+			if p.h.crashRefusal(p.req) == nil && p.tryRetry(reason.EngineSilent) {
 				_ = p.startAttempt()
 			}
 		case <-p.ctx.Done():
@@ -196,7 +196,7 @@
 	case balance.Interrupted:
 		h.detectCrash(lease)
 	case balance.Completed:
-		h.recordCompletion(req.digest)
+		h.recordCompletion(req)
 	}
 	h.running.remove(lease.Endpoint.ID, running)
 	h.o.Balance.Release(lease, outcome)
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -61,7 +61,13 @@
 		return
 	}
 	s.h.running.markServed(r.running)
-	if s.h.o.Quarantine != nil && len(s.req.sharedParts) > 0 {
-		s.h.o.Quarantine.ReportServed(s.req.sharedParts)
+	s.h.reportServed(s.req)
+}
+
+// reportServed reports that an engine generates a response with the parts of the
+// request's prompt.
+func (h *Handler) reportServed(req *request) {
+	if h.o.Quarantine != nil && len(req.sharedParts) > 0 {
+		h.o.Quarantine.ReportServed(req.sharedParts)
 	}
 }
