Take a refused connection as a crash, not a timeout

What callers saw: a sound request was refused, at all instances, after the network had reset its connections to three engines and dropped the probes. Cause: each error of the probe counted as a crash. Change: only a refused connection counts, for the quarantine and for crash marks.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"syscall"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
@@ -64,8 +66,9 @@
 }
 
 // detectCrash checks in the background whether an endpoint whose connection broke
-// accepts connections. If not, the endpoint has crashed, and what this instance ran
-// there is reported. It has to be called before the broken attempt is removed from
+// refuses connections. If so, the endpoint has crashed, and what this instance ran
+// there is reported. A timeout is no evidence: a lost packet or a full link of this
+// instance causes it too. It has to be called before the broken attempt is removed from
 // the running requests.
 func (h *Handler) detectCrash(lease *balance.Lease) {
 	contents, waiting := h.running.onEndpoint(lease.Endpoint.ID)
@@ -77,7 +80,9 @@
 			h.o.Pool.PutUnused(conn)
 			return
 		}
-		h.reportCrash(lease.Endpoint, contents, waiting)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			h.reportCrash(lease.Endpoint, contents, waiting)
+		}
 	}()
 }
 
