Send crashes that fit when another exceeds the message

A prompt of more than 20 parts, or 30 served parts that wait to be sent, kept the crashes of a deadly part from the other instances. Cause: collecting ended at the first record that did not fit, and served parts came first. Change: what does not fit is skipped, both kinds are sent by the number of sends left, and a crash keeps at most 16 parts.

--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -34,6 +34,9 @@
 	// maxCrashRecords and maxServedParts bound the memory.
 	maxCrashRecords = 512
 	maxServedParts  = 16384
+	// maxPartsPerCrash bounds the parts of one crash, so that it fits into a message.
+	// Later parts are kept, since fewer requests share them.
+	maxPartsPerCrash = 16
 	// gossipSends is the number of times that an instance sends a new record, about
 	// 2 log2 of 330 instances, each of which passes it on.
 	gossipSends = 16
@@ -223,6 +226,7 @@
 
 func (c *Core) engineCrashed(now time.Duration, ev EngineCrashed) (urgent bool) {
 	for _, parts := range ev.Waiting {
+		parts = parts[max(0, len(parts)-maxPartsPerCrash):]
 		record := CrashRecord{Crash: crashHash(ev.Endpoint, ev.Incarnation), Domain: xxhash.Sum64String(string(ev.Domain)), Parts: parts}
 		urgent = c.addRecord(now, record) || urgent
 	}
--- a/quarantine/delta.go
+++ b/quarantine/delta.go
@@ -14,31 +14,44 @@
 // size: a tag and a length of up to two bytes.
 const fieldOverheadBytes = 3
 
-// Collect returns new records for another instance, at most maxBytes, and counts
-// them as sent. Parts that were served come first, because they keep harmless
-// requests from being refused.
+// Collect returns new records for another instance, at most maxBytes, the least often
+// sent first, and counts them as sent.
 func (c *Core) Collect(now time.Duration, maxBytes int) *peerpb.Deltas {
+	parts, crashes := c.unsentParts(), c.unsentCrashes()
 	deltas := &peerpb.Deltas{}
-	for _, part := range c.unsentParts() {
-		s := c.served[part]
-		message := servedToProto(now, part, s)
-		if maxBytes -= proto.Size(message) + fieldOverheadBytes; maxBytes < 0 {
-			return deltas
+	for len(parts) > 0 || len(crashes) > 0 {
+		if len(crashes) == 0 || len(parts) > 0 && c.served[parts[0]].sendsLeft > crashes[0].sendsLeft {
+			s := c.served[parts[0]]
+			message := servedToProto(now, parts[0], s)
+			parts = parts[1:]
+			if takeBytes(&maxBytes, message) {
+				s.sendsLeft--
+				deltas.ServedParts = append(deltas.ServedParts, message)
+			}
+			continue
 		}
-		s.sendsLeft--
-		deltas.ServedParts = append(deltas.ServedParts, message)
-	}
-	for _, r := range c.unsentCrashes() {
+		r := crashes[0]
 		message := crashToProto(now, r)
-		if maxBytes -= proto.Size(message) + fieldOverheadBytes; maxBytes < 0 {
-			return deltas
+		crashes = crashes[1:]
+		if takeBytes(&maxBytes, message) {
+			r.sendsLeft--
+			deltas.PromptCrashes = append(deltas.PromptCrashes, message)
 		}
-		r.sendsLeft--
-		deltas.PromptCrashes = append(deltas.PromptCrashes, message)
 	}
 	return deltas
 }
 
+// takeBytes reports whether the record fits into the bytes that are left, and takes
+// them if so.
+func takeBytes(left *int, message proto.Message) bool {
+	size := proto.Size(message) + fieldOverheadBytes
+	if size > *left {
+		return false
+	}
+	*left -= size
+	return true
+}
+
 // unsentParts returns the served parts to send, the least often sent first.
 func (c *Core) unsentParts() []Part {
 	var parts []Part
@@ -96,8 +109,6 @@
 
 func ageMS(now, at time.Duration) uint64 { return uint64(max(now-at, 0).Milliseconds()) }
 
-// maxReceivedParts bounds the parts of one received crash.
-const maxReceivedParts = 64
 
 // recordsFromProto decodes what another instance sent. It drops records with too
 // many parts or an age beyond recordLifetime.
@@ -105,7 +116,7 @@
 	var received RecordsReceived
 	maxAgeMS := uint64(recordLifetime.Milliseconds())
 	for _, message := range deltas.GetPromptCrashes() {
-		if message.GetAgeMs() >= maxAgeMS || len(message.GetParts()) > maxReceivedParts {
+		if message.GetAgeMs() >= maxAgeMS || len(message.GetParts()) > maxPartsPerCrash {
 			continue
 		}
 		record := CrashRecord{Crash: message.GetCrash(), Domain: message.GetFailureDomain(), Age: milliseconds(message.GetAgeMs())}
