Count one crash of an engine once

Sound requests with one part could be refused after a single crash that instances noticed seconds apart, as after a pause. Cause: crashes were told apart by failure domain and time, not by the engine. Evidence: "counts one crash once although reports of different prompts are seconds apart" fails before (review). Change: incidents are counted by engine and incarnation first.

--- a/quarantine/coincidence_test.go
+++ b/quarantine/coincidence_test.go
@@ -22,6 +22,14 @@
 		c.Step(now, EngineCrashed{Endpoint: api.EndpointID(name), Domain: api.FailureDomain(name), Waiting: waiting})
 	}
 
+	// Guards against refusing a sound part because one crash was reported late by several instances.
+	It("counts one crash once although reports of different prompts are seconds apart", func() {
+		for i := range minCrashes {
+			crash(1, []Part{house, PartOf(fmt.Sprint("session", i))})
+		}
+		Expect(c.Refused(now, []Part{house})).To(BeEmpty())
+	})
+
 	// Guards against a record beyond the size of a message that keeps all others from being sent.
 	It("sends the other records when one exceeds a message", func() {
 		var long []Part
--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -193,12 +193,18 @@
 	return list[first:]
 }
 
-// countIncidents counts crashes, those of one failure domain within
-// domainFailureWindow once. The crashes are ordered by time.
+// countIncidents counts crashes, each engine's once however many requests saw it, and
+// those of one failure domain within domainFailureWindow once. The crashes are ordered
+// by time.
 func countIncidents(crashes []*crashRecord) int {
 	incidents := 0
+	seen := make(map[uint64]bool)
 	counted := make(map[uint64]time.Duration)
 	for _, r := range crashes {
+		if seen[r.crash] {
+			continue
+		}
+		seen[r.crash] = true
 		if at, ok := counted[r.domain]; ok && r.at-at <= domainFailureWindow {
 			continue
 		}
