Do not blame a prompt for crashes that another explains

What callers saw: sound requests whose prompt waited three times beside one that crashes engines were refused for the lifetime of the records; nothing could show that they are served. Cause: each prompt that waits at a crash was blamed as much as any other. Change: a crash does not count for a part if another prompt there has a part with as many crashes or more. Of two that always crash together, the next crash decides.

--- a/quarantine/coincidence_test.go
+++ b/quarantine/coincidence_test.go
@@ -22,6 +22,18 @@
 		c.Step(now, EngineCrashed{Endpoint: api.EndpointID(name), Domain: api.FailureDomain(name), Waiting: waiting})
 	}
 
+	// Guards against refusing a sound part for the lifetime of the records because it waited beside a deadly one.
+	It("does not refuse a part whose crashes another prompt explains", func() {
+		for engine := range minCrashes {
+			crash(engine, []Part{house, deadly}, []Part{season})
+		}
+		for engine := range 2 * minCrashes {
+			crash(10+engine, []Part{house, deadly})
+		}
+		Expect(c.Refused(now, []Part{season})).To(BeEmpty())
+		Expect(c.Refused(now, []Part{house, deadly})).NotTo(BeEmpty())
+	})
+
 	// Guards against refusing a sound part because one crash was reported late by several instances.
 	It("counts one crash once although reports of different prompts are seconds apart", func() {
 		for i := range minCrashes {
--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -118,7 +118,8 @@
 // no clock, and is not safe for concurrent use.
 type Core struct {
 	records map[recordKey]*crashRecord
-	byPart  map[Part][]*crashRecord
+	byPart  map[Part][]*crashRecord // by time
+	byCrash map[uint64][]*crashRecord
 	served  map[Part]*served
 }
 
@@ -127,6 +128,7 @@
 	return &Core{
 		records: make(map[recordKey]*crashRecord),
 		byPart:  make(map[Part][]*crashRecord),
+		byCrash: make(map[uint64][]*crashRecord),
 		served:  make(map[Part]*served),
 	}
 }
@@ -155,7 +157,7 @@
 		if len(c.byPart[part]) < minCrashes || c.isHarmless(now, part) {
 			continue
 		}
-		crashes := c.crashesSinceServed(part)
+		crashes := c.unexplainedCrashes(now, part)
 		if countIncidents(crashes) < minCrashes {
 			continue
 		}
@@ -193,6 +195,45 @@
 	return list[first:]
 }
 
+// unexplainedCrashes returns the crashes with the part since it was served, without
+// those at which another prompt waited that has a part with as many crashes or more.
+func (c *Core) unexplainedCrashes(now time.Duration, part Part) []*crashRecord {
+	all := c.crashesSinceServed(part)
+	own := countCrashes(all)
+	var unexplained []*crashRecord
+	for _, r := range all {
+		if !c.explained(now, r, part, own) {
+			unexplained = append(unexplained, r)
+		}
+	}
+	return unexplained
+}
+
+// explained reports whether another prompt at the crash of r, without the part, has a
+// part with at least the given number of crashes.
+func (c *Core) explained(now time.Duration, r *crashRecord, part Part, crashes int) bool {
+	for _, other := range c.byCrash[r.crash] {
+		if other == r || slices.Contains(other.parts, part) {
+			continue
+		}
+		for _, candidate := range other.parts {
+			if !c.isHarmless(now, candidate) && countCrashes(c.crashesSinceServed(candidate)) >= crashes {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// countCrashes counts the engines that crashed.
+func countCrashes(crashes []*crashRecord) int {
+	seen := make(map[uint64]bool)
+	for _, r := range crashes {
+		seen[r.crash] = true
+	}
+	return len(seen)
+}
+
 // countIncidents counts crashes, each engine's once however many requests saw it, and
 // those of one failure domain within domainFailureWindow once. The crashes are ordered
 // by time.
@@ -258,6 +299,7 @@
 	}
 	added := &crashRecord{crash: record.Crash, domain: record.Domain, parts: slices.Clone(record.Parts), at: at, sendsLeft: gossipSends}
 	c.records[key] = added
+	c.byCrash[added.crash] = append(c.byCrash[added.crash], added)
 	for _, part := range added.parts {
 		c.insert(part, added)
 		if last := c.served[part]; last != nil {
@@ -340,6 +382,10 @@
 func (c *Core) removeRecord(key recordKey) {
 	removed := c.records[key]
 	delete(c.records, key)
+	c.byCrash[removed.crash] = slices.DeleteFunc(c.byCrash[removed.crash], func(r *crashRecord) bool { return r == removed })
+	if len(c.byCrash[removed.crash]) == 0 {
+		delete(c.byCrash, removed.crash)
+	}
 	for _, part := range removed.parts {
 		c.byPart[part] = slices.DeleteFunc(c.byPart[part], func(r *crashRecord) bool { return r == removed })
 		if len(c.byPart[part]) == 0 {
--- a/quarantine/delta.go
+++ b/quarantine/delta.go
@@ -109,7 +109,6 @@
 
 func ageMS(now, at time.Duration) uint64 { return uint64(max(now-at, 0).Milliseconds()) }
 
-
 // recordsFromProto decodes what another instance sent. It drops records with too
 // many parts or an age beyond recordLifetime.
 func recordsFromProto(deltas *peerpb.Deltas) RecordsReceived {
