Refuse a part that was served before after three seconds

Cause: reports of other instances that serve the part were awaited for 10 s. They are sent at once and reach all in about five rounds of 200 ms. Sound requests with such a part alone pass in any case, since all the parts that the crashes have in common must be there. Checks: go test -race ./quarantine.

--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -23,7 +23,7 @@
 	// servedConfirmation is how long a part that was served before is still
 	// considered harmless while crashes with it are reported. Reports of other
 	// instances that served it arrive within this time.
-	servedConfirmation = 10 * time.Second
+	servedConfirmation = 3 * time.Second
 	// recordLifetime is how long a crash or a served part is remembered. After it,
 	// a request with a refused part is tried again.
 	recordLifetime = 30 * time.Minute
