Check a waiting prompt on routes without failover too

Cause: the timer of the check runs once on such routes. Change: the timer is set again until the first event.

--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/routing"
 )
 
 var _ = Describe("A prompt part that crashes engines", func() {
@@ -77,9 +78,9 @@
 	})
 
 	// Guards against a prompt that crashes its engine although the part was found meanwhile.
-	It("ends an attempt that still waits for its first event", func() {
+	DescribeTable("ends an attempt that still waits for its first event", func(policy routing.RetryPolicy) {
 		f = newFixture()
-		f.applyTable(nil)
+		f.applyTable(func(r *routing.Route) { r.RetryPolicy = policy })
 		f.startEndpoint("slow", hang)
 		answered := make(chan int, 1)
 		go func() {
@@ -88,12 +89,16 @@
 			answered <- code
 		}()
 		Eventually(f.received).Should(HaveLen(1))
+		time.Sleep(400 * time.Millisecond) // longer than the first check of a silent engine
 		for i := range 3 {
 			f.reportCrash(fmt.Sprint("e", i), "deadly")
 		}
 		Eventually(answered, time.Second).Should(Receive(Not(Equal(http.StatusServiceUnavailable))))
 		Eventually(f.cancelledEndpoints).Should(ContainElement("slow"))
-	})
+	},
+		Entry("on a route that may be continued", routing.RetryFromLastEvent),
+		Entry("on a route that must not be repeated", routing.RetryNever),
+	)
 
 	// Guards against a refusal that the caller gets only after other instances' crashes are old.
 	It("is refused at once if other instances saw the crashes", func() {
--- a/forward/run.go
+++ b/forward/run.go
@@ -320,6 +320,9 @@
 // engine may still deliver the rest.
 func (s *stream) handleStall(r *streamAttempt, timer *time.Timer) bool {
 	if s.req.route.RetryPolicy != routing.RetryFromLastEvent {
+		if r.eventsReceived == 0 {
+			timer.Reset(prefillProbeInterval) // for refusedWhileWaiting
+		}
 		return false
 	}
 	now := s.h.o.Clock()
