--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -7,20 +7,20 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/routing"
 )
 
 var _ = Describe("A prompt part that crashes engines", func() {
 	const engines = 12
 	var f *fixture
-	var mu sync.Mutex
-	crashed := 0
+	var crashed atomic.Int32
 
 	// startCrashingEngine starts an engine that crashes when it begins to generate for a
 	// prompt with the part "deadly".
@@ -32,9 +32,7 @@
 				streamEvents(5, endStream)(w, r)
 				return
 			}
-			mu.Lock()
-			crashed++
-			mu.Unlock()
+			crashed.Add(1)
 			_ = server.Listener.Close()
 			cutConnection("")(w, r)
 		}))
@@ -45,7 +43,7 @@
 	BeforeEach(func() {
 		f = newFixture()
 		f.applyTable(nil)
-		crashed = 0
+		crashed.Store(0)
 		for i := range engines {
 			startCrashingEngine(fmt.Sprint("e", i))
 		}
@@ -72,7 +70,7 @@
 		Expect(code).NotTo(Equal(http.StatusOK))
 		Expect(header.Get("Test-Reason")).To(Equal("crash_suspect"))
 		// A request in progress may start one more attempt before a crash is detected.
-		Expect(crashed).To(BeNumerically("<=", 5))
+		Expect(crashed.Load()).To(BeNumerically("<=", 5))
 		for _, parts := range []string{"house first0", "house", "first1 season"} {
 			code, _ = ask(parts)
 			Expect(code).To(Equal(http.StatusOK))
@@ -80,9 +78,9 @@
 	})
 
 	// Guards against a prompt that crashes its engine although the part was found meanwhile.
-	It("ends an attempt that still waits for its first event", func() {
+	DescribeTable("ends an attempt that still waits for its first event", func(policy routing.RetryPolicy) {
 		f = newFixture()
-		f.applyTable(nil)
+		f.applyTable(func(r *routing.Route) { r.RetryPolicy = policy })
 		f.startEndpoint("slow", hang)
 		answered := make(chan int, 1)
 		go func() {
@@ -91,12 +89,16 @@
 			answered <- code
 		}()
 		Eventually(f.received).Should(HaveLen(1))
+		time.Sleep(400 * time.Millisecond) // longer than the first check of a silent engine
 		for i := range 3 {
 			f.reportCrash(fmt.Sprint("e", i), "deadly")
 		}
 		Eventually(answered, time.Second).Should(Receive(Not(Equal(http.StatusServiceUnavailable))))
 		Eventually(f.cancelledEndpoints).Should(ContainElement("slow"))
-	})
+	},
+		Entry("on a route that may be continued", routing.RetryFromLastEvent),
+		Entry("on a route that must not be repeated", routing.RetryNever),
+	)
 
 	// Guards against a refusal that the caller gets only after other instances' crashes are old.
 	It("is refused at once if other instances saw the crashes", func() {
@@ -107,6 +109,6 @@
 		code, _ := ask("first deadly")
 		Expect(code).NotTo(Equal(http.StatusOK))
 		Expect(bootclock.Now() - began).To(BeNumerically("<", 200*time.Millisecond))
-		Expect(crashed).To(BeZero())
+		Expect(crashed.Load()).To(BeZero())
 	})
 })
