Space the crashes of a spec of the quarantine by the confirmation time

The spec checks the same: not refused before that time, refused after it. Checks: go test -race -count=1 ./quarantine.

--- a/quarantine/core_test.go
+++ b/quarantine/core_test.go
@@ -105,8 +105,10 @@
 	// Guards against a part that is harmless forever because it once was.
 	It("refuses a part that was served before, after a while without success", func() {
 		c.Step(now, PartsServed{Parts: []Part{season}})
-		for range minCrashes {
-			crash("d", []Part{season})
+		for i := range minCrashes {
+			now += servedConfirmation / 10
+			name := fmt.Sprint("e", i)
+			c.Step(now, EngineCrashed{Endpoint: api.EndpointID(name), Domain: api.FailureDomain(name), Waiting: [][]Part{{season}}})
 		}
 		Expect(refused(season)).To(BeFalse())
 		now += servedConfirmation
