Pace the bytes without end in the specs

The bound counts what the kernel buffers; it takes up to 33 MB (tcp_rmem) before a client that waits for the processor closes. Change: beyond 1 MiB a block is sent each 10 ms. The bounds stay.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -23,6 +23,10 @@
 	// maxSocketBytes bounds what the kernel buffers of one connection beyond
 	// the bytes that the handler has read.
 	maxSocketBytes = 8 << 20
+	// fastBytes are sent at full speed, further blocks at blockInterval: the kernel
+	// would take up to 33 MB before a handler that has to wait for the processor closes.
+	fastBytes     = 1 << 20
+	blockInterval = 10 * time.Millisecond
 )
 
 // rawEndpoint answers each request with raw bytes.
@@ -63,7 +67,9 @@
 	for err == nil && block != "" {
 		var n int
 		n, err = io.WriteString(conn, block)
-		e.sent.Add(int64(n))
+		if e.sent.Add(int64(n)) > fastBytes {
+			time.Sleep(blockInterval)
+		}
 	}
 	e.closed.Add(1)
 }
