Give each index of the prefix cache's specs a lister of its own

The specs shared one lister; a request of the spec before, to the engine that is down, may run after the count was set to 0 (read in the code: FindHolders does not wait for it). Change: each index gets its own lister. The check stays.

--- a/prefixcache/prefixcache_test.go
+++ b/prefixcache/prefixcache_test.go
@@ -43,12 +43,14 @@
 }
 
 var _ = Describe("Index", func() {
-	l := &fakeLister{parts: map[string][]prefixcache.PromptPart{
-		"a": {{ID: "p", Tokens: 8000}, {ID: "small", Tokens: 100}},
-		"b": {{ID: "p", Tokens: 8500}},
-	}}
+	// l is the lister of the newest index. Each index has its own, since the requests
+	// of an earlier one may still run.
+	var l *fakeLister
 	newIndex := func(addresses ...string) *prefixcache.Index {
-		l.lists.Store(0)
+		l = &fakeLister{parts: map[string][]prefixcache.PromptPart{
+			"a": {{ID: "p", Tokens: 8000}, {ID: "small", Tokens: 100}},
+			"b": {{ID: "p", Tokens: 8500}},
+		}}
 		return prefixcache.New(prefixcache.Options{
 			Lister: l,
 			Engines: func(string) []registry.Endpoint {
