--- /dev/null
+++ b/relay/growth_test.go
@@ -0,0 +1,263 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer"
+	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
+	"github.com/hibiscusstair/hibiscusstair/relay"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+	"github.com/hibiscusstair/hibiscusstair/storesync"
+)
+
+const (
+	slowLink   = 10e6 / 8  // bytes per second of a small instance's link
+	fastLink   = 200e6 / 8 // bytes per second of a large instance's link
+	regionLink = 60e6 / 8  // bytes per second between two regions
+	// growthBound is the time within which a version has to be in force.
+	growthBound = 4 * time.Second
+	linkChunk   = 16 << 10 // bytes
+)
+
+// link carries bytes in chunks, in the order in which they arrive.
+type link struct {
+	mu          sync.Mutex
+	bytesPerSec float64
+	freeAt      time.Time
+}
+
+func (l *link) reserve(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSec * float64(time.Second)))
+	return l.freeAt
+}
+
+// transfer sends n bytes over the links until the context ends.
+func transfer(ctx context.Context, n int, links ...*link) error {
+	for ; n > 0; n -= linkChunk {
+		end := time.Now()
+		for _, l := range links {
+			if at := l.reserve(min(n, linkChunk)); at.After(end) {
+				end = at
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(end)):
+		}
+	}
+	return nil
+}
+
+// growingStore is a store in another region that serves one configuration.
+type growingStore struct {
+	mu       sync.Mutex
+	table    *routing.Table
+	revision uint64
+	changed  chan struct{}
+	region   *link
+	reads    atomic.Int32 // documents sent
+}
+
+func (s *growingStore) put(table *routing.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = table
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *growingStore) state() (*routing.Table, uint64, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table, s.revision, s.changed
+}
+
+// storeReader reads the store over the links of one instance.
+type storeReader struct {
+	storesync.Store
+	store *growingStore
+	own   *link
+}
+
+func (r storeReader) ReadTable(ctx context.Context) (storesync.TableRead, error) {
+	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	return r.read(ctx)
+}
+
+func (r storeReader) WatchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
+	defer cancel()
+	if _, revision, changed := r.store.state(); revision <= after {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return storesync.TableRead{}, ctx.Err()
+		case <-time.After(wait):
+			return storesync.TableRead{Revision: after}, nil
+		}
+	}
+	return r.read(ctx)
+}
+
+func (r storeReader) read(ctx context.Context) (storesync.TableRead, error) {
+	table, revision, _ := r.store.state()
+	r.store.reads.Add(1)
+	err := transfer(ctx, len(table.Document), r.store.region, r.own)
+	return storesync.TableRead{Table: table, Revision: revision}, err
+}
+
+// linkedRelay serves the cache of an instance over its link and the caller's.
+type linkedRelay struct {
+	peerpb.Relay
+	from, to *link
+}
+
+func (r linkedRelay) WatchTable(ctx context.Context, request *peerpb.WatchRequest) (*peerpb.TableAnswer, error) {
+	response, err := r.Relay.WatchTable(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return response, transfer(ctx, len(response.Document)+len(response.GzipDocument), r.from, r.to)
+}
+
+// growingNode is one instance that follows the configuration.
+type growingNode struct {
+	member api.Member
+	link   *link
+	cache  *relay.Cache
+	table  *routing.CurrentTable
+}
+
+// growingFleet are instances of one region, which is not the store's.
+type growingFleet struct {
+	store   *growingStore
+	nodes   []*growingNode
+	members []api.Member
+}
+
+// newGrowingFleet returns a fleet in which the first instances of each failure
+// domain in the order of leaders have slow links and the others fast ones.
+func newGrowingFleet(domains, slow, fast int) *growingFleet {
+	f := &growingFleet{store: &growingStore{changed: make(chan struct{}), region: &link{bytesPerSec: regionLink}}}
+	f.store.put(growingTable(1, 100))
+	for d := range domains {
+		var ids []api.InstanceID
+		for i := range slow + fast {
+			ids = append(ids, api.InstanceID(fmt.Sprintf("front-%d-%d", d, i)))
+		}
+		for rank, id := range peer.Rank("read", ids) {
+			n := &growingNode{link: &link{bytesPerSec: slowLink}, cache: relay.NewCache(tally.NoopScope), table: &routing.CurrentTable{}}
+			if rank >= slow {
+				n.link.bytesPerSec = fastLink
+			}
+			n.member = api.Member{
+				ID: id, Address: string(id), State: api.MemberAlive, Place: api.Place{FailureDomain: api.FailureDomain(fmt.Sprint(d))},
+			}
+			f.nodes = append(f.nodes, n)
+			f.members = append(f.members, n.member)
+		}
+	}
+	return f
+}
+
+// growingTable returns a configuration of about 210 bytes a route, of which a
+// tenth is left after compression.
+func growingTable(version uint64, routes int) *routing.Table {
+	t := table(version)
+	random := rand.New(rand.NewPCG(version, 1))
+	common := strings.Repeat(`"field":"value",`, 10)
+	for range routes {
+		t.Document = fmt.Appendf(t.Document, `{"name":"route-%x","prefix":"/%x/",%s}`, random.Uint64()>>16, random.Uint32(), common)
+	}
+	return t
+}
+
+func (f *growingFleet) client(caller *growingNode) func(address string) peerpb.Relay {
+	return func(address string) peerpb.Relay {
+		i := slices.IndexFunc(f.nodes, func(n *growingNode) bool { return n.member.Address == address })
+		return linkedRelay{f.nodes[i].cache, f.nodes[i].link, caller.link}
+	}
+}
+
+// follow runs the followers of the configuration of all instances.
+func (f *growingFleet) follow(ctx context.Context) {
+	began := time.Now()
+	clock := func() time.Duration { return time.Hour + time.Since(began) }
+	for _, n := range f.nodes {
+		source := relay.NewSource(relay.SourceOptions{
+			Self: n.member, DirectStore: storeReader{store: f.store, own: n.link},
+			Members:     func() []api.Member { return f.members },
+			RelayClient: f.client(n), DecodeTable: decode, AcceptStale: func() bool { return n.table.Load() == nil },
+			Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+		follower := storesync.New(storesync.Options{
+			Store: source, Table: n.table, Recorder: n.cache, Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+		n.cache.SetContacts(follower.TableContact(), follower.EndpointContact())
+		go func() { _ = follower.FollowTable(ctx) }()
+	}
+}
+
+func (f *growingFleet) late(version uint64) int {
+	late := 0
+	for _, n := range f.nodes {
+		if n.table.Version() < version {
+			late++
+		}
+	}
+	return late
+}
+
+// Guards against a configuration that comes late because all instances of a
+// failure domain read it from the store at once when their leader's link is full.
+func TestGrowthReachesAllInstancesInTime(t *testing.T) {
+	for _, routes := range []int{2800, 5600} {
+		for _, fast := range []int{0, 2} {
+			t.Run(fmt.Sprintf("%d routes, %d fast links", routes, fast), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					f := newGrowingFleet(3, 12-fast, fast)
+					f.follow(ctx)
+					time.Sleep(5 * time.Second)
+					if late := f.late(1); late > 0 {
+						t.Fatalf("%d instances have no configuration", late)
+					}
+					for version := uint64(2); version <= 4; version++ {
+						f.store.reads.Store(0)
+						f.store.put(growingTable(version, routes))
+						time.Sleep(growthBound)
+						t.Logf("version %d: %d late, %d reads of the store", version, f.late(version), f.store.reads.Load())
+						if late := f.late(version); late > 0 {
+							t.Errorf("version %d is not in force at %d instances", version, late)
+						}
+						if reads := f.store.reads.Load(); reads > 3*2 {
+							t.Errorf("version %d was read %d times from the store", version, reads)
+						}
+					}
+				})
+			})
+		}
+	}
+}
