Let a large configuration arrive over a slow link

Cause: a read of the store and a read through another instance were bounded as a whole (0.5 to 1.5 s and 0.8 s). A document that needs longer over its link was requested again from its first byte. Reads through the leader failed, all instances of the failure domain read the whole document from the store, and filled the link between the regions so that no read ended.

TestGrowthReachesAllInstancesInTime before: 5,600 routes, 36 of 36 instances late, 72 to 108 reads of the store for each of three versions; 2,800 routes: none late, 13 and 15 reads of the first version.

Change: a call is bounded by the time until its response begins and between two parts (package internal/transfer), and contact with the store is not lost while a document arrives from it. The stand-in of the test for the platform's client has the same bounds. After: none late, 3 reads of each version, one for each failure domain.

--- a/peer/client.go
+++ b/peer/client.go
@@ -13,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
 
@@ -37,7 +38,10 @@
 type Clients struct {
 	signer     signer
 	pooledHTTP *http.Client
-	probeHTTP  *http.Client
+	// relayHTTP uses the connections of pooledHTTP without its timeout: the caller
+	// bounds a call by its progress.
+	relayHTTP *http.Client
+	probeHTTP *http.Client
 }
 
 // NewClients returns the Clients of an instance, which sign with the secret. The
@@ -55,9 +59,11 @@
 	}
 	pooledTransport := &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: idleConnTimeout}
 	probeTransport := &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true}
+	pooled := &signedTransport{next: transfer.Transport{Next: pooledTransport}, signer: s}
 	return &Clients{
 		signer:     s,
-		pooledHTTP: &http.Client{Transport: &signedTransport{next: pooledTransport, signer: s}, Timeout: callTimeout},
+		pooledHTTP: &http.Client{Transport: pooled, Timeout: callTimeout},
+		relayHTTP:  &http.Client{Transport: pooled},
 		probeHTTP:  &http.Client{Transport: &signedTransport{next: probeTransport, signer: s}, Timeout: probeTimeout},
 	}
 }
@@ -72,9 +78,10 @@
 	}
 }
 
-// Relay returns a relay client of the instance at the address (host and port).
+// Relay returns a relay client of the instance at the address (host and port). Its
+// calls have no timeout of their own; package transfer bounds them.
 func (c *Clients) Relay(address string) peerpb.Relay {
-	return peerpb.NewRelayProtobufClient("http://"+address, c.pooledHTTP, twirp.WithClientPathPrefix(PathPrefix))
+	return peerpb.NewRelayProtobufClient("http://"+address, c.relayHTTP, twirp.WithClientPathPrefix(PathPrefix))
 }
 
 // Close closes the idle pooled connections.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
@@ -18,10 +19,23 @@
 	// Together with the wait of that instance's own watch it stays below the
 	// age at which store contact counts as lost.
 	peerWatchWait = 500 * time.Millisecond
-	// peerCallSlack is the time that the call may take beyond its wait.
+	// peerCallSlack is the time that the call may take beyond its wait until the
+	// response begins.
 	peerCallSlack = 300 * time.Millisecond
+	// peerStallTimeout is the time between two parts of a response. An instance
+	// sends a configuration to all others of its failure domain at once.
+	peerStallTimeout = 500 * time.Millisecond
+	// maxPeerTransferTime bounds the transfer of a response.
+	maxPeerTransferTime = 3 * time.Second
 )
 
+// peerBounds are the timeouts of a call to another instance.
+var peerBounds = transfer.Bounds{
+	FirstByte: peerWatchWait + peerCallSlack,
+	Stall:     peerStallTimeout,
+	Total:     peerWatchWait + peerCallSlack + maxPeerTransferTime,
+}
+
 // peerStore reads the store through another instance.
 type peerStore struct {
 	relay  peerpb.Relay
@@ -43,7 +57,7 @@
 }
 
 func (p *peerStore) watchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerWatchWait+peerCallSlack)
+	ctx, cancel := peerCall(ctx)
 	defer cancel()
 	response, err := p.relay.WatchTable(ctx, p.watchRequest(after, wait))
 	if err != nil {
@@ -95,11 +109,17 @@
 }
 
 func (p *peerStore) watchEndpoints(ctx context.Context, after uint64, wait time.Duration) (*peerpb.EndpointsAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerWatchWait+peerCallSlack)
+	ctx, cancel := peerCall(ctx)
 	defer cancel()
 	return p.relay.WatchEndpoints(ctx, p.watchRequest(after, wait))
 }
 
+// peerCall returns the context of a call to another instance. Its progress shows
+// contact with that instance and not with the store.
+func peerCall(ctx context.Context) (context.Context, context.CancelFunc) {
+	return transfer.WithBounds(transfer.Observe(ctx, nil), peerBounds)
+}
+
 func (p *peerStore) watchRequest(after uint64, wait time.Duration) *peerpb.WatchRequest {
 	return &peerpb.WatchRequest{
 		After: after, WaitMs: uint32(min(wait, peerWatchWait).Milliseconds()), AnyAge: p.acceptStale, AcceptsGzip: true,
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/relay"
@@ -49,8 +50,8 @@
 	return l.freeAt
 }
 
-// transfer sends n bytes over the links until the context ends.
-func transfer(ctx context.Context, n int, links ...*link) error {
+// send sends n bytes over the links until the context ends.
+func send(ctx context.Context, n int, links ...*link) error {
 	for ; n > 0; n -= linkChunk {
 		end := time.Now()
 		for _, l := range links {
@@ -62,6 +63,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(time.Until(end)):
+			transfer.Progress(ctx)
 		}
 	}
 	return nil
@@ -100,14 +102,10 @@
 }
 
 func (r storeReader) ReadTable(ctx context.Context) (storesync.TableRead, error) {
-	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
-	defer cancel()
 	return r.read(ctx)
 }
 
 func (r storeReader) WatchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
-	defer cancel()
 	if _, revision, changed := r.store.state(); revision <= after {
 		select {
 		case <-changed:
@@ -120,10 +118,13 @@
 	return r.read(ctx)
 }
 
+// read transfers the document with the timeouts of the platform's client.
 func (r storeReader) read(ctx context.Context) (storesync.TableRead, error) {
+	ctx, cancel := transfer.WithBounds(ctx, transfer.Bounds{FirstByte: 500 * time.Millisecond, Stall: 500 * time.Millisecond, Total: 4 * time.Second})
+	defer cancel()
 	table, revision, _ := r.store.state()
 	r.store.reads.Add(1)
-	err := transfer(ctx, len(table.Document), r.store.region, r.own)
+	err := send(ctx, len(table.Document), r.store.region, r.own)
 	return storesync.TableRead{Table: table, Revision: revision}, err
 }
 
@@ -138,7 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return response, transfer(ctx, len(response.Document)+len(response.GzipDocument), r.from, r.to)
+	return response, send(ctx, len(response.Document)+len(response.GzipDocument), r.from, r.to)
 }
 
 // growingNode is one instance that follows the configuration.
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 )
@@ -184,6 +185,9 @@
 
 func (f *Follower) readTable(ctx context.Context, revision uint64) (TableRead, error) {
 	f.count("store_calls")
+	// Contact is not lost while a document arrives from the store: other
+	// instances wait for it and do not read it themselves.
+	ctx = transfer.Observe(ctx, func() { f.tableContact.recordResponse(0) })
 	if revision == 0 {
 		return f.o.Store.ReadTable(ctx)
 	}
