Replace a lost leader by one reader

When the leader of a failure domain was silent, stopped or had lost contact with the store, each instance read the document from the store itself, over the link between regions that callers' requests use too.

Cause: a failed read through the leader was followed by a read of the store, not by one through the next instance; and that one, asked before it had read the store, refused since its contact was as old.

Change: a read tries up to three instances in the order of leaders, and an instance that had lost contact before a call lets the caller wait up to 0.4 s.

--- a/relay/cache.go
+++ b/relay/cache.go
@@ -29,6 +29,10 @@
 	// contactCheckInterval is how often a waiting call checks whether store
 	// contact was lost.
 	contactCheckInterval = 200 * time.Millisecond
+	// maxContactChecks is the number of checks during which a caller waits for an
+	// instance that had lost contact before the call. When the leader is lost, its
+	// successor is asked before it has read the store.
+	maxContactChecks = 2
 )
 
 // Cache holds what this instance last read from the store and serves it to
@@ -216,8 +220,9 @@
 func ageMS(contact StoreContact) uint32 { return uint32(max(0, contact.Age().Milliseconds())) }
 
 // wait calls poll with the lock held until it reports a newer revision or the
-// caller's wait is over; both give nil. It returns errContactLost while store
-// contact is lost, unless the caller accepts any age. hasData, called with the
+// caller's wait is over; both give nil. It returns errContactLost if store contact
+// is lost meanwhile, or if it was lost before and is not restored within
+// maxContactChecks, unless the caller accepts any age. hasData, called with the
 // lock held too, reports whether this instance has read from the store. Until
 // then its callers wait for its first read, so that a whole failure domain that
 // starts at once does not read the store individually.
@@ -226,21 +231,30 @@
 	defer until.Stop()
 	check := time.NewTicker(contactCheckInterval)
 	defer check.Stop()
+	checksLeft := 0
+	if contact.Lost() {
+		checksLeft = maxContactChecks
+	}
 	for {
 		c.mu.Lock()
 		ready, found, changed := hasData(), poll(), c.changed
 		c.mu.Unlock()
-		if ready && contact.Lost() && !r.GetAnyAge() {
+		lost := ready && contact.Lost() && !r.GetAnyAge()
+		switch {
+		case lost && checksLeft == 0:
 			return errContactLost
+		case !lost:
+			checksLeft = 0
 		}
-		if found {
+		if found && !lost {
 			return nil
 		}
 		select {
 		case <-changed:
 		case <-check.C:
+			checksLeft = max(0, checksLeft-1)
 		case <-until.C:
-			if !ready && !r.GetAnyAge() {
+			if lost || (!ready && !r.GetAnyAge()) {
 				return errContactLost
 			}
 			return nil
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -222,6 +222,19 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against all instances reading the store at once when a leader is lost:
+	// its successor is asked before it has read the store.
+	It("lets callers wait for an instance that is about to regain contact", func() {
+		n.tableContactLost.Store(true)
+		time.AfterFunc(50*time.Millisecond, func() {
+			n.tableContactLost.Store(false)
+			n.cache.RecordTable(table(4), 12)
+		})
+		response, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 500})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Document).To(Equal([]byte{4}))
+	})
+
 	// All instances of a large fleet start at once. Guards against each of them
 	// reading complete lists over the narrow link between regions, where all
 	// the calls would then time out.
--- a/relay/source.go
+++ b/relay/source.go
@@ -25,6 +25,9 @@
 	// storeBackoff is how long other instances are asked before the store after
 	// a read of the store has failed.
 	storeBackoff = 1500 * time.Millisecond
+	// maxLeadersAsked is the number of instances of the own failure domain that one
+	// read tries in the order of leaders. A silent one takes 0.8 s.
+	maxLeadersAsked = 3
 	// maxPeersAsked is the number of other instances that one read tries while
 	// the store is unreachable.
 	maxPeersAsked = 2
@@ -93,13 +96,8 @@
 // one responds. While the store is in backoff, other instances are tried before
 // it.
 func readStore[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
-	if leader := s.leader(); leader != "" {
-		response, err := call(s.storeAt(leader, false))
-		if err == nil || errors.Is(err, storesync.ErrCompacted) {
-			s.o.Scope.Counter("read_through_leader").Inc(1)
-			return response, err
-		}
-		s.recordPeerFailure(leader, err)
+	if response, err := readThroughLeaders(s, call); err == nil || errors.Is(err, storesync.ErrCompacted) {
+		return response, err
 	}
 	if s.storeInBackoff() {
 		if response, err := readThroughPeers(s, call); err == nil {
@@ -119,6 +117,27 @@
 	return response, err
 }
 
+// readThroughLeaders reads the store through the leader of the failure domain. An
+// instance that does not respond loses the lead to the next one, which reads the
+// store for the others in its place.
+func readThroughLeaders[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
+	var response T
+	err := errNoPeer
+	for range maxLeadersAsked {
+		leader := s.leader()
+		if leader == "" {
+			return response, errNoPeer
+		}
+		response, err = call(s.storeAt(leader, false))
+		if err == nil || errors.Is(err, storesync.ErrCompacted) {
+			s.o.Scope.Counter("read_through_leader").Inc(1)
+			return response, err
+		}
+		s.recordPeerFailure(leader, err)
+	}
+	return response, err
+}
+
 // readThroughPeers reads the store through other instances, up to
 // maxPeersAsked.
 func readThroughPeers[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
