Keep the limits that endpoints name

Cause: nothing read the limit, and nothing bounds the requests of all instances to one endpoint. An equal share for each instance would not do: with 71 instances and 2 requests a second it is one request in 36 s.

Change: package ratelimit. One instance grants the permits of an endpoint; each attempt takes one, retries and continued streams too; hedged attempts go to endpoints without a limit. Without a permit a request goes elsewhere or is refused at once with the time until the next permit. Limits and their ends ride on the exchanges of the fleet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -90,6 +90,8 @@
 	Probed []api.EndpointID
 	// Exclude lists endpoints that were tried before.
 	Exclude []api.EndpointID
+	// OnlyUnlimited leaves out endpoints that limit the requests of all instances.
+	OnlyUnlimited bool
 	// MaxFirstEventDelay bounds the expected time until the first event; 0 means
 	// no bound. Engines with a longer expected delay are not chosen.
 	MaxFirstEventDelay time.Duration
@@ -138,6 +140,7 @@
 	errorRate           float64       // moving average of failed requests, 0 to 1
 	latencyMS           float64       // moving average of the response time of a plain service
 	refusedUntil        time.Duration // the endpoint is avoided until then after a refusal
+	rateLimit           rateLimit
 
 	// otherLoad is the part of the last load report that other instances cause.
 	otherLoad  Load
@@ -240,7 +243,7 @@
 // Choose returns a lease of the endpoint with the lowest cost for the request.
 func (c *Core) Choose(now time.Duration, request Request) (*Lease, *reason.Error) {
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
-	draining, excluded, tooSlow := 0, 0, 0
+	draining, excluded, limited, tooSlow := 0, 0, 0, 0
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	for _, e := range c.byService[request.Service] {
 		switch {
@@ -250,6 +253,9 @@
 		case slices.Contains(request.Exclude, e.ID):
 			excluded++
 			continue
+		case e.rateLimit.blocks(now, request):
+			limited++
+			continue
 		case c.exceedsMaxDelay(now, e, request):
 			tooSlow++
 			continue
@@ -264,6 +270,9 @@
 		request.Probed = nil
 		return c.Choose(now, request)
 	}
+	if best == nil && limited > 0 {
+		return nil, c.rateLimitError(now, request.Service)
+	}
 	if best == nil && tooSlow > 0 {
 		return nil, reason.New(reason.Overloaded, "prompts wait at all engines")
 	}
@@ -406,7 +415,7 @@
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	for _, e := range c.byService[request.Service] {
-		if e.Draining || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
+		if e.Draining || e.rateLimit.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
 			continue
 		}
 		cost := c.cost(now, e, request)
@@ -447,7 +456,7 @@
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	var list []candidate
 	for _, e := range c.byService[request.Service] {
-		if e.Draining || slices.Contains(request.Exclude, e.ID) || c.exceedsCapacity(now, e, request) || c.exceedsMaxDelay(now, e, request) {
+		if e.Draining || e.rateLimit.blocks(now, request) || slices.Contains(request.Exclude, e.ID) || c.exceedsCapacity(now, e, request) || c.exceedsMaxDelay(now, e, request) {
 			continue
 		}
 		if cost := c.cost(now, e, request); cost < domainSuspectCost {
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -3,9 +3,11 @@
 import (
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/registry"
@@ -65,6 +67,21 @@
 	return b.core.HasCapacity(b.options.Clock(), request)
 }
 
+// SetLimited records whether an endpoint limits the requests of all instances.
+func (b *Balancer) SetLimited(id api.EndpointID, incarnation int64, limited bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetLimited(id, incarnation, limited)
+}
+
+// Withdraw ends a lease for which no permit was granted. The endpoint is not chosen
+// for the given time.
+func (b *Balancer) Withdraw(l *Lease, wait time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.Withdraw(b.options.Clock(), l, wait)
+}
+
 // PromoteBackup turns the lease of a backup into the lease of the running
 // generation.
 func (b *Balancer) PromoteBackup(l *Lease) {
--- /dev/null
+++ b/balance/limit.go
@@ -0,0 +1,53 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+)
+
+// minRateLimitWait is the least Retry-After advice when all endpoints limit their
+// requests.
+const minRateLimitWait = 100 * time.Millisecond
+
+// rateLimit is what is known of the limit that an endpoint sets for all instances
+// together. Package ratelimit enforces the limit.
+type rateLimit struct {
+	limited      bool
+	blockedUntil time.Duration // no permit will be granted until then
+}
+
+// blocks reports whether the endpoint must not be chosen for the request.
+func (l rateLimit) blocks(now time.Duration, request Request) bool {
+	return now < l.blockedUntil || (l.limited && request.OnlyUnlimited)
+}
+
+// SetLimited records whether an endpoint limits the requests of all instances.
+func (c *Core) SetLimited(id api.EndpointID, incarnation int64, limited bool) {
+	if e, ok := c.endpoints[id]; ok && e.Incarnation == incarnation {
+		e.rateLimit = rateLimit{limited: limited}
+	}
+}
+
+// Withdraw ends a lease for which no permit was granted. The endpoint is not chosen
+// for the given time.
+func (c *Core) Withdraw(now time.Duration, l *Lease, wait time.Duration) {
+	c.Release(now, l, Cancelled)
+	l.endpoint.rateLimit = rateLimit{limited: true, blockedUntil: now + wait}
+}
+
+// rateLimitError returns the refusal of a request for which only endpoints without
+// a permit are left.
+func (c *Core) rateLimitError(now time.Duration, service string) *reason.Error {
+	wait := time.Duration(0)
+	for _, e := range c.byService[service] {
+		if !e.rateLimit.limited || e.Draining {
+			continue
+		}
+		if left := e.rateLimit.blockedUntil - now; wait == 0 || left < wait {
+			wait = max(left, minRateLimitWait)
+		}
+	}
+	return reason.New(reason.EndpointRate, "all endpoints with capacity limit their requests").WithRetryAfter(wait)
+}
--- a/forward/failover.go
+++ b/forward/failover.go
@@ -103,7 +103,7 @@
 	if !s.h.o.Balance.HasCapacity(request) {
 		return nil, reason.New(reason.NoSlot, "no other engine has capacity")
 	}
-	return s.h.o.Balance.Choose(request)
+	return s.h.chooseEndpoint(s.ctx, request)
 }
 
 func (s *stream) releaseReserved() {
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -44,6 +44,7 @@
 	headerSigned      = "Test-Signed"
 	headerRank        = "Test-Rank"
 	headerParts       = "Test-Shared-Parts" // separated by spaces
+	headerLimit       = "Test-Limit"
 )
 
 // testProtocol is a minimal implementation of forward.Protocol.
@@ -76,8 +77,10 @@
 }
 
 func (testProtocol) DecodeResponse(r *http.Response) forward.ResponseInfo {
+	perSecond, err := strconv.ParseFloat(r.Header.Get(headerLimit), 64)
 	return forward.ResponseInfo{
-		ID: r.Header.Get(headerID), NotExecuted: r.Header.Get(headerNotExecuted) != "",
+		RateLimit: forward.RateLimit{Named: err == nil, PerSecond: perSecond},
+		ID:        r.Header.Get(headerID), NotExecuted: r.Header.Get(headerNotExecuted) != "",
 		Signed: r.Header.Get(headerSigned) != "",
 	}
 }
@@ -91,6 +94,7 @@
 		status = http.StatusBadGateway
 	}
 	w.Header().Set("Test-Reason", string(err.Reason))
+	w.Header().Set("Test-Retry-After", err.RetryAfter.String())
 	w.WriteHeader(status)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -38,6 +38,8 @@
 	Balance     *balance.Balancer
 	Pool        *upstream.Pool
 	RetryBudget *RetryBudget
+	// Permits limits the requests to endpoints that ask for it; nil limits none.
+	Permits Permits
 	// CrashMarks tracks content that crashes endpoints; nil disables the check.
 	CrashMarks CrashMarks
 	// Quarantine tracks prompt parts that crash engines; nil disables the check.
--- a/forward/place.go
+++ b/forward/place.go
@@ -46,7 +46,9 @@
 		s.backup = nil
 		if s.h.o.Balance.IsAvailable(backup.Endpoint) {
 			s.h.o.Balance.PromoteBackup(backup)
-			return backup, true, nil
+			if s.h.acquirePermit(s.ctx, backup) {
+				return backup, true, nil
+			}
 		}
 		s.h.o.Balance.Release(backup, balance.Cancelled)
 	}
@@ -58,7 +60,7 @@
 				break
 			}
 		}
-		lease, err := s.h.o.Balance.Choose(request)
+		lease, err := s.h.chooseEndpoint(s.ctx, request)
 		if err == nil {
 			return lease, false, nil
 		}
@@ -91,8 +93,11 @@
 
 // retryAfter returns the Retry-After advice for a refused stream.
 func (s *stream) retryAfter(err *reason.Error) time.Duration {
-	if err.Reason == reason.Overloaded {
+	switch err.Reason {
+	case reason.Overloaded:
 		return time.Duration(float64(s.req.route.TargetLatency) * overloadRetryShare)
+	case reason.EndpointRate:
+		return err.RetryAfter
 	}
 	return retryAfter(s.req.info.Timeout)
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -74,7 +74,7 @@
 
 // run starts attempts until there is a final result.
 func (p *plainRequest) run() result {
-	if err := p.startAttempt(); err != nil {
+	if err := p.startAttempt(p.req.balanceRequest()); err != nil {
 		return result{err: err}
 	}
 	p.hedge = time.NewTimer(p.hedgeDelay())
@@ -93,15 +93,25 @@
 			}
 			return best
 		case <-p.hedge.C:
-			if p.h.crashRefusal(p.req) == nil && p.tryRetry(reason.EngineSilent) {
-				_ = p.startAttempt()
-			}
+			p.startHedge()
 		case <-p.ctx.Done():
 			return result{err: p.deadlineError()}
 		}
 	}
 }
 
+// startHedge starts a second attempt beside one without a response, if a retry is
+// allowed. It takes no permit of an endpoint that limits its requests: most hedged
+// attempts are not needed.
+func (p *plainRequest) startHedge() {
+	if p.h.crashRefusal(p.req) != nil || !p.tryRetry(reason.EngineSilent) {
+		return
+	}
+	request := p.req.balanceRequest()
+	request.OnlyUnlimited = true
+	_ = p.startAttempt(request)
+}
+
 // hedgeDelay returns the delay before a hedged second attempt.
 func (p *plainRequest) hedgeDelay() time.Duration {
 	if p.req.route.RetryPolicy != routing.RetryAlways || p.req.route.TargetLatency == 0 {
@@ -144,7 +154,7 @@
 		// Nothing was sent, so the endpoint does not count as an attempt.
 		p.req.attempts--
 	}
-	return p.tryRetry(why) && p.startAttempt() == nil
+	return p.tryRetry(why) && p.startAttempt(p.req.balanceRequest()) == nil
 }
 
 // tryRetry reports whether a further attempt is allowed, and counts and logs it.
@@ -166,10 +176,13 @@
 // is tried for a request, including those that could not be reached.
 const maxEndpointsTried = 6
 
-// startAttempt sends the request to another endpoint.
-func (p *plainRequest) startAttempt() *reason.Error {
-	lease, err := p.h.o.Balance.Choose(p.req.balanceRequest())
-	if err != nil {
+// startAttempt sends the request to an endpoint chosen for it.
+func (p *plainRequest) startAttempt(request balance.Request) *reason.Error {
+	lease, err := p.h.chooseEndpoint(p.ctx, request)
+	switch {
+	case err != nil && err.RetryAfter > 0:
+		return err
+	case err != nil:
 		return err.WithRetryAfter(retryAfter(p.req.info.Timeout))
 	}
 	p.req.attempts++
@@ -254,6 +267,9 @@
 	body, err := readBody(response)
 	_ = response.Body.Close()
 	info := h.o.Protocol.DecodeResponse(response)
+	if info.ID == "" || info.ID == req.info.ID {
+		h.recordLimit(req, lease.Endpoint, info)
+	}
 	if err != nil || (info.ID != "" && info.ID != req.info.ID) {
 		conn.Close()
 		r.err, r.outcome = h.attemptError(ctx, "the answer broke off, is too large or belongs to another request")
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -67,6 +67,17 @@
 	Misdirected bool
 	// Signed is true if the response carries the endpoint's signature.
 	Signed bool
+	// RateLimit is the limit that the endpoint names; RateLimitErr says that it
+	// could not be read.
+	RateLimit    RateLimit
+	RateLimitErr error
+}
+
+// RateLimit is the rate of requests that an endpoint takes from all instances
+// together.
+type RateLimit struct {
+	Named     bool // false: the endpoint sets no limit
+	PerSecond float64
 }
 
 // Protocol translates between HTTP headers and the types of this package.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
+	"github.com/hibiscusstair/hibiscusstair/ratelimit"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/relay"
 	"github.com/hibiscusstair/hibiscusstair/revive"
@@ -95,6 +96,7 @@
 	restartDetector *revive.RestartDetector
 	crashMarks      *suspect.Runner
 	quarantine      *quarantine.Runner
+	limiter         *ratelimit.Limiter
 	loadProber      *loadprobe.Prober
 	relayCache      *relay.Cache
 	peerClients     *peer.Clients
@@ -133,6 +135,11 @@
 	g.quarantine = quarantine.New(quarantine.Options{
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
 	})
+	g.limiter = ratelimit.New(ratelimit.Options{
+		Self: s.Instance, Members: g.knownMembers, PermitClient: g.peerClients.Permits,
+		OnChange: func(e ratelimit.Endpoint, limited bool) { g.balancer.SetLimited(e.ID, e.Incarnation, limited) },
+		OnUrgent: g.sendDeltas, Clock: clock, Log: o.Log, Scope: scope.SubScope("ratelimit"),
+	})
 	if err := g.buildFleet(); err != nil {
 		return nil, err
 	}
@@ -152,7 +159,8 @@
 			Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
 			InstanceCount: g.liveInstanceCount,
 		}),
-		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
+		Permits: g.limiter,
+		Clock:   clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced: g.follower.Synced(),
 	})
 	return g, nil
@@ -187,7 +195,7 @@
 	g.fleet, err = fleet.New(fleet.Options{
 		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(),
 		SeedAddresses: g.seedAddresses(), Store: noRegistrations{}, Clients: g.peerClients, Tickets: configVersions{g}, ExpelMode: "manual",
-		DeltaSources: []fleet.DeltaSource{g.quarantine, g.crashMarks},
+		DeltaSources: []fleet.DeltaSource{g.limiter, g.quarantine, g.crashMarks},
 		Log:          g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
 	})
 	return err
@@ -232,9 +240,13 @@
 // state of endpoints.
 func (g *Gateway) applyEndpointChange(change registry.Change) {
 	g.balancer.Apply(change)
+	if change.Kind == registry.Added && g.limiter.Limited(change.Endpoint) {
+		g.balancer.SetLimited(change.Endpoint.ID, change.Endpoint.Incarnation, true)
+	}
 	if change.Kind == registry.Gone {
 		g.pool.CloseIdle(change.Endpoint)
 		g.loadProber.Forget(change.Endpoint.ID)
+		g.limiter.Forget(change.Endpoint)
 	}
 }
 
@@ -253,6 +265,7 @@
 	g.addTask(&group, "restarted engines", g.restartDetector.Run)
 	g.addTask(&group, "crash marks", g.crashMarks.Run)
 	g.addTask(&group, "quarantine", g.quarantine.Run)
+	g.addTask(&group, "rate limits", g.limiter.Run)
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
 	g.addTask(&group, "lateness", g.measureLateness)
 	if g.fleet != nil {
@@ -327,7 +340,7 @@
 	if g.fleet == nil {
 		return http.NotFoundHandler()
 	}
-	return peer.NewHandler(peerServer{g}, g.relayCache, g.o.Settings.PeerSecret, g.o.Metrics.Scope.SubScope("peer"))
+	return peer.NewHandler(peerServer{g}, g.relayCache, g.limiter.Server(), g.o.Settings.PeerSecret, g.o.Metrics.Scope.SubScope("peer"))
 }
 
 // serveReady responds to the readiness probe of the external load balancer.
--- a/peer/client.go
+++ b/peer/client.go
@@ -84,6 +84,12 @@
 	return peerpb.NewRelayProtobufClient("http://"+address, c.relayHTTP, twirp.WithClientPathPrefix(PathPrefix))
 }
 
+// Permits returns a client of the instance at the address (host and port) that asks
+// it for permits.
+func (c *Clients) Permits(address string) peerpb.Permits {
+	return peerpb.NewPermitsProtobufClient("http://"+address, c.pooledHTTP, twirp.WithClientPathPrefix(PathPrefix))
+}
+
 // Close closes the idle pooled connections.
 func (c *Clients) Close() { c.pooledHTTP.CloseIdleConnections() }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,15 +25,18 @@
 )
 
 // NewHandler returns the handler of the peer listener. It refuses and counts
-// requests without a valid signature. relay is nil if the instance does not serve
-// the relay service.
-func NewHandler(server peerpb.Peer, relay peerpb.Relay, secret string, scope tally.Scope) http.Handler {
+// requests without a valid signature. relay and permits are nil if the instance does
+// not serve these services.
+func NewHandler(server peerpb.Peer, relay peerpb.Relay, permits peerpb.Permits, secret string, scope tally.Scope) http.Handler {
 	mux := http.NewServeMux()
 	prefix := twirp.WithServerPathPrefix(PathPrefix)
 	services := []peerpb.TwirpServer{peerpb.NewPeerServer(server, prefix)}
 	if relay != nil {
 		services = append(services, peerpb.NewRelayServer(relay, prefix))
 	}
+	if permits != nil {
+		services = append(services, peerpb.NewPermitsServer(permits, prefix))
+	}
 	for _, service := range services {
 		mux.Handle(service.PathPrefix(), service)
 	}
--- /dev/null
+++ b/ratelimit/order.go
@@ -0,0 +1,120 @@
+package ratelimit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer"
+)
+
+// lostLifetime is how long an instance that is no longer live counts among the known
+// ones. Regions can lose each other for minutes.
+const lostLifetime = 10 * time.Minute
+
+// joinTime is the time after its start during which an instance does not count
+// itself among those that grant permits: others do not know it yet and ask another
+// instance.
+const joinTime = 3 * time.Second
+
+// order is the order in which instances grant the permits of one endpoint, as one
+// instance sees it. Instances that know the same members agree on it.
+type order struct {
+	granters []granter // the live ones, not sorted
+	// reachable is the share of the known instances that are live, at most 1. It is
+	// 1 while they are the majority.
+	reachable float64
+}
+
+// granter is an instance with its place in the order; the lowest score comes first.
+type granter struct {
+	api.Member
+	score uint64
+}
+
+func (g granter) before(other granter) bool {
+	return g.score < other.score || g.score == other.score && g.ID < other.ID
+}
+
+// roster remembers when instances were last live.
+type roster struct {
+	self   api.InstanceID
+	liveAt map[api.InstanceID]time.Duration
+}
+
+func newRoster(self api.InstanceID) *roster {
+	return &roster{self: self, liveAt: make(map[api.InstanceID]time.Duration)}
+}
+
+// order returns the order for an endpoint. joining says that the other instances do
+// not know this one yet.
+func (r *roster) order(now time.Duration, e Endpoint, members []api.Member, joining bool) order {
+	var live []api.Member
+	if !joining {
+		live = append(live, api.Member{ID: r.self})
+	}
+	for _, m := range members {
+		switch {
+		case m.ID == r.self:
+		case m.State == api.MemberAlive:
+			r.liveAt[m.ID] = now
+			live = append(live, m)
+		case m.State.Gone():
+			delete(r.liveAt, m.ID)
+		}
+	}
+	known := 1
+	for id, at := range r.liveAt {
+		if now-at > lostLifetime {
+			delete(r.liveAt, id)
+			continue
+		}
+		known++
+	}
+	o := order{granters: make([]granter, 0, len(live)), reachable: 1}
+	key := "limit/" + string(e.ID)
+	for _, m := range live {
+		o.granters = append(o.granters, granter{m, peer.Score(key, m.ID)})
+	}
+	if len(live)*2 <= known && known > 1 {
+		o.reachable = float64(max(1, len(live))) / float64(known)
+	}
+	return o
+}
+
+// first returns the first instance that is eligible, and false if there is none.
+func (o order) first(eligible func(api.Member) bool) (api.Member, bool) {
+	var best granter
+	found := false
+	for _, g := range o.granters {
+		if (!found || g.before(best)) && eligible(g.Member) {
+			best, found = g, true
+		}
+	}
+	return best.Member, found
+}
+
+// shareOf returns the part of a limit that an instance grants. Each instance after
+// the first grants half as much as the one before it, which may live although a
+// caller cannot reach it. A minority of the known instances grants its share of the
+// limit, since the others may be live too.
+func (o order) shareOf(id api.InstanceID) float64 {
+	return o.reachable * math.Pow(0.5, float64(o.rankOf(id)))
+}
+
+// rankOf returns the number of instances before one. One that is not in the order
+// is taken for the second.
+func (o order) rankOf(id api.InstanceID) int {
+	i := slices.IndexFunc(o.granters, func(g granter) bool { return g.ID == id })
+	if i < 0 {
+		return min(1, len(o.granters))
+	}
+	rank := 0
+	for _, g := range o.granters {
+		if g.before(o.granters[i]) {
+			rank++
+		}
+	}
+	return rank
+}
--- a/reason/list.go
+++ b/reason/list.go
@@ -47,6 +47,7 @@
 	AccountRate         Reason = "account_rate"
 	AccountTokens       Reason = "account_tokens"
 	NoSlot              Reason = "no_slot"
+	EndpointRate        Reason = "endpoint_rate"
 	RetryBudget         Reason = "retry_budget"
 	CrossRegionBudget   Reason = "cross_region_budget"
 	RecoveryPaced       Reason = "recovery_paced"
@@ -123,6 +124,7 @@
 	AccountRate:         {http.StatusTooManyRequests, "the account's request rate is used up"},
 	AccountTokens:       {http.StatusTooManyRequests, "the account's tokens in flight are used up"},
 	NoSlot:              {http.StatusTooManyRequests, "no slot became free in time"},
+	EndpointRate:        {http.StatusServiceUnavailable, "the endpoints limit the requests of all instances, and the limit is used up"},
 	RetryBudget:         {http.StatusServiceUnavailable, "the retry budget is used up"},
 	CrossRegionBudget:   {http.StatusServiceUnavailable, "the budget of the billed link between regions is used up"},
 	RecoveryPaced:       {http.StatusServiceUnavailable, "a continuation was delayed to spread the load of the recovery"},
