--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,8 +6,6 @@
 package balance
 
 import (
-	"cmp"
-	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -52,24 +50,6 @@
 	maxMemoryUseForBackup = 0.5
 )
 
-// Costs that decide between endpoints; the endpoint with the lowest sum is
-// chosen. The unit is one running generation, or one running request for a
-// plain service. Candidates and ChooseBackup leave out endpoints whose cost
-// reaches domainSuspectCost: suspect ones, those in a suspect failure domain, and
-// heavily loaded ones.
-const (
-	prefillCost       = 2.5  // per prefill, which delays all tokens of the engine
-	otherDomainCost   = 0.25 // endpoint in another failure domain
-	otherRegionCost   = 0.75 // added in another region; its link is narrow and billed
-	maxAffinityCost   = 3.0  // multiplied by affinityDistance
-	backupCost        = 0.15 // per backup of another engine's generation
-	coldStartCost     = 1.0  // endpoint that is still slow after its start
-	errorRateCost     = 12.0 // multiplied by the error rate, 0 to 1
-	suspectCost       = 1000.0
-	domainSuspectCost = 100.0
-	cachedPromptGain  = 20.0 // subtracted if the engine holds the prompt's KV cache
-)
-
 // Request describes the request or generation that an endpoint is chosen for.
 type Request struct {
 	Service string
@@ -147,13 +127,6 @@
 	reportedAt time.Duration
 }
 
-// Load is the load of an engine.
-type Load struct {
-	Running    int // generations, including those that wait
-	Prefilling int // generations whose prefill is running or waiting
-	Tokens     int // memory in use that cannot be evicted, in tokens
-}
-
 // CoreOptions configures a Core.
 type CoreOptions struct {
 	Instance api.InstanceID
@@ -229,17 +202,6 @@
 	c.byService[gone.Service] = slices.DeleteFunc(c.byService[gone.Service], func(e *endpoint) bool { return e == gone })
 }
 
-// affinityDistance returns a value from 0, for the engine that the session
-// prefers most, to 1. It depends only on the session and the engine, so all
-// instances agree, and it spreads sessions evenly although each instance knows
-// only the requests that it placed itself.
-func (e *endpoint) affinityDistance(session uint64) float64 {
-	var key [16]byte
-	binary.LittleEndian.PutUint64(key[:8], session)
-	binary.LittleEndian.PutUint64(key[8:], e.idHash)
-	return float64(xxhash.Sum64(key[:])) / math.MaxUint64
-}
-
 // Choose returns a lease of the endpoint with the lowest cost for the request.
 func (c *Core) Choose(now time.Duration, request Request) (*Lease, *reason.Error) {
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
@@ -307,188 +269,6 @@
 	return e.running+e.backups >= e.Slots || (capacity > 0 && load.Tokens+request.Tokens > capacity)
 }
 
-func (c *Core) cost(now time.Duration, e *endpoint, request Request) float64 {
-	cost := c.localityCost(e.Domain) + errorRateCost*e.errorRate
-	if slices.Contains(request.Prefer, e.ID) {
-		cost -= cachedPromptGain
-	}
-	load, _ := e.load(now)
-	cost += float64(load.Running) + prefillCost*float64(load.Prefilling)
-	if request.Tokens > 0 {
-		cost += backupCost*float64(e.backups) + maxAffinityCost*e.affinityDistance(request.sessionHash)
-	} else {
-		cost += e.latencyMS / latencyPerRequestCostMS
-	}
-	if e.ColdRemaining > 0 {
-		cost += coldStartCost
-	}
-	if now < e.refusedUntil {
-		cost += domainSuspectCost / 2 // avoided, but better than a suspect domain
-	}
-	if now < e.suspectUntil || e.trialRunning {
-		cost += suspectCost
-		// An endpoint that has responded since its domain became suspect is exempt.
-	} else if now < c.domainSuspectUntil[domainKey{e.Service, e.Domain}] && e.lastResponseAt < c.domainSuspectUntil[domainKey{e.Service, e.Domain}]-domainSuspicionTime {
-		cost += domainSuspectCost
-	}
-	return cost
-}
-
-// latencyPerRequestCostMS is the average latency in milliseconds that costs as
-// much as one running request.
-const latencyPerRequestCostMS = 60.0
-
-func (c *Core) localityCost(domain api.FailureDomain) float64 {
-	switch {
-	case domain == c.options.Place.FailureDomain:
-		return 0
-	case c.options.Regions[domain] == c.options.Place.Region:
-		return otherDomainCost
-	}
-	return otherDomainCost + otherRegionCost
-}
-
-// Lease counts one request or backup at an endpoint until it is released. Every
-// lease is released once.
-type Lease struct {
-	Endpoint     registry.Endpoint
-	endpoint     *endpoint
-	tokens       int
-	started      time.Duration
-	prefilling   bool
-	promptCached bool // the endpoint holds the prompt's KV cache
-	backup       bool
-	released     bool
-	// Suspected says that the endpoint was chosen although it is suspected to be
-	// down.
-	Suspected bool
-	// Load is the load of the endpoint as it was known when the lease was
-	// granted, without the lease itself.
-	Load Load
-	// LoadReported says that Load includes a load report of the endpoint;
-	// ReportAge is the age of that report.
-	LoadReported bool
-	ReportAge    time.Duration
-}
-
-// grantLease adds the request to the load of the endpoint and returns its lease.
-func (c *Core) grantLease(now time.Duration, e *endpoint, request Request) *Lease {
-	l := &Lease{Endpoint: e.Endpoint, endpoint: e, tokens: request.Tokens, started: now, promptCached: slices.Contains(request.Prefer, e.ID)}
-	l.Suspected = now < e.suspectUntil
-	l.Load, l.LoadReported = e.load(now)
-	if l.LoadReported {
-		l.ReportAge = now - e.reportedAt
-	}
-	if e.consecutiveFailures > 0 {
-		e.trialRunning = true
-	}
-	e.running++
-	e.tokens += request.Tokens
-	if request.Tokens > 0 {
-		l.prefilling = true
-		e.prefilling++
-	}
-	return l
-}
-
-// load returns the load of the endpoint as far as it is known, and whether it
-// includes a load report of the endpoint.
-func (e *endpoint) load(now time.Duration) (_ Load, reported bool) {
-	own := Load{Running: e.running, Prefilling: e.prefilling, Tokens: e.tokens}
-	if now-e.reportedAt >= loadReportTTL {
-		return own, false
-	}
-	return Load{
-		Running:    own.Running + e.otherLoad.Running,
-		Prefilling: own.Prefilling + e.otherLoad.Prefilling,
-		Tokens:     own.Tokens + e.otherLoad.Tokens,
-	}, true
-}
-
-// ChooseBackup returns a lease of the engine that keeps the backup of a
-// generation which runs on the primary. It returns nil if no engine outside the
-// primary's failure domain has capacity or if the engines' memory is short.
-func (c *Core) ChooseBackup(now time.Duration, request Request, primary registry.Endpoint) *Lease {
-	if c.memoryUse[request.Service] > maxMemoryUseForBackup {
-		return nil
-	}
-	best, bestCost := (*endpoint)(nil), math.Inf(1)
-	request.sessionHash = xxhash.Sum64String(request.Session)
-	for _, e := range c.byService[request.Service] {
-		if e.Draining || e.rateLimit.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
-			continue
-		}
-		cost := c.cost(now, e, request)
-		if cost >= domainSuspectCost || c.exceedsCapacity(now, e, request) {
-			continue
-		}
-		if cost < bestCost {
-			best, bestCost = e, cost
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	best.backups++
-	best.tokens += request.Tokens
-	return &Lease{Endpoint: best.Endpoint, endpoint: best, tokens: request.Tokens, started: now, backup: true}
-}
-
-// PromoteBackup turns the lease of a backup into the lease of the running
-// generation.
-func (c *Core) PromoteBackup(now time.Duration, l *Lease) {
-	if l.released || !l.backup {
-		return
-	}
-	l.backup = false
-	l.started = now
-	l.endpoint.backups--
-	l.endpoint.running++
-}
-
-// Candidates returns the endpoints with the lowest cost for the request, at most
-// limit and none that is suspect.
-func (c *Core) Candidates(now time.Duration, request Request, limit int) []registry.Endpoint {
-	type candidate struct {
-		endpoint registry.Endpoint
-		cost     float64
-	}
-	request.sessionHash = xxhash.Sum64String(request.Session)
-	var list []candidate
-	for _, e := range c.byService[request.Service] {
-		if e.Draining || e.rateLimit.blocks(now, request) || slices.Contains(request.Exclude, e.ID) || c.exceedsCapacity(now, e, request) || c.exceedsMaxDelay(now, e, request) {
-			continue
-		}
-		if cost := c.cost(now, e, request); cost < domainSuspectCost {
-			list = append(list, candidate{e.Endpoint, cost})
-		}
-	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	endpoints := make([]registry.Endpoint, 0, limit)
-	for _, chosen := range list[:min(limit, len(list))] {
-		endpoints = append(endpoints, chosen.endpoint)
-	}
-	return endpoints
-}
-
-// UpdateLoad records the load that an engine reports. It subtracts the requests
-// of this instance, which are counted as they change.
-func (c *Core) UpdateLoad(now time.Duration, reported registry.Endpoint, load Load) {
-	e, ok := c.endpoints[reported.ID]
-	if !ok || e.Incarnation != reported.Incarnation {
-		return
-	}
-	e.reportedAt = now
-	if capacity := c.kvCapacity[e.Service]; capacity > 0 {
-		c.memoryUse[e.Service] += memoryUseWeight * (float64(load.Tokens)/float64(capacity) - c.memoryUse[e.Service])
-	}
-	e.otherLoad = Load{
-		Running:    max(0, load.Running-e.running),
-		Prefilling: max(0, load.Prefilling-e.prefilling),
-		Tokens:     max(0, load.Tokens-e.tokens),
-	}
-}
-
 // AvailableEndpoints returns the endpoints of a service that are neither
 // draining nor suspect.
 func (c *Core) AvailableEndpoints(now time.Duration, service string) []registry.Endpoint {
--- /dev/null
+++ b/balance/candidates.go
@@ -0,0 +1,36 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+// Candidates returns the endpoints with the lowest cost for the request, at most
+// limit and none that is suspect.
+func (c *Core) Candidates(now time.Duration, request Request, limit int) []registry.Endpoint {
+	type candidate struct {
+		endpoint registry.Endpoint
+		cost     float64
+	}
+	request.sessionHash = xxhash.Sum64String(request.Session)
+	var list []candidate
+	for _, e := range c.byService[request.Service] {
+		if e.Draining || e.rateLimit.blocks(now, request) || slices.Contains(request.Exclude, e.ID) || c.exceedsCapacity(now, e, request) || c.exceedsMaxDelay(now, e, request) {
+			continue
+		}
+		if cost := c.cost(now, e, request); cost < domainSuspectCost {
+			list = append(list, candidate{e.Endpoint, cost})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	endpoints := make([]registry.Endpoint, 0, limit)
+	for _, chosen := range list[:min(limit, len(list))] {
+		endpoints = append(endpoints, chosen.endpoint)
+	}
+	return endpoints
+}
--- /dev/null
+++ b/balance/lease.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+// Lease counts one request or backup at an endpoint until it is released. Every
+// lease is released once.
+type Lease struct {
+	Endpoint     registry.Endpoint
+	endpoint     *endpoint
+	tokens       int
+	started      time.Duration
+	prefilling   bool
+	promptCached bool // the endpoint holds the prompt's KV cache
+	backup       bool
+	released     bool
+	// Suspected says that the endpoint was chosen although it is suspected to be
+	// down.
+	Suspected bool
+	// Load is the load of the endpoint as it was known when the lease was
+	// granted, without the lease itself.
+	Load Load
+	// LoadReported says that Load includes a load report of the endpoint;
+	// ReportAge is the age of that report.
+	LoadReported bool
+	ReportAge    time.Duration
+}
+
+// grantLease adds the request to the load of the endpoint and returns its lease.
+func (c *Core) grantLease(now time.Duration, e *endpoint, request Request) *Lease {
+	l := &Lease{Endpoint: e.Endpoint, endpoint: e, tokens: request.Tokens, started: now, promptCached: slices.Contains(request.Prefer, e.ID)}
+	l.Suspected = now < e.suspectUntil
+	l.Load, l.LoadReported = e.load(now)
+	if l.LoadReported {
+		l.ReportAge = now - e.reportedAt
+	}
+	if e.consecutiveFailures > 0 {
+		e.trialRunning = true
+	}
+	e.running++
+	e.tokens += request.Tokens
+	if request.Tokens > 0 {
+		l.prefilling = true
+		e.prefilling++
+	}
+	return l
+}
+
+// ChooseBackup returns a lease of the engine that keeps the backup of a
+// generation which runs on the primary. It returns nil if no engine outside the
+// primary's failure domain has capacity or if the engines' memory is short.
+func (c *Core) ChooseBackup(now time.Duration, request Request, primary registry.Endpoint) *Lease {
+	if c.memoryUse[request.Service] > maxMemoryUseForBackup {
+		return nil
+	}
+	best, bestCost := (*endpoint)(nil), math.Inf(1)
+	request.sessionHash = xxhash.Sum64String(request.Session)
+	for _, e := range c.byService[request.Service] {
+		if e.Draining || e.rateLimit.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
+			continue
+		}
+		cost := c.cost(now, e, request)
+		if cost >= domainSuspectCost || c.exceedsCapacity(now, e, request) {
+			continue
+		}
+		if cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.backups++
+	best.tokens += request.Tokens
+	return &Lease{Endpoint: best.Endpoint, endpoint: best, tokens: request.Tokens, started: now, backup: true}
+}
+
+// PromoteBackup turns the lease of a backup into the lease of the running
+// generation.
+func (c *Core) PromoteBackup(now time.Duration, l *Lease) {
+	if l.released || !l.backup {
+		return
+	}
+	l.backup = false
+	l.started = now
+	l.endpoint.backups--
+	l.endpoint.running++
+}
