--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/internal/backoff"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 )
@@ -52,16 +53,16 @@
 type Limiter struct {
 	o         Options
 	startedAt time.Duration
+	backoff   *backoff.Set // of other instances, by address
 	mu        sync.Mutex
 	// The fields below are guarded by mu.
-	core         *Core
-	roster       *roster
-	backoffUntil map[string]time.Duration // by address
+	core   *Core
+	roster *roster
 }
 
 // New returns a limiter without limits.
 func New(o Options) *Limiter {
-	return &Limiter{o: o, startedAt: o.Clock(), core: NewCore(), roster: newRoster(o.Self), backoffUntil: make(map[string]time.Duration)}
+	return &Limiter{o: o, startedAt: o.Clock(), core: NewCore(), roster: newRoster(o.Self), backoff: backoff.NewSet(o.Clock)}
 }
 
 func endpointOf(e registry.Endpoint) Endpoint {
@@ -179,7 +180,7 @@
 // granter returns the instance to ask for a permit: the first of the order that is
 // not in backoff, or this instance if there is none.
 func (l *Limiter) granter(e Endpoint) api.Member {
-	eligible := func(m api.Member) bool { return m.ID == l.o.Self || !l.inBackoff(m.Address) }
+	eligible := func(m api.Member) bool { return m.ID == l.o.Self || !l.backoff.Contains(m.Address) }
 	if m, ok := l.order(e).first(eligible); ok {
 		return m
 	}
@@ -193,25 +194,12 @@
 	return l.roster.order(now, e, members, now-l.startedAt < joinTime)
 }
 
-func (l *Limiter) inBackoff(address string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	until, ok := l.backoffUntil[address]
-	if ok && l.o.Clock() >= until {
-		delete(l.backoffUntil, address)
-		return false
-	}
-	return ok
-}
-
 // recordFailure starts the backoff of an instance, so that there is at most one
 // line for each instance and granterBackoff.
 func (l *Limiter) recordFailure(m api.Member, err error) {
 	l.o.Scope.Counter("permit_errors").Inc(1)
 	l.o.Log.Info("permit request failed", "member", string(m.ID), "error", err)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.backoffUntil[m.Address] = l.o.Clock() + granterBackoff
+	l.backoff.Start(m.Address, granterBackoff)
 }
 
 // Collect returns changed limits for another instance, at most maxBytes.
--- a/relay/source.go
+++ b/relay/source.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/internal/backoff"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/routing"
@@ -57,9 +58,9 @@
 // instance.
 type Source struct {
 	o             SourceOptions
+	backoff       *backoff.Set // of other instances, by address
 	mu            sync.Mutex
-	backoffUntil  map[string]time.Duration // end of the backoff, by peer address
-	storeFailedAt time.Duration            // last failure of the store; 0 is none since its last response
+	storeFailedAt time.Duration // last failure of the store; 0 is none since its last response
 	leaderAddress string
 }
 
@@ -67,7 +68,7 @@
 
 // NewSource returns a source without failures.
 func NewSource(o SourceOptions) *Source {
-	return &Source{o: o, backoffUntil: make(map[string]time.Duration)}
+	return &Source{o: o, backoff: backoff.NewSet(o.Clock)}
 }
 
 // ReadTable returns the newest configuration.
@@ -169,7 +170,7 @@
 		if m.ID == s.o.Self.ID || m.FailureDomain != s.o.Self.FailureDomain || m.State != api.MemberAlive {
 			continue
 		}
-		if !s.peerInBackoff(m.Address) {
+		if !s.backoff.Contains(m.Address) {
 			addresses[m.ID] = m.Address
 			ids = append(ids, m.ID)
 		}
@@ -196,7 +197,7 @@
 func (s *Source) selectPeers() []string {
 	var addresses, own []string
 	for _, m := range s.o.Members() {
-		if m.ID == s.o.Self.ID || !m.State.Reachable() || s.peerInBackoff(m.Address) {
+		if m.ID == s.o.Self.ID || !m.State.Reachable() || s.backoff.Contains(m.Address) {
 			continue
 		}
 		if m.FailureDomain == s.o.Self.FailureDomain {
@@ -210,7 +211,7 @@
 	}
 	if len(addresses) == 0 {
 		for _, seed := range s.o.SeedAddresses {
-			if seed != s.o.Self.Address && !s.peerInBackoff(seed) {
+			if seed != s.o.Self.Address && !s.backoff.Contains(seed) {
 				addresses = append(addresses, seed)
 			}
 		}
@@ -223,23 +224,10 @@
 // one line for each instance and peerBackoff.
 func (s *Source) recordPeerFailure(address string, err error) {
 	s.o.Log.Info("store read through another instance failed", "address", address, "error", err)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.backoffUntil[address] = s.o.Clock() + peerBackoff
+	s.backoff.Start(address, peerBackoff)
 	s.o.Scope.Counter("relay_errors").Inc(1)
 }
 
-func (s *Source) peerInBackoff(address string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	until, ok := s.backoffUntil[address]
-	if ok && s.o.Clock() >= until {
-		delete(s.backoffUntil, address)
-		return false
-	}
-	return ok
-}
-
 func (s *Source) setStoreFailedAt(failedAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
