Read the store through an instance with a fast link

Beside a configuration that grows, callers of the instance that reads for its failure domain got late responses, and all others the configuration late: the leader was chosen by hash alone, also one of 10 Mbit/s where others have 200.

Change: instances announce the bandwidth of their link (settings, member entry); the leader is the first by hash among the live ones with the fastest link.

--- a/api/member.go
+++ b/api/member.go
@@ -60,4 +60,6 @@
 	// StoreContactAge is the age of the instance's last contact with the store
 	// at the time of its last message.
 	StoreContactAge time.Duration
+	// LinkMbps is the bandwidth of the instance's link in Mbit/s; 0 is unknown.
+	LinkMbps uint32
 }
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -37,6 +37,7 @@
 		Region:        string(m.Region),
 		FailureDomain: string(m.FailureDomain),
 		Half:          string(m.Half),
+		LinkMbps:      m.LinkMbps,
 	}
 }
 
@@ -52,5 +53,6 @@
 		Place:        api.Place{Region: api.Region(m.GetRegion()), FailureDomain: api.FailureDomain(m.GetFailureDomain())},
 		Half:         api.Half(m.GetHalf()),
 		Acknowledged: m.GetAcknowledgedTicket(),
+		LinkMbps:     m.GetLinkMbps(),
 	}
 }
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -87,6 +87,8 @@
 	Place       api.Place
 	// Address is the host and port of the peer listener, as peers reach it.
 	Address string
+	// LinkMbps is the bandwidth of the instance's link in Mbit/s; 0 is unknown.
+	LinkMbps uint32
 	// SeedAddresses are the peer addresses to contact before any member is known.
 	SeedAddresses []string
 	Store         store.API
@@ -136,7 +138,7 @@
 		return nil, Error.New("Store, Clients and Tickets are required")
 	}
 	core := NewCore(CoreOptions{
-		Self:          api.Member{ID: o.Instance, Incarnation: o.Incarnation, Address: o.Address, Place: o.Place, Half: o.Half},
+		Self:          api.Member{ID: o.Instance, Incarnation: o.Incarnation, Address: o.Address, Place: o.Place, Half: o.Half, LinkMbps: o.LinkMbps},
 		SeedAddresses: o.SeedAddresses,
 		AutoExpel:     o.ExpelMode == "auto",
 		Seed:          o.Seed,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,7 +175,7 @@
 		return g.o.Store
 	}
 	return relay.NewSource(relay.SourceOptions{
-		Self:          api.Member{ID: s.Instance, Address: s.PeerListen.String(), Place: s.Place},
+		Self:          api.Member{ID: s.Instance, Address: s.PeerListen.String(), Place: s.Place, LinkMbps: s.LinkMbps},
 		DirectStore:   g.o.Store,
 		Members:       g.knownMembers,
 		SeedAddresses: g.seedAddresses(),
@@ -193,7 +193,7 @@
 	}
 	incarnation := uint64(time.Now().UnixMilli())
 	g.fleet, err = fleet.New(fleet.Options{
-		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(),
+		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(), LinkMbps: s.LinkMbps,
 		SeedAddresses: g.seedAddresses(), Store: noRegistrations{}, Clients: g.peerClients, Tickets: configVersions{g}, ExpelMode: "manual",
 		DeltaSources: []fleet.DeltaSource{g.limiter, g.quarantine, g.crashMarks},
 		Log:          g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -178,7 +178,8 @@
 				n.link.bytesPerSec = fastLink
 			}
 			n.member = api.Member{
-				ID: id, Address: string(id), State: api.MemberAlive, Place: api.Place{FailureDomain: api.FailureDomain(fmt.Sprint(d))},
+				LinkMbps: uint32(n.link.bytesPerSec * 8 / 1e6),
+				ID:       id, Address: string(id), State: api.MemberAlive, Place: api.Place{FailureDomain: api.FailureDomain(fmt.Sprint(d))},
 			}
 			f.nodes = append(f.nodes, n)
 			f.members = append(f.members, n.member)
@@ -225,6 +226,17 @@
 	}
 }
 
+// timeUntil returns the time until a version is in force at all instances, at most
+// growthBound.
+func (f *growingFleet) timeUntil(version uint64) time.Duration {
+	const step = 10 * time.Millisecond
+	elapsed := time.Duration(0)
+	for ; f.late(version) > 0 && elapsed < growthBound; elapsed += step {
+		time.Sleep(step)
+	}
+	return elapsed
+}
+
 func (f *growingFleet) late(version uint64) int {
 	late := 0
 	for _, n := range f.nodes {
@@ -268,6 +280,24 @@
 	}
 }
 
+// Guards against a leader whose own link delays the requests of its callers and the
+// configuration of all others, although other instances have faster links.
+func TestGrowthPassesOverFastLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newGrowingFleet(3, 10, 2)
+		f.follow(ctx)
+		time.Sleep(5 * time.Second)
+		f.store.put(growingTable(2, 5600))
+		elapsed := f.timeUntil(2)
+		t.Logf("in force after %v", elapsed)
+		if elapsed > time.Second {
+			t.Errorf("in force after %v, although two instances of each failure domain have fast links", elapsed)
+		}
+	})
+}
+
 // Guards against all instances of a failure domain reading the store at once when
 // their leader is silent.
 func TestSilentLeaderIsReplacedByOneReader(t *testing.T) {
--- a/relay/source.go
+++ b/relay/source.go
@@ -162,18 +162,24 @@
 }
 
 // leader returns the address of the instance that reads for this failure
-// domain, or "" if this instance does.
+// domain, or "" if this instance does. It is the highest-ranked of those with the
+// fastest link: a large configuration would delay callers' requests on a slow one.
 func (s *Source) leader() string {
 	addresses := make(map[api.InstanceID]string)
 	ids := []api.InstanceID{s.o.Self.ID}
+	fastest := s.o.Self.LinkMbps
 	for _, m := range s.o.Members() {
 		if m.ID == s.o.Self.ID || m.FailureDomain != s.o.Self.FailureDomain || m.State != api.MemberAlive {
 			continue
 		}
-		if !s.backoff.Contains(m.Address) {
-			addresses[m.ID] = m.Address
-			ids = append(ids, m.ID)
+		if s.backoff.Contains(m.Address) || m.LinkMbps < fastest {
+			continue
+		}
+		if m.LinkMbps > fastest {
+			fastest, ids = m.LinkMbps, ids[:0]
 		}
+		addresses[m.ID] = m.Address
+		ids = append(ids, m.ID)
 	}
 	leader := addresses[peer.Rank("read", ids)[0]]
 	s.recordLeader(leader)
