--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -211,6 +211,7 @@
 func (f *growingFleet) follow(ctx context.Context) {
 	began := time.Now()
 	clock := func() time.Duration { return time.Hour + time.Since(began) }
+	var followers []*storesync.Follower
 	for _, n := range f.nodes {
 		source := relay.NewSource(relay.SourceOptions{
 			Self: n.member, DirectStore: storeReader{store: f.store, own: n.link},
@@ -222,6 +223,9 @@
 			Store: source, Table: n.table, Recorder: n.cache, Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		n.cache.SetContacts(follower.TableContact(), follower.EndpointContact())
+		followers = append(followers, follower)
+	}
+	for _, follower := range followers {
 		go func() { _ = follower.FollowTable(ctx) }()
 	}
 }
