--- a/standins/platform/soak/faults.go
+++ b/standins/platform/soak/faults.go
@@ -25,7 +25,7 @@
 func (s *soak) injectFaults(ctx context.Context) {
 	faults := []func(*rand.Rand){
 		s.crashDomain, s.silenceEngine, s.drainEngine, s.killInstance, s.pauseInstance, s.stopInstance, s.reloadInstance,
-		s.cutStore, s.storeDown, s.storeSlow, s.stallWatches, s.writeConfigurations, s.revokeKey, s.failDesk, s.killAll,
+		s.cutStore, s.storeDown, s.storeSlow, s.stallWatches, s.writeConfigurations, s.revokeKey, s.failDesk, s.limitDesks, s.killAll,
 	}
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
@@ -201,3 +201,15 @@
 	time.Sleep(randomDuration(random, time.Second, 4*time.Second))
 	percentage.Store(0)
 }
+
+// limitDesks makes all desks name a limit of their requests.
+func (s *soak) limitDesks(random *rand.Rand) {
+	s.logFault("the desks limit their requests")
+	for _, desk := range s.Desks {
+		desk.SetRateLimit(0.5 + 5*random.Float64())
+	}
+	time.Sleep(randomDuration(random, time.Second, 4*time.Second))
+	for _, desk := range s.Desks {
+		desk.SetRateLimit(0)
+	}
+}
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -84,6 +85,7 @@
 	draining          bool
 	startedAtMS       int64
 	activeRequests    int
+	rateLimit         float64 // requests per second that responses name; 0 is none
 	// onStart starts background work of the endpoint. It is called with mu
 	// locked.
 	onStart func()
@@ -222,6 +224,30 @@
 	return e.activeRequests == 0
 }
 
+// SetRateLimit makes the endpoint name a limit of the requests per second from all
+// instances together; 0 ends it.
+func (e *Endpoint) SetRateLimit(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimit = perSecond
+}
+
+// IncarnationID returns the identifier of the current or last start.
+func (e *Endpoint) IncarnationID() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.incarnationID
+}
+
+// writeRateLimit adds the limit to the header of a response.
+func (e *Endpoint) writeRateLimit(header http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rateLimit > 0 {
+		header.Set("Server-Limit", strconv.FormatFloat(e.rateLimit, 'f', -1, 64))
+	}
+}
+
 func (e *Endpoint) addActive(change int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -242,6 +268,7 @@
 	}
 	attempt := r.Header.Get("Hibiscusstair-Attempt-Id")
 	w.Header().Set("Hibiscusstair-Attempt-Id", attempt)
+	e.writeRateLimit(w.Header())
 	if target := r.Header.Get("Hibiscusstair-Target-Instance"); target != "" && target != incarnationID {
 		w.Header().Set("Hibiscusstair-Instance-Id", incarnationID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
