Do not let one caller block a limited endpoint

A caller that disconnected while its request waited for a permit made the instance leave out the endpoint for 0.2 s for all callers; and the wait for a permit counted as latency of the endpoint. The new spec of forward fails before (503); balance now withdraws a lease without an outcome.

--- a/balance/health.go
+++ b/balance/health.go
@@ -20,21 +20,9 @@
 // Release ends a lease and records the outcome of its request. Further releases
 // of the lease have no effect.
 func (c *Core) Release(now time.Duration, l *Lease, outcome Outcome) {
-	if l.released {
-		return
+	if l.end() && !l.backup {
+		c.recordOutcome(now, l.endpoint, l, outcome)
 	}
-	l.released = true
-	e := l.endpoint
-	e.tokens -= l.tokens
-	if l.prefilling {
-		e.prefilling--
-	}
-	if l.backup {
-		e.backups--
-		return
-	}
-	e.running--
-	c.recordOutcome(now, e, l, outcome)
 }
 
 func (c *Core) recordOutcome(now time.Duration, e *endpoint, l *Lease, outcome Outcome) {
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -93,3 +93,22 @@
 	l.endpoint.backups--
 	l.endpoint.running++
 }
+
+// end removes the lease from the load of its endpoint. It returns false if the lease
+// has ended before.
+func (l *Lease) end() bool {
+	if l.released {
+		return false
+	}
+	l.released = true
+	l.endpoint.tokens -= l.tokens
+	if l.prefilling {
+		l.endpoint.prefilling--
+	}
+	if l.backup {
+		l.endpoint.backups--
+		return true
+	}
+	l.endpoint.running--
+	return true
+}
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -30,11 +30,16 @@
 	}
 }
 
-// Withdraw ends a lease for which no permit was granted. The endpoint is not chosen
-// for the given time.
+// Withdraw ends a lease for which no permit was granted: nothing was sent, so there
+// is no outcome. The endpoint is not chosen for the given time.
 func (c *Core) Withdraw(now time.Duration, l *Lease, wait time.Duration) {
-	c.Release(now, l, Cancelled)
-	l.endpoint.rateLimit = rateLimit{limited: true, blockedUntil: now + wait}
+	if !l.end() {
+		return
+	}
+	l.endpoint.trialRunning = false
+	if wait > 0 {
+		l.endpoint.rateLimit = rateLimit{limited: true, blockedUntil: now + wait}
+	}
 }
 
 // rateLimitError returns the refusal of a request for which only endpoints without
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -29,6 +29,9 @@
 // chooseEndpoint returns the lease of an endpoint that takes the request now.
 func (h *Handler) chooseEndpoint(ctx context.Context, request balance.Request) (*balance.Lease, *reason.Error) {
 	for range maxPermitRequests {
+		if ctx.Err() != nil {
+			break
+		}
 		lease, err := h.o.Balance.Choose(request)
 		if err != nil || h.acquirePermit(ctx, lease) {
 			return lease, err
@@ -48,6 +51,9 @@
 	if wait == 0 {
 		return true
 	}
+	if ctx.Err() != nil {
+		wait = 0 // the request has ended, which says nothing about the limit
+	}
 	h.o.Balance.Withdraw(lease, wait)
 	return false
 }
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -21,10 +22,15 @@
 type fakePermits struct {
 	mu       sync.Mutex
 	left     map[api.EndpointID]int // limited endpoints
+	silent   atomic.Bool            // no response before the request ends
 	recorded []string
 }
 
-func (p *fakePermits) Acquire(_ context.Context, e registry.Endpoint) time.Duration {
+func (p *fakePermits) Acquire(ctx context.Context, e registry.Endpoint) time.Duration {
+	if p.silent.Load() {
+		<-ctx.Done()
+		return time.Minute
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left, limited := p.left[e.ID]
@@ -149,6 +155,22 @@
 		Expect(f.received()).To(HaveLen(1))
 	})
 
+	// Guards against an endpoint that is left out for all since one caller went away
+	// while its request waited for a permit.
+	It("is asked again after a caller has disconnected", func() {
+		f.startEndpoint("a", respond("done"))
+		permits.left["a"] = 1
+		permits.silent.Store(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := f.call(ctx, http.MethodGet, "/order/x", nil, nil)
+		Expect(err).To(HaveOccurred())
+		Eventually(f.handler.ActiveRequests).Should(BeZero())
+		permits.silent.Store(false)
+		code, _, _ := f.get("/order/x")
+		Expect(code).To(Equal(http.StatusOK))
+	})
+
 	// Guards against a stream that continues at an engine without its permit.
 	It("gets no continued stream without a permit", func() {
 		f.startEndpoint("a", streamEvents(2, cutConnection("")))
