--- a/ratelimit/core_test.go
+++ b/ratelimit/core_test.go
@@ -135,9 +135,9 @@
 	if sum < 1 || sum >= 2 {
 		t.Errorf("six instances grant %v of the limit", sum)
 	}
-	first, _ := all.first(func(api.Member) bool { return true })
-	if all.shareOf(first.ID) != 1 {
-		t.Errorf("the first grants %v of the limit", all.shareOf(first.ID))
+	first, _ := all.first(func(granter) bool { return true })
+	if all.shareOf(first.id) != 1 {
+		t.Errorf("the first grants %v of the limit", all.shareOf(first.id))
 	}
 	alone := r.order(time.Second, desk, members(1, 5), false)
 	if share := alone.shareOf("n0"); math.Abs(share-1.0/6) > 1e-9 {
@@ -147,7 +147,7 @@
 		t.Errorf("the last instance grants %v of the limit", share)
 	}
 	joining := newRoster("new").order(0, desk, members(6, 0), true)
-	if next, _ := joining.first(func(api.Member) bool { return true }); next.ID != first.ID {
-		t.Errorf("a new instance asks %s and the others %s", next.ID, first.ID)
+	if next, _ := joining.first(func(granter) bool { return true }); next.id != first.id {
+		t.Errorf("a new instance asks %s and the others %s", next.id, first.id)
 	}
 }
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -127,18 +127,18 @@
 		return 0
 	}
 	for range maxGrantersAsked {
-		granter := l.granter(e)
-		if granter.ID == l.o.Self {
+		next := l.granter(e)
+		if next.id == l.o.Self {
 			return l.count("local", l.grant(e))
 		}
-		decision, err := l.ask(ctx, granter.Address, known)
+		decision, err := l.ask(ctx, next.address, known)
 		if err == nil {
 			return l.count("remote", decision)
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		l.recordFailure(granter, err)
+		l.recordFailure(next, err)
 	}
 	l.o.Scope.Counter("permits_unavailable").Inc(1)
 	return noGranterWait
@@ -179,12 +179,12 @@
 
 // granter returns the instance to ask for a permit: the first of the order that is
 // not in backoff, or this instance if there is none.
-func (l *Limiter) granter(e Endpoint) api.Member {
-	eligible := func(m api.Member) bool { return m.ID == l.o.Self || !l.backoff.Contains(m.Address) }
-	if m, ok := l.order(e).first(eligible); ok {
-		return m
+func (l *Limiter) granter(e Endpoint) granter {
+	eligible := func(g granter) bool { return g.id == l.o.Self || !l.backoff.Contains(g.address) }
+	if g, ok := l.order(e).first(eligible); ok {
+		return g
 	}
-	return api.Member{ID: l.o.Self}
+	return granter{id: l.o.Self}
 }
 
 func (l *Limiter) order(e Endpoint) order {
@@ -196,10 +196,10 @@
 
 // recordFailure starts the backoff of an instance, so that there is at most one
 // line for each instance and granterBackoff.
-func (l *Limiter) recordFailure(m api.Member, err error) {
+func (l *Limiter) recordFailure(g granter, err error) {
 	l.o.Scope.Counter("permit_errors").Inc(1)
-	l.o.Log.Info("permit request failed", "member", string(m.ID), "error", err)
-	l.backoff.Start(m.Address, granterBackoff)
+	l.o.Log.Info("permit request failed", "member", string(g.id), "error", err)
+	l.backoff.Start(g.address, granterBackoff)
 }
 
 // Collect returns changed limits for another instance, at most maxBytes.
--- a/ratelimit/order.go
+++ b/ratelimit/order.go
@@ -13,6 +13,9 @@
 // ones. Regions can lose each other for minutes.
 const lostLifetime = 10 * time.Minute
 
+// rosterInterval is the time between two updates of a roster.
+const rosterInterval = time.Second
+
 // joinTime is the time after its start during which an instance does not count
 // itself among those that grant permits: others do not know it yet and ask another
 // instance.
@@ -29,70 +32,81 @@
 
 // granter is an instance with its place in the order; the lowest score comes first.
 type granter struct {
-	api.Member
-	score uint64
+	id      api.InstanceID
+	address string
+	score   uint64
 }
 
 func (g granter) before(other granter) bool {
-	return g.score < other.score || g.score == other.score && g.ID < other.ID
+	return g.score < other.score || g.score == other.score && g.id < other.id
 }
 
 // roster remembers when instances were last live.
 type roster struct {
-	self   api.InstanceID
-	liveAt map[api.InstanceID]time.Duration
+	self      api.InstanceID
+	liveAt    map[api.InstanceID]time.Duration
+	updated   bool
+	updatedAt time.Duration
 }
 
 func newRoster(self api.InstanceID) *roster {
 	return &roster{self: self, liveAt: make(map[api.InstanceID]time.Duration)}
 }
 
-// order returns the order for an endpoint. joining says that the other instances do
-// not know this one yet.
-func (r *roster) order(now time.Duration, e Endpoint, members []api.Member, joining bool) order {
-	var live []api.Member
-	if !joining {
-		live = append(live, api.Member{ID: r.self})
+// update records which instances are live, at most once each rosterInterval.
+func (r *roster) update(now time.Duration, members []api.Member) {
+	if r.updated && now-r.updatedAt < rosterInterval {
+		return
 	}
+	r.updated, r.updatedAt = true, now
 	for _, m := range members {
 		switch {
 		case m.ID == r.self:
 		case m.State == api.MemberAlive:
 			r.liveAt[m.ID] = now
-			live = append(live, m)
 		case m.State.Gone():
 			delete(r.liveAt, m.ID)
 		}
 	}
-	known := 1
 	for id, at := range r.liveAt {
 		if now-at > lostLifetime {
 			delete(r.liveAt, id)
-			continue
 		}
-		known++
 	}
-	o := order{granters: make([]granter, 0, len(live)), reachable: 1}
+}
+
+// order returns the order for an endpoint. joining says that the other instances do
+// not know this one yet.
+func (r *roster) order(now time.Duration, e Endpoint, members []api.Member, joining bool) order {
+	r.update(now, members)
 	key := "limit/" + string(e.ID)
-	for _, m := range live {
-		o.granters = append(o.granters, granter{m, peer.Score(key, m.ID)})
+	o := order{granters: make([]granter, 0, len(members)+1), reachable: 1}
+	if !joining {
+		o.granters = append(o.granters, granter{id: r.self, score: peer.Score(key, r.self)})
+	}
+	for i := range members {
+		m := &members[i]
+		if m.ID != r.self && m.State == api.MemberAlive {
+			o.granters = append(o.granters, granter{id: m.ID, address: m.Address, score: peer.Score(key, m.ID)})
+		}
 	}
-	if len(live)*2 <= known && known > 1 {
-		o.reachable = float64(max(1, len(live))) / float64(known)
+	live, known := len(o.granters), len(r.liveAt)+1
+	if live*2 <= known && known > 1 {
+		o.reachable = float64(max(1, live)) / float64(known)
 	}
 	return o
 }
 
 // first returns the first instance that is eligible, and false if there is none.
-func (o order) first(eligible func(api.Member) bool) (api.Member, bool) {
+func (o order) first(eligible func(granter) bool) (granter, bool) {
 	var best granter
 	found := false
 	for _, g := range o.granters {
-		if (!found || g.before(best)) && eligible(g.Member) {
+		if (!found || g.before(best)) && eligible(g) {
 			best, found = g, true
 		}
 	}
-	return best.Member, found
+	return best, found
 }
 
 // shareOf returns the part of a limit that an instance grants. Each instance after
@@ -106,7 +120,7 @@
 // rankOf returns the number of instances before one. One that is not in the order
 // is taken for the second.
 func (o order) rankOf(id api.InstanceID) int {
-	i := slices.IndexFunc(o.granters, func(g granter) bool { return g.ID == id })
+	i := slices.IndexFunc(o.granters, func(g granter) bool { return g.id == id })
 	if i < 0 {
 		return min(1, len(o.granters))
 	}
