--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,19 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/run"
-
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
@@ -254,95 +247,6 @@
 	g.restartDetector.ReportFailure(endpoint)
 }
 
-// Run serves until the context ends, then stops gracefully.
-func (g *Gateway) Run(ctx context.Context) error {
-	if limit := g.o.Settings.MemoryBytes; limit > 0 {
-		debug.SetMemoryLimit(int64(float64(limit) * memoryLimitFraction))
-	}
-	var group run.Group
-	g.addTask(&group, "configuration", g.follower.FollowTable)
-	g.addTask(&group, "registrations", g.follower.FollowEndpoints)
-	g.addTask(&group, "restarted engines", g.restartDetector.Run)
-	g.addTask(&group, "crash marks", g.crashMarks.Run)
-	g.addTask(&group, "quarantine", g.quarantine.Run)
-	g.addTask(&group, "rate limits", g.limiter.Run)
-	g.addTask(&group, "housekeeping", g.runHousekeeping)
-	g.addTask(&group, "lateness", g.measureLateness)
-	if g.fleet != nil {
-		g.addTask(&group, "fleet", g.fleet.Run)
-	}
-	servers := []struct {
-		name        string
-		address     netip.AddrPort
-		handler     http.Handler
-		stopTimeout time.Duration
-	}{
-		{"caller", g.o.Settings.CallerListen, g.forwarder, lastRequestsTimeout},
-		{"ready", g.o.Settings.ReadyListen, http.HandlerFunc(g.serveReady), 0},
-		{"peer", g.o.Settings.PeerListen, g.peerHandler(), 0},
-		{"metrics", g.o.Settings.MetricsListen, g.o.Metrics.Handler(), 0},
-	}
-	for _, s := range servers {
-		if !s.address.IsValid() {
-			continue
-		}
-		if err := g.addServer(&group, s.name, s.address, s.handler, s.stopTimeout); err != nil {
-			return err
-		}
-	}
-	group.Add(g.stopWhenDone(ctx))
-	err := group.Run()
-	if errors.Is(err, errStopped) {
-		return nil
-	}
-	return err
-}
-
-// errStopped ends the run group after a graceful stop.
-var errStopped = errors.New("stopped")
-
-// addTask adds a background task, which ends with its context.
-func (g *Gateway) addTask(group *run.Group, name string, task func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() error {
-		if err := task(ctx); err != nil && !errors.Is(err, context.Canceled) {
-			return fmt.Errorf("%s: %w", name, err)
-		}
-		return nil
-	}, func(error) { cancel() })
-}
-
-// addServer adds a server that waits for its requests up to the timeout when the group
-// ends.
-func (g *Gateway) addServer(group *run.Group, name string, address netip.AddrPort, handler http.Handler, stopTimeout time.Duration) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return fmt.Errorf("%s listener: %w", name, err)
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          slog.NewLogLogger(g.o.Log.Handler(), slog.LevelDebug),
-	}
-	group.Add(func() error {
-		g.o.Log.Info("listening", "interface", name, "address", address.String())
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}, func(error) { shutDown(server, stopTimeout) })
-	return nil
-}
-
-func (g *Gateway) peerHandler() http.Handler {
-	if g.fleet == nil {
-		return http.NotFoundHandler()
-	}
-	return peer.NewHandler(peerServer{g}, g.relayCache, g.limiter.Server(), g.o.Settings.PeerSecret, g.o.Metrics.Scope.SubScope("peer"))
-}
-
 // serveReady responds to the readiness probe of the external load balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
@@ -358,56 +262,6 @@
 	return !stopping && g.table.Load() != nil && g.registry.Len() > 0
 }
 
-// stopWhenDone returns the actor that stops the instance when the context ends. New
-// requests are accepted until the external load balancer has removed the instance;
-// running requests may complete until shortly before the stop timeout, at which the
-// process would be killed.
-func (g *Gateway) stopWhenDone(ctx context.Context) (func() error, func(error)) {
-	done := make(chan struct{})
-	execute := func() error {
-		select {
-		case <-ctx.Done():
-		case <-done:
-			return nil
-		}
-		g.stop()
-		return errStopped
-	}
-	return execute, func(error) { close(done) }
-}
-
-// stop announces to the fleet that the instance leaves, and waits until the running
-// requests have completed, at most until exitReserve before the stop timeout.
-func (g *Gateway) stop() {
-	timeout := g.o.Settings.StopTimeout
-	if timeout <= 0 {
-		timeout = defaultStopTimeout
-	}
-	began := bootclock.Now()
-	end := began + timeout - exitReserve
-	g.stopDeadline.Store(int64(end))
-	g.o.Log.Info("stopping", "running", g.forwarder.ActiveRequests())
-	if g.fleet != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), deregistrationDelay)
-		defer cancel()
-		g.fleet.Leave(ctx)
-	}
-	for bootclock.Now() < end {
-		if bootclock.Now()-began >= deregistrationDelay && g.forwarder.ActiveRequests() == 0 {
-			break
-		}
-		time.Sleep(stopPollInterval)
-	}
-	g.o.Log.Info("stopped", "running", g.forwarder.ActiveRequests(), "age_ms", (bootclock.Now() - began).Milliseconds())
-}
-
-// stopping reports whether the instance is stopping, and how long it continues to
-// run in that case.
-func (g *Gateway) stopping() (bool, time.Duration) {
-	at := time.Duration(g.stopDeadline.Load())
-	return at != 0, at - bootclock.Now()
-}
-
 // runHousekeeping closes idle connections, removes registrations whose grace period
 // after a store outage is over, and reads the settings file again on a reload
 // signal.
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/hibiscusstair/hibiscusstair/peer"
+)
+
+// Run serves until the context ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	if limit := g.o.Settings.MemoryBytes; limit > 0 {
+		debug.SetMemoryLimit(int64(float64(limit) * memoryLimitFraction))
+	}
+	var group run.Group
+	g.addTask(&group, "configuration", g.follower.FollowTable)
+	g.addTask(&group, "registrations", g.follower.FollowEndpoints)
+	g.addTask(&group, "restarted engines", g.restartDetector.Run)
+	g.addTask(&group, "crash marks", g.crashMarks.Run)
+	g.addTask(&group, "quarantine", g.quarantine.Run)
+	g.addTask(&group, "rate limits", g.limiter.Run)
+	g.addTask(&group, "housekeeping", g.runHousekeeping)
+	g.addTask(&group, "lateness", g.measureLateness)
+	if g.fleet != nil {
+		g.addTask(&group, "fleet", g.fleet.Run)
+	}
+	servers := []struct {
+		name        string
+		address     netip.AddrPort
+		handler     http.Handler
+		stopTimeout time.Duration
+	}{
+		{"caller", g.o.Settings.CallerListen, g.forwarder, lastRequestsTimeout},
+		{"ready", g.o.Settings.ReadyListen, http.HandlerFunc(g.serveReady), 0},
+		{"peer", g.o.Settings.PeerListen, g.peerHandler(), 0},
+		{"metrics", g.o.Settings.MetricsListen, g.o.Metrics.Handler(), 0},
+	}
+	for _, s := range servers {
+		if !s.address.IsValid() {
+			continue
+		}
+		if err := g.addServer(&group, s.name, s.address, s.handler, s.stopTimeout); err != nil {
+			return err
+		}
+	}
+	group.Add(g.stopWhenDone(ctx))
+	err := group.Run()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends the run group after a graceful stop.
+var errStopped = errors.New("stopped")
+
+// addTask adds a background task, which ends with its context.
+func (g *Gateway) addTask(group *run.Group, name string, task func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		if err := task(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+// addServer adds a server that waits for its requests up to the timeout when the group
+// ends.
+func (g *Gateway) addServer(group *run.Group, name string, address netip.AddrPort, handler http.Handler, stopTimeout time.Duration) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return fmt.Errorf("%s listener: %w", name, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(g.o.Log.Handler(), slog.LevelDebug),
+	}
+	group.Add(func() error {
+		g.o.Log.Info("listening", "interface", name, "address", address.String())
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func(error) { shutDown(server, stopTimeout) })
+	return nil
+}
+
+func (g *Gateway) peerHandler() http.Handler {
+	if g.fleet == nil {
+		return http.NotFoundHandler()
+	}
+	return peer.NewHandler(peerServer{g}, g.relayCache, g.limiter.Server(), g.o.Settings.PeerSecret, g.o.Metrics.Scope.SubScope("peer"))
+}
