Group the constants of the order of granters

Found when reading the change: three const declarations in a row, a parameter that shadows a type, and a long constructor in gateway.New.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,11 +128,7 @@
 	g.quarantine = quarantine.New(quarantine.Options{
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
 	})
-	g.limiter = ratelimit.New(ratelimit.Options{
-		Self: s.Instance, Members: g.knownMembers, PermitClient: g.peerClients.Permits,
-		OnChange: func(e ratelimit.Endpoint, limited bool) { g.balancer.SetLimited(e.ID, e.Incarnation, limited) },
-		OnUrgent: g.sendDeltas, Clock: clock, Log: o.Log, Scope: scope.SubScope("ratelimit"),
-	})
+	g.limiter = g.newLimiter()
 	if err := g.buildFleet(); err != nil {
 		return nil, err
 	}
@@ -159,6 +155,14 @@
 	return g, nil
 }
 
+func (g *Gateway) newLimiter() *ratelimit.Limiter {
+	return ratelimit.New(ratelimit.Options{
+		Self: g.o.Settings.Instance, Members: g.knownMembers, PermitClient: g.peerClients.Permits,
+		OnChange: func(e ratelimit.Endpoint, limited bool) { g.balancer.SetLimited(e.ID, e.Incarnation, limited) },
+		OnUrgent: g.sendDeltas, Clock: bootclock.Now, Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("ratelimit"),
+	})
+}
+
 // newStoreReader returns the reader of the store. If other instances can call this
 // one, the store is read through another instance of the failure domain if there
 // is one.
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -144,8 +144,10 @@
 	return noGranterWait
 }
 
-func (l *Limiter) count(granter string, d Decision) time.Duration {
-	scope := l.o.Scope.Tagged(map[string]string{"granter": granter})
+// count counts a decision of this instance (local) or another one (remote) and
+// returns the wait until the next request for a permit; 0 is granted.
+func (l *Limiter) count(source string, d Decision) time.Duration {
+	scope := l.o.Scope.Tagged(map[string]string{"granter": source})
 	if d.Granted {
 		scope.Counter("permits_granted").Inc(1)
 		return 0
--- a/ratelimit/order.go
+++ b/ratelimit/order.go
@@ -9,17 +9,17 @@
 	"github.com/hibiscusstair/hibiscusstair/peer"
 )
 
-// lostLifetime is how long an instance that is no longer live counts among the known
-// ones. Regions can lose each other for minutes.
-const lostLifetime = 10 * time.Minute
-
-// rosterInterval is the time between two updates of a roster.
-const rosterInterval = time.Second
-
-// joinTime is the time after its start during which an instance does not count
-// itself among those that grant permits: others do not know it yet and ask another
-// instance.
-const joinTime = 3 * time.Second
+const (
+	// lostLifetime is how long an instance that is no longer live counts among the
+	// known ones. Regions can lose each other for minutes.
+	lostLifetime = 10 * time.Minute
+	// rosterInterval is the time between two updates of a roster.
+	rosterInterval = time.Second
+	// joinTime is the time after its start during which an instance does not count
+	// itself among those that grant permits: others do not know it yet and ask
+	// another instance.
+	joinTime = 3 * time.Second
+)
 
 // order is the order in which instances grant the permits of one endpoint, as one
 // instance sees it. Instances that know the same members agree on it.
