Grant permits of an idle endpoint at once

The log shows the limits learned at 32.3 to 34.4 s, the refusals at 43.75 s with a wait of 200 ms, the time of one token, and the end of each limit with the next response at 46.3 s.

Cause: the token bucket of an instance that becomes the granter started empty when the first permit was asked for, not when the limit began.

Change: the bucket starts with the limit, at every instance. TestGrantAfterIdleTime fails before and passes; TestFleetKeepsLimitsWhileInstancesChange still passes.

--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -13,8 +13,9 @@
 	maxWait = 2 * time.Second
 )
 
-// bucket is the token bucket of one endpoint. It starts empty: the instance that
-// granted the permits before may have used up the limit of the last seconds.
+// bucket is the token bucket of one endpoint. It starts empty when the limit begins,
+// also at instances that do not grant its permits: an endpoint that was idle gets
+// its next request at once whichever instance then grants.
 type bucket struct {
 	tokens    float64
 	updatedAt time.Duration
--- a/ratelimit/core.go
+++ b/ratelimit/core.go
@@ -60,7 +60,7 @@
 // Core keeps the limits and grants the permits. It is not safe for concurrent use.
 type Core struct {
 	limits  map[Endpoint]*limit
-	buckets map[Endpoint]*bucket
+	buckets map[Endpoint]*bucket // of all endpoints with a limit
 }
 
 // NewCore returns a core without limits.
@@ -78,11 +78,15 @@
 		return false
 	case !ok:
 		c.limits[next.Endpoint] = &limit{Limit: next, sendsLeft: sendCount}
+		c.buckets[next.Endpoint] = newBucket(next.At)
 		return true
 	case next.At < known.At:
 		return false
 	}
 	changed := known.Ended != next.Ended || (!next.Ended && known.PerSecond != next.PerSecond)
+	if known.Ended && !next.Ended {
+		c.buckets[next.Endpoint] = newBucket(next.At)
+	}
 	known.Limit = next
 	if changed {
 		known.sendsLeft = sendCount
@@ -137,10 +141,5 @@
 	if !limited {
 		return Decision{Granted: true}
 	}
-	b, ok := c.buckets[e]
-	if !ok {
-		b = newBucket(now)
-		c.buckets[e] = b
-	}
-	return b.take(now, known.PerSecond*share)
+	return c.buckets[e].take(now, known.PerSecond*share)
 }
--- a/ratelimit/core_test.go
+++ b/ratelimit/core_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// Guards against a first request that is refused although the endpoint was idle: its
+// limit may have ended meanwhile, and only a response shows it.
+func TestGrantAfterIdleTime(t *testing.T) {
+	c := NewCore()
+	c.Record(Limit{Endpoint: desk, PerSecond: 2, At: time.Second})
+	if c.Grant(1400*time.Millisecond, desk, 1).Granted {
+		t.Error("a permit was granted before the first refill")
+	}
+	idle := Endpoint{ID: "idle", Incarnation: 1}
+	c.Record(Limit{Endpoint: idle, PerSecond: 2, At: time.Second})
+	if !c.Grant(7*time.Second, idle, 1).Granted {
+		t.Error("no permit was granted after 6 s without requests")
+	}
+	c.Record(Limit{Endpoint: desk, Ended: true, At: 8 * time.Second})
+	c.Expire(9 * time.Second)
+	c.Record(Limit{Endpoint: desk, PerSecond: 2, At: 10 * time.Second})
+	if c.Grant(10*time.Second, desk, 1).Granted || !c.Grant(11*time.Second, desk, 1).Granted {
+		t.Error("a limit that came back does not start with an empty bucket")
+	}
+}
+
 // Guards against messages beyond their size, and against changes that are never sent
 // because others are sent again.
 func TestCollectSendsAllChanges(t *testing.T) {
--- a/standins/platform/soak/soak_test.go
+++ b/standins/platform/soak/soak_test.go
@@ -48,5 +48,7 @@
 		},
 		Entry("seed 1", 1),
 		Entry("seed 2", 2),
+		// The first request after a limit had ended was refused.
+		Entry("seed 20285", 20285),
 	)
 })
