Add a failing test of content that ends engines

Callers see engines end under one request that comes again. The test runs four instances as processes before twelve engines that end under one content in five ways: with refused connections, after some events, back at once, in silence, and while instances are killed.

--- /dev/null
+++ b/standins/platform/soak/crash_test.go
@@ -0,0 +1,153 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/cutproxy"
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/deployment"
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/world"
+)
+
+const (
+	// deadlyBody is the content that ends the engines which run it.
+	deadlyBody = "deadly"
+	// deadlyInterval is the time between two callers that send it.
+	deadlyInterval = 400 * time.Millisecond
+	// deadlyDuration is how long it is sent.
+	deadlyDuration = 9 * time.Second
+	// noticeTime is the time after the third end in which the instances have to find
+	// the content, and maxLateRetries the requests with it that may reach engines
+	// afterwards. Both are the users' bound.
+	noticeTime     = 3 * time.Second
+	maxLateRetries = 3
+	// engineRestart is the time until an ended engine starts again, and
+	// registrationLifetime the time until the registration of a silent one ends.
+	engineRestart        = 1500 * time.Millisecond
+	registrationLifetime = 3600 * time.Millisecond
+	// soundCallers is the number of callers whose content ends no engine.
+	soundCallers = 4
+)
+
+// engineEnd is a way in which engines end, and what happens beside it.
+type engineEnd struct {
+	end           func(*deployment.Deployment) func(*world.Endpoint)
+	afterEvents   int
+	throughProxy  bool
+	killInstances bool
+}
+
+// endAndRefuse ends an engine whose address then refuses connections.
+func endAndRefuse(restart time.Duration) func(*deployment.Deployment) func(*world.Endpoint) {
+	return func(*deployment.Deployment) func(*world.Endpoint) {
+		return func(e *world.Endpoint) {
+			id := e.Crash()
+			time.Sleep(restart)
+			_ = e.Start()
+			e.Deregister(id)
+		}
+	}
+}
+
+// endSilently ends an engine whose host sends nothing any more.
+func endSilently(d *deployment.Deployment) func(*world.Endpoint) {
+	return func(e *world.Endpoint) {
+		proxy := d.EndpointProxies[slices.Index(d.Engines, e)]
+		proxy.Freeze("", true, cutproxy.Up, cutproxy.Down)
+		time.Sleep(registrationLifetime)
+		e.Deregister(e.Crash())
+		proxy.Cut("")
+		proxy.Heal("")
+		_ = e.Start()
+	}
+}
+
+// sendStreams sends streams of one content each until the context ends.
+func sendStreams(ctx context.Context, d *deployment.Deployment, name string, interval time.Duration, body func(int) string) {
+	random := rand.New(rand.NewPCG(7, world.Hash([]byte(name))))
+	var group sync.WaitGroup
+	defer group.Wait()
+	for number := 0; ctx.Err() == nil; number++ {
+		if ready := d.ReadyInstances(); len(ready) > 0 {
+			request := world.Request{
+				AttemptID: fmt.Sprintf("%s-%d", name, number), Kind: world.KindStream, Host: deployment.Host, APIKey: d.APIKeys()[0],
+				InstanceAddress: ready[random.IntN(len(ready))].CallerAddress, Target: "/stream/1", Body: []byte(body(number)),
+				PromptTokens: 800, OutputTokens: 240, Timeout: 8 * time.Second,
+			}
+			group.Go(func() { world.Send(context.Background(), request) })
+		}
+		time.Sleep(interval)
+	}
+}
+
+// receivedWith returns when engines received requests with the body, in order.
+func receivedWith(d *deployment.Deployment, body string) []time.Time {
+	var times []time.Time
+	for _, r := range d.RequestLog.Requests() {
+		if r.BodyHash == world.Hash([]byte(body)) {
+			times = append(times, r.ReceivedAt)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+func killInTurn(ctx context.Context, d *deployment.Deployment) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(2 * time.Second)
+		d.Instances[i%len(d.Instances)].Process().Kill()
+	}
+}
+
+var _ = Describe("Content that ends each engine which runs it", func() {
+	// Guards against content that goes on ending engines after three have ended, whatever way they end.
+	DescribeTable("is found by all instances", func(ending engineEnd) {
+		d, err := deployment.Start(deployment.Options{
+			Instances: 4, Engines: 12, EngineParameters: world.FastEngine, LogDirectory: GinkgoT().TempDir(), OnError: func(error) {},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		defer d.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		go d.Run(ctx)
+		Expect(d.WaitReady(ctx)).To(Succeed())
+		for _, e := range d.Engines {
+			e.SetDeadlyContent(&world.DeadlyContent{Body: []byte(deadlyBody), AfterEvents: ending.afterEvents, End: ending.end(d)})
+			if !ending.throughProxy {
+				e.SetRegisteredAddress(e.Address()) // a proxy would accept connections
+			}
+		}
+		load, stop := context.WithTimeout(ctx, deadlyDuration)
+		defer stop()
+		var group sync.WaitGroup
+		for i := range soundCallers {
+			name := fmt.Sprint("sound", i)
+			group.Go(func() {
+				sendStreams(load, d, name, 300*time.Millisecond, func(n int) string { return fmt.Sprint(name, n) })
+			})
+		}
+		group.Go(func() { sendStreams(load, d, "deadly", deadlyInterval, func(int) string { return deadlyBody }) })
+		if ending.killInstances {
+			group.Go(func() { killInTurn(load, d) })
+		}
+		group.Wait()
+		received := receivedWith(d, deadlyBody)
+		Expect(len(received)).To(BeNumerically(">=", 3))
+		late := slices.DeleteFunc(slices.Clone(received), func(at time.Time) bool { return at.Before(received[2].Add(noticeTime)) })
+		GinkgoWriter.Printf("%d requests reached engines, %d of them late\n", len(received), len(late))
+		Expect(len(late)).To(BeNumerically("<=", maxLateRetries))
+	},
+		Entry("with refused connections", engineEnd{end: endAndRefuse(engineRestart)}),
+		Entry("after some events", engineEnd{end: endAndRefuse(engineRestart), afterEvents: 5}),
+		Entry("and start again at once", engineEnd{end: endAndRefuse(0)}),
+		Entry("in silence", engineEnd{end: endSilently, throughProxy: true}),
+		Entry("while instances are killed", engineEnd{end: endAndRefuse(engineRestart), killInstances: true}),
+	)
+})
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -86,6 +87,7 @@
 	startedAtMS       int64
 	activeRequests    int
 	rateLimit         float64 // requests per second that responses name; 0 is none
+	deadly            *DeadlyContent
 	// onStart starts background work of the endpoint. It is called with mu
 	// locked.
 	onStart func()
@@ -232,6 +234,32 @@
 	e.rateLimit = perSecond
 }
 
+// DeadlyContent is content that ends the engines which run it.
+type DeadlyContent struct {
+	Body []byte
+	// AfterEvents is the number of events that an engine sends before it ends.
+	AfterEvents int
+	// End ends the engine. It is called in a goroutine of its own.
+	End func(e *Endpoint)
+}
+
+// SetDeadlyContent sets the content that ends the engine; nil is none.
+func (e *Endpoint) SetDeadlyContent(content *DeadlyContent) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deadly = content
+}
+
+// deadlyContent returns the deadly content if the body is its body, otherwise nil.
+func (e *Endpoint) deadlyContent(body []byte) *DeadlyContent {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.deadly == nil || !bytes.Equal(e.deadly.Body, body) {
+		return nil
+	}
+	return e.deadly
+}
+
 // IncarnationID returns the identifier of the current or last start.
 func (e *Endpoint) IncarnationID() string {
 	e.mu.Lock()
--- a/standins/platform/world/engine.go
+++ b/standins/platform/world/engine.go
@@ -66,7 +66,14 @@
 	body := e.recordRequest(incarnationID, r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Hibiscusstair-Server-Signature", "s."+incarnationID)
-	writeEvents(w, r, g, Hash(body))
+	deadly := e.deadlyContent(body)
+	if deadly == nil {
+		writeEvents(w, r, g, Hash(body), EventCount(g.maxOutputTokens))
+		return
+	}
+	writeEvents(w, r, g, Hash(body), g.lastEvent+deadly.AfterEvents)
+	go deadly.End(e)
+	<-r.Context().Done()
 }
 
 // newGeneration returns the generation that a request asks for. It takes the backup
@@ -91,21 +98,18 @@
 	return g, true
 }
 
-// writeEvents sends the events of a generation as they are produced. If the
-// engine crashes before the last event, the response is aborted.
-func writeEvents(w http.ResponseWriter, r *http.Request, g *generation, bodyHash uint64) {
+// writeEvents sends the events of a generation as they are produced, up to the last
+// one. If the engine crashes before that, the response is aborted.
+func writeEvents(w http.ResponseWriter, r *http.Request, g *generation, bodyHash uint64, last int) {
 	controller := http.NewResponseController(w)
 	sent := g.lastEvent
-	for {
+	for sent < last {
 		select {
 		case <-r.Context().Done():
 			return
 		case event, open := <-g.events:
-			if !open && sent < EventCount(g.maxOutputTokens) {
-				panic(http.ErrAbortHandler)
-			}
 			if !open {
-				return
+				panic(http.ErrAbortHandler)
 			}
 			sent = event
 			if _, err := fmt.Fprint(w, EventText(bodyHash, event)); err != nil || controller.Flush() != nil {
