Find content that ends engines by the crashes themselves

Cause: the evidence about a content was a count that instances replaced by a higher version, kept for one way to end only. The refusal waited 2.5 s from the last change of the count, so each further end put it off; ends seen at the same time, or in one failure domain within a second, were lost; an instance that started got no counts; only a refused connection after a broken response was an end.

Change: the content of a request is one more part in quarantine, which keeps the crashes with what ran there and unites them over the instances. An endpoint has crashed if it refuses a connection, if another one has its address, or if its registration ends without draining; what ran there in the last 8 s is the possible cause. One that accepts no connection counts for 6 s. The refusal is asked for again when an endpoint has been chosen. suspect is no longer used on the platform's path; the fake marks of forward's specs, which refused at the third crash, are replaced by a real quarantine. The bound on records is now 4,096, removed a quarter at a time, so its spec checks a range instead of one number.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -40,9 +40,8 @@
 	RetryBudget *RetryBudget
 	// Permits limits the requests to endpoints that ask for it; nil limits none.
 	Permits Permits
-	// CrashMarks tracks content that crashes endpoints; nil disables the check.
-	CrashMarks CrashMarks
-	// Quarantine tracks prompt parts that crash engines; nil disables the check.
+	// Quarantine tracks contents and prompt parts that crash endpoints; nil disables
+	// the check.
 	Quarantine Quarantine
 	// LoadProber queries engines for their load before one is chosen; nil
 	// disables the queries.
@@ -73,7 +72,8 @@
 	responseLatency tally.Histogram
 	resumeLatency   tally.Histogram // gap in a stream that an interruption caused
 	active          atomic.Int64
-	running         runningRequests
+	attempts        attemptTracker
+	activity        endpointActivity
 }
 
 // New returns a handler.
@@ -81,7 +81,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return &Handler{
 		o:               o,
-		running:         runningRequests{byEndpoint: make(map[api.EndpointID][]*runningRequest)},
+		attempts:        attemptTracker{attempts: make(map[incarnation][]*trackedAttempt)},
 		refusals:        telemetry.NewReasonCounters(o.Scope, "refused"),
 		retries:         telemetry.NewReasonCounters(o.Scope, "retried"),
 		postponed:       telemetry.NewReasonCounters(o.Scope, "failover_postponed"),
@@ -108,12 +108,10 @@
 	inbound      *http.Request
 	path         string // escaped path, byte for byte
 	body         []byte
-	digest       api.Digest
-	// sharedParts are the parts of the prompt that other requests may have too.
-	sharedParts []quarantine.Part
-	log         *slog.Logger
-	attempts    int
-	tried       []api.EndpointID
+	identity     quarantine.Request
+	log          *slog.Logger
+	attempts     int
+	tried        []api.EndpointID
 	// holders are, for a stream that the caller resumes, the engines that hold
 	// the KV cache of its prompt.
 	holders []api.EndpointID
@@ -197,8 +195,7 @@
 		return nil, reason.New(reason.BadRequest, "the body could not be read")
 	}
 	req.body = body
-	req.digest = contentDigest(req.account, r.RequestURI, body)
-	req.sharedParts = hashParts(info.SharedPartIDs)
+	req.identity = newIdentity(contentDigest(req.account, r.RequestURI, body), info.SharedPartIDs)
 	if refusal := h.crashRefusal(req); refusal != nil {
 		return nil, refusal
 	}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -33,6 +33,7 @@
 // result is the outcome of one attempt.
 type result struct {
 	lease    *balance.Lease
+	tracked  *trackedAttempt
 	response *http.Response // nil if there was no response
 	body     []byte
 	err      *reason.Error // nil if the endpoint responded
@@ -185,6 +186,11 @@
 	case err != nil:
 		return err.WithRetryAfter(retryAfter(p.req.info.Timeout))
 	}
+	if refusal := p.h.crashRefusal(p.req); refusal != nil {
+		p.h.o.Balance.Release(lease, balance.Cancelled)
+		return refusal
+	}
+	tracked := p.h.attempts.add(lease.Endpoint, p.req.identity)
 	p.req.attempts++
 	p.req.tried = append(p.req.tried, lease.Endpoint.ID)
 	p.inFlight++
@@ -193,28 +199,14 @@
 		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "in_flight", p.inFlight,
 		"age_ms", (p.h.o.Clock() - p.req.received).Milliseconds(), "configuration", p.req.tableVersion)
 	go func() {
-		running := p.h.running.add(lease.Endpoint.ID, p.req)
-		r := p.h.sendPlain(p.ctx, p.req, lease)
-		p.h.concludeAttempt(p.req, lease, running, r.outcome)
+		r := p.h.sendPlain(p.ctx, p.req, lease, tracked)
+		p.h.concludeAttempt(p.req, lease, tracked, r.outcome)
 		p.h.logAttempt(p.req, number, r)
 		p.results <- r
 	}()
 	return nil
 }
 
-// concludeAttempt releases the lease of an attempt and updates the crash marks
-// according to its outcome.
-func (h *Handler) concludeAttempt(req *request, lease *balance.Lease, running *runningRequest, outcome balance.Outcome) {
-	switch outcome {
-	case balance.Interrupted:
-		h.detectCrash(lease)
-	case balance.Completed:
-		h.recordCompletion(req)
-	}
-	h.running.remove(lease.Endpoint.ID, running)
-	h.o.Balance.Release(lease, outcome)
-}
-
 // deadlineError returns the error for a request that reached its deadline.
 func (p *plainRequest) deadlineError() *reason.Error {
 	err := reason.New(reason.DeadlineExceeded, "no answer before the deadline")
@@ -244,12 +236,12 @@
 }
 
 // sendPlain sends the request to one endpoint and reads the whole response.
-func (h *Handler) sendPlain(ctx context.Context, req *request, lease *balance.Lease) result {
-	r := result{lease: lease}
+func (h *Handler) sendPlain(ctx context.Context, req *request, lease *balance.Lease, tracked *trackedAttempt) result {
+	r := result{lease: lease, tracked: tracked}
 	// A request that must not be retried gets a new connection: an idle one may
 	// be closing, or carry a late response to another request.
 	fresh := req.route.RetryPolicy != routing.RetryAlways
-	conn, err := h.o.Pool.Get(ctx, lease.Endpoint, fresh)
+	conn, err := h.connect(ctx, lease.Endpoint, fresh)
 	if err != nil {
 		r.outcome = balance.Unreachable
 		if ctx.Err() != nil {
@@ -258,12 +250,14 @@
 		r.err = reason.New(reason.ConnectFailed, "no connection to the endpoint").WithRetryAfter(busyRetryAfter)
 		return r
 	}
+	h.attempts.markSent(tracked)
 	response, err := conn.RoundTrip(h.buildRequest(ctx, req, lease.Endpoint, Attempt{LastEventID: req.info.LastEventID}))
 	if err != nil {
 		conn.Close()
 		r.err, r.outcome = h.attemptError(ctx, "the connection ended before the answer")
 		return r
 	}
+	h.activity.record(h.o.Clock())
 	body, err := readBody(response)
 	_ = response.Body.Close()
 	info := h.o.Protocol.DecodeResponse(response)
@@ -296,6 +290,7 @@
 func (h *Handler) classifyResponse(r result, response *http.Response, body []byte, info ResponseInfo) result {
 	switch {
 	case info.Misdirected:
+		h.reportMisdirected(r.lease.Endpoint, r.tracked)
 		r.err = reason.New(reason.EndpointUnreachable, "another endpoint has the address").WithRetryAfter(busyRetryAfter)
 		r.outcome = balance.Unreachable
 	case info.NotExecuted:
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -1,54 +1,75 @@
 package forward
 
 import (
+	"crypto/sha256"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
 
 // servedAfterEvents is the number of events after which an engine counts as having
-// served a prompt. An engine that crashes on a prompt does so when it begins to
-// generate.
+// served a prompt. An engine that crashes on a part of a prompt does so when it begins
+// to generate.
 const servedAfterEvents = 3
 
-// Quarantine knows the prompt parts that crash engines.
+// Quarantine knows the contents and the prompt parts that crash engines. The records of
+// all instances are merged, because a caller may send the same content to any of them.
 type Quarantine interface {
-	// Refused returns the parts for which a request with the given parts is
-	// refused; nil if it is not.
-	Refused(parts []quarantine.Part) []quarantine.Part
-	// ReportCrash records the crash of an engine and the prompts that waited there.
+	// Refused returns the parts for which a request is refused; nil if it is not.
+	Refused(request quarantine.Request) []quarantine.Part
+	// ReportCrash records the crash of an engine and the requests that it ran.
 	ReportCrash(crash quarantine.EngineCrashed)
-	// ReportServed records that an engine generated events with the parts.
+	// ReportServed records that an engine generated events with the parts of a prompt.
 	ReportServed(parts []quarantine.Part)
+	// ReportCompleted records that an engine ran a request to its end.
+	ReportCompleted(request quarantine.Request)
 }
 
-func hashParts(ids []string) []quarantine.Part {
-	parts := make([]quarantine.Part, 0, len(ids))
-	for _, id := range ids {
-		parts = append(parts, quarantine.PartOf(id))
+// contentDigest identifies the content of a request: account, request URI and
+// body, but not the request ID, which differs between retries of the caller.
+func contentDigest(account api.AccountID, requestURI string, body []byte) api.Digest {
+	h := sha256.New()
+	for _, part := range []string{string(account), requestURI} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
 	}
-	return parts
+	_, _ = h.Write(body)
+	var digest api.Digest
+	copy(digest[:], h.Sum(nil))
+	return digest
 }
 
-// partRefusal returns a refusal if a part of the request's prompt has crashed
-// engines, otherwise nil.
-func (h *Handler) partRefusal(req *request) *reason.Error {
-	if h.o.Quarantine == nil || len(req.sharedParts) == 0 {
+// newIdentity returns what a request may crash engines with: its content and the parts
+// of its prompt that others may share.
+func newIdentity(digest api.Digest, sharedPartIDs []string) quarantine.Request {
+	identity := quarantine.Request{Content: quarantine.ContentOf(digest)}
+	for _, id := range sharedPartIDs {
+		identity.Shared = append(identity.Shared, quarantine.PartOf(id))
+	}
+	return identity
+}
+
+// crashRefusal returns a refusal if the content or a part of the prompt has crashed
+// several endpoints, otherwise nil.
+func (h *Handler) crashRefusal(req *request) *reason.Error {
+	if h.o.Quarantine == nil {
 		return nil
 	}
-	causes := h.o.Quarantine.Refused(req.sharedParts)
+	causes := h.o.Quarantine.Refused(req.identity)
 	if causes == nil {
 		return nil
 	}
-	return reason.New(reason.CrashSuspect, "engines crashed on the prompt parts %x", causes)
+	return reason.New(reason.CrashSuspect, "endpoints crashed on the parts %x", causes)
 }
 
 // refusedWhileWaiting returns a refusal if the engine of an attempt has generated
-// nothing and would probably crash on the prompt.
+// nothing and would probably crash on the request.
 func (s *stream) refusedWhileWaiting(r *streamAttempt) *reason.Error {
 	if r.eventsReceived > 0 {
 		return nil
 	}
-	refusal := s.h.partRefusal(s.req)
+	refusal := s.h.crashRefusal(s.req)
 	if refusal == nil {
 		return nil
 	}
@@ -60,14 +81,15 @@
 	if r.eventsReceived != servedAfterEvents {
 		return
 	}
-	s.h.running.markServed(r.running)
-	s.h.reportServed(s.req)
+	s.h.attempts.markServed(r.tracked)
+	if s.h.o.Quarantine != nil && len(s.req.identity.Shared) > 0 {
+		s.h.o.Quarantine.ReportServed(s.req.identity.Shared)
+	}
 }
 
-// reportServed reports that an engine generates a response with the parts of the
-// request's prompt.
-func (h *Handler) reportServed(req *request) {
-	if h.o.Quarantine != nil && len(req.sharedParts) > 0 {
-		h.o.Quarantine.ReportServed(req.sharedParts)
+// recordCompletion records that an endpoint has completed the request.
+func (h *Handler) recordCompletion(req *request) {
+	if h.o.Quarantine != nil {
+		h.o.Quarantine.ReportCompleted(req.identity)
 	}
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -27,7 +27,7 @@
 // streamAttempt is one attempt of a streamed request at one engine.
 type streamAttempt struct {
 	lease          *balance.Lease
-	running        *runningRequest
+	tracked        *trackedAttempt
 	cancel         context.CancelFunc
 	messages       chan attemptMessage
 	stall          stallDetector
@@ -52,12 +52,13 @@
 			return false
 		}
 	}
-	conn, err := h.o.Pool.Get(ctx, r.lease.Endpoint, true)
+	conn, err := h.connect(ctx, r.lease.Endpoint, true)
 	if err != nil {
 		send(attemptMessage{err: errConnect})
 		return
 	}
 	defer conn.Close()
+	h.attempts.markSent(r.tracked)
 	response, err := conn.RoundTrip(out)
 	if err != nil {
 		send(attemptMessage{err: err})
@@ -104,10 +105,9 @@
 // true when the response is complete; otherwise s.interruption says why the
 // attempt ended.
 func (s *stream) deliverAttempt(r *streamAttempt) (bool, *reason.Error) {
-	r.running = s.h.running.add(r.lease.Endpoint.ID, s.req)
 	end := s.processMessages(r)
 	r.cancel()
-	s.h.concludeAttempt(s.req, r.lease, r.running, end.outcome)
+	s.h.concludeAttempt(s.req, r.lease, r.tracked, end.outcome)
 	if end.interruption != nil {
 		s.recordInterruption(r, end.interruption)
 	}
@@ -161,6 +161,7 @@
 // handleHeader handles the response header. It returns a result if the engine
 // did not run the request or if its failure is not forwarded.
 func (s *stream) handleHeader(r *streamAttempt, response *http.Response) *attemptResult {
+	s.h.activity.record(s.h.o.Clock())
 	info := s.h.o.Protocol.DecodeResponse(response)
 	if info.ID == "" || info.ID == s.req.info.ID {
 		s.h.recordLimit(s.req, r.lease.Endpoint, info)
@@ -175,6 +176,7 @@
 	}
 	switch {
 	case info.Misdirected:
+		s.h.reportMisdirected(r.lease.Endpoint, r.tracked)
 		return interrupted(reason.EndpointUnreachable, reason.RunNo, balance.Unreachable, "another endpoint has the address")
 	case info.NotExecuted:
 		return interrupted(reason.EngineRefused, reason.RunNo, balance.Refused, "the engine did not run the request")
@@ -267,6 +269,7 @@
 	r.eventsReceived++
 	s.recordServed(r)
 	r.stall.recordEvent(now)
+	s.h.activity.record(now)
 	s.h.o.Balance.RecordResponse(r.lease)
 }
 
@@ -396,7 +399,7 @@
 func (s *stream) probeConnection(r *streamAttempt) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
-	conn, err := s.h.o.Pool.Get(ctx, r.lease.Endpoint, true)
+	conn, err := s.h.connect(ctx, r.lease.Endpoint, true)
 	if err == nil {
 		s.h.o.Pool.PutUnused(conn)
 		return true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -105,6 +105,13 @@
 		return nil, err
 	}
 	h, now := s.h, s.h.o.Clock()
+	if refusal := h.crashRefusal(s.req); refusal != nil {
+		h.o.Balance.Release(lease, balance.Cancelled)
+		if s.mayHaveRun {
+			refusal = refusal.WithRun(reason.RunUnknown)
+		}
+		return nil, refusal
+	}
 	attempt := Attempt{LastEventID: s.req.info.LastEventID}
 	if s.lastEventID > 0 {
 		attempt.LastEventID = strconv.FormatInt(s.lastEventID, 10)
@@ -123,7 +130,7 @@
 	s.req.attempts++
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &streamAttempt{
-		lease: lease, cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
+		lease: lease, tracked: h.attempts.add(lease.Endpoint, s.req.identity), cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
 		stall: stallDetector{targetEventGap: s.req.route.TargetEventGap, targetLatency: s.req.route.TargetLatency, silentSince: now, prefilled: fromBackup, hasBackup: attempt.BackupTargetAddress != ""},
 	}
 	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,6 @@
 	"github.com/hibiscusstair/hibiscusstair/revive"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
-	"github.com/hibiscusstair/hibiscusstair/suspect"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
 	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
@@ -87,7 +86,6 @@
 	pool            *upstream.Pool
 	follower        *storesync.Follower
 	restartDetector *revive.RestartDetector
-	crashMarks      *suspect.Runner
 	quarantine      *quarantine.Runner
 	limiter         *ratelimit.Limiter
 	loadProber      *loadprobe.Prober
@@ -121,10 +119,6 @@
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
 	})
 	g.relayCache.SetContacts(g.follower.TableContact(), g.follower.EndpointContact())
-	var err error
-	if g.crashMarks, err = suspect.New(suspect.Options{Log: o.Log, Scope: scope.SubScope("suspect"), Clock: clock}); err != nil {
-		return nil, err
-	}
 	g.quarantine = quarantine.New(quarantine.Options{
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
 	})
@@ -143,7 +137,7 @@
 		Lister: o.PartLister, Engines: g.balancer.AvailableEndpoints, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
 	})
 	g.forwarder = forward.New(forward.Options{
-		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, CrashMarks: g.crashMarks, Quarantine: g.quarantine,
+		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, Quarantine: g.quarantine,
 		RetryBudget: forward.NewRetryBudget(forward.RetryBudgetOptions{
 			Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
 			InstanceCount: g.liveInstanceCount,
@@ -192,7 +186,7 @@
 	g.fleet, err = fleet.New(fleet.Options{
 		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(), LinkMbps: s.LinkMbps,
 		SeedAddresses: g.seedAddresses(), Store: noRegistrations{}, Clients: g.peerClients, Tickets: configVersions{g}, ExpelMode: "manual",
-		DeltaSources: []fleet.DeltaSource{g.limiter, g.quarantine, g.crashMarks},
+		DeltaSources: []fleet.DeltaSource{g.limiter, g.quarantine},
 		Log:          g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
 	})
 	return err
@@ -244,6 +238,7 @@
 		g.pool.CloseIdle(change.Endpoint)
 		g.loadProber.Forget(change.Endpoint.ID)
 		g.limiter.Forget(change.Endpoint)
+		g.forwarder.EndpointGone(change.Endpoint)
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -25,7 +25,6 @@
 	g.addTask(&group, "configuration", g.follower.FollowTable)
 	g.addTask(&group, "registrations", g.follower.FollowEndpoints)
 	g.addTask(&group, "restarted engines", g.restartDetector.Run)
-	g.addTask(&group, "crash marks", g.crashMarks.Run)
 	g.addTask(&group, "quarantine", g.quarantine.Run)
 	g.addTask(&group, "rate limits", g.limiter.Run)
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
--- a/quarantine/delta.go
+++ b/quarantine/delta.go
@@ -14,28 +14,28 @@
 // size: a tag and a length of up to two bytes.
 const fieldOverheadBytes = 3
 
-// Collect returns new records for another instance, at most maxBytes, the least often
-// sent first, and counts them as sent.
+// maxCandidates is the number of records from which Collect fills a message. It is far
+// more than fit, since some may be too large for what is left of the message.
+const maxCandidates = 32
+
+// Collect returns new records for another instance, at most maxBytes, and counts them
+// as sent: first those of parts that were in several crashes, then the least often
+// sent.
 func (c *Core) Collect(now time.Duration, maxBytes int) *peerpb.Deltas {
-	parts, crashes := c.unsentParts(), c.unsentCrashes()
 	deltas := &peerpb.Deltas{}
-	for len(parts) > 0 || len(crashes) > 0 {
-		if len(crashes) == 0 || len(parts) > 0 && c.served[parts[0]].sendsLeft > crashes[0].sendsLeft {
-			s := c.served[parts[0]]
-			message := servedToProto(now, parts[0], s)
-			parts = parts[1:]
+	for _, u := range c.firstUnsent(now) {
+		if u.record != nil {
+			message := crashToProto(now, u.record)
 			if takeBytes(&maxBytes, message) {
-				s.sendsLeft--
-				deltas.ServedParts = append(deltas.ServedParts, message)
+				c.countRecordSent(u.record)
+				deltas.PromptCrashes = append(deltas.PromptCrashes, message)
 			}
 			continue
 		}
-		r := crashes[0]
-		message := crashToProto(now, r)
-		crashes = crashes[1:]
+		message := servedToProto(now, u.part, u.served)
 		if takeBytes(&maxBytes, message) {
-			r.sendsLeft--
-			deltas.PromptCrashes = append(deltas.PromptCrashes, message)
+			c.countServedSent(u.part, u.served)
+			deltas.ServedParts = append(deltas.ServedParts, message)
 		}
 	}
 	return deltas
@@ -52,51 +52,87 @@
 	return true
 }
 
-// unsentParts returns the served parts to send, the least often sent first.
-func (c *Core) unsentParts() []Part {
-	var parts []Part
-	for part := range c.byPart {
-		if s := c.served[part]; s != nil && s.sendsLeft > 0 {
-			parts = append(parts, part)
-		}
+// unsent is a crash or a served part that other instances have to be sent.
+type unsent struct {
+	record    *crashRecord // nil: the served part
+	part      Part
+	served    *served
+	recurs    int // 1 if the crash has a part that was in another crash too
+	sendsLeft int
+}
+
+func (u unsent) key() recordKey {
+	if u.record != nil {
+		return u.record.key
 	}
-	slices.SortFunc(parts, func(a, b Part) int {
-		return cmp.Or(cmp.Compare(c.served[b].sendsLeft, c.served[a].sendsLeft), cmp.Compare(a, b))
-	})
-	return parts
+	return recordKey{parts: uint64(u.part)}
 }
 
-// unsentCrashes returns the crashes to send, the least often sent first.
-func (c *Core) unsentCrashes() []*crashRecord {
-	var list []*crashRecord
-	for _, r := range c.records {
-		if r.sendsLeft > 0 {
-			list = append(list, r)
+func (u unsent) compare(other unsent) int {
+	return cmp.Or(cmp.Compare(other.recurs, u.recurs), cmp.Compare(other.sendsLeft, u.sendsLeft), u.key().compare(other.key()))
+}
+
+// firstUnsent returns the first maxCandidates of what is left to send, in the order of
+// Collect.
+func (c *Core) firstUnsent(now time.Duration) []unsent {
+	var first []unsent
+	for _, r := range c.unsentRecords {
+		u := unsent{record: r, sendsLeft: r.sendsLeft}
+		if c.recurs(now, r) {
+			u.recurs = 1
 		}
+		first = insertUnsent(first, u)
+	}
+	for part, s := range c.unsentServed {
+		first = insertUnsent(first, unsent{part: part, served: s, sendsLeft: s.sendsLeft})
+	}
+	return first
+}
+
+// insertUnsent inserts into an ordered list and drops what exceeds maxCandidates.
+func insertUnsent(list []unsent, u unsent) []unsent {
+	if len(list) == maxCandidates && u.compare(list[maxCandidates-1]) > 0 {
+		return list
 	}
-	slices.SortFunc(list, func(a, b *crashRecord) int {
-		return cmp.Or(cmp.Compare(b.sendsLeft, a.sendsLeft), cmp.Compare(a.crash, b.crash), cmp.Compare(partsHash(a.parts), partsHash(b.parts)))
-	})
-	return list
+	i, _ := slices.BinarySearchFunc(list, u, unsent.compare)
+	list = slices.Insert(list, i, u)
+	return list[:min(len(list), maxCandidates)]
 }
 
-// Snapshot returns all crashes, and which of their parts were served, for an
-// instance that has just started.
+func (c *Core) countRecordSent(r *crashRecord) {
+	if r.sendsLeft--; r.sendsLeft <= 0 {
+		delete(c.unsentRecords, r.key)
+	}
+}
+
+func (c *Core) countServedSent(part Part, s *served) {
+	if s.sendsLeft--; s.sendsLeft <= 0 {
+		delete(c.unsentServed, part)
+	}
+}
+
+// Snapshot returns the crashes of parts that were in several, and which of their parts
+// were served, for an instance that has just started.
 func (c *Core) Snapshot(now time.Duration) *peerpb.Deltas {
 	deltas := &peerpb.Deltas{}
+	sent := make(map[Part]bool)
 	for _, r := range c.records {
+		if r.expired(now) || !c.recurs(now, r) {
+			continue
+		}
 		deltas.PromptCrashes = append(deltas.PromptCrashes, crashToProto(now, r))
-	}
-	for part := range c.byPart {
-		if s := c.served[part]; s != nil {
-			deltas.ServedParts = append(deltas.ServedParts, servedToProto(now, part, s))
+		for _, part := range r.parts {
+			if s := c.served[part]; s != nil && !sent[part] {
+				sent[part] = true
+				deltas.ServedParts = append(deltas.ServedParts, servedToProto(now, part, s))
+			}
 		}
 	}
 	return deltas
 }
 
 func crashToProto(now time.Duration, r *crashRecord) *peerpb.PromptCrash {
-	message := &peerpb.PromptCrash{Crash: r.crash, FailureDomain: r.domain, AgeMs: ageMS(now, r.at)}
+	message := &peerpb.PromptCrash{Crash: r.crash, FailureDomain: r.domain, AgeMs: ageMS(now, r.at), Unconfirmed: r.unconfirmed}
 	for _, part := range r.parts {
 		message.Parts = append(message.Parts, uint64(part))
 	}
@@ -118,7 +154,10 @@
 		if message.GetAgeMs() >= maxAgeMS || len(message.GetParts()) > maxPartsPerCrash {
 			continue
 		}
-		record := CrashRecord{Crash: message.GetCrash(), Domain: message.GetFailureDomain(), Age: milliseconds(message.GetAgeMs())}
+		record := CrashRecord{
+			Crash: message.GetCrash(), Domain: message.GetFailureDomain(), Age: milliseconds(message.GetAgeMs()),
+			Unconfirmed: message.GetUnconfirmed(),
+		}
 		for _, part := range message.GetParts() {
 			record.Parts = append(record.Parts, Part(part))
 		}
--- a/quarantine/runner.go
+++ b/quarantine/runner.go
@@ -43,31 +43,30 @@
 	}
 }
 
-// Refused returns the parts for which a request with the given parts is refused; nil
-// if it is not.
-func (r *Runner) Refused(parts []Part) []Part {
-	if len(parts) == 0 {
-		return nil
-	}
+// Refused returns the parts for which a request is refused; nil if it is not.
+func (r *Runner) Refused(request Request) []Part {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Refused(r.o.Clock(), parts)
+	return r.core.Refused(r.o.Clock(), request)
 }
 
-// ReportCrash records the crash of an engine and the prompts that waited there.
+// ReportCrash records the crash of an engine and the requests that it ran.
 func (r *Runner) ReportCrash(crash EngineCrashed) {
-	if len(crash.Waiting) == 0 {
+	if len(crash.Running) == 0 {
 		return
 	}
 	r.crashes.Inc(1)
-	r.o.Log.Warn("engine crashed while prompts waited for their first event", "endpoint", crash.Endpoint,
-		"failure_domain", crash.Domain, "incarnation", crash.Incarnation, "prompts", crash.Waiting)
+	r.o.Log.Warn("engine crashed while it ran requests", "endpoint", crash.Endpoint, "failure_domain", crash.Domain,
+		"incarnation", crash.Incarnation, "unconfirmed", crash.Unconfirmed, "requests", crash.Running)
 	r.step(crash)
 }
 
-// ReportServed records that an engine generated events with the parts.
+// ReportServed records that an engine generated events with the parts of a prompt.
 func (r *Runner) ReportServed(parts []Part) { r.step(PartsServed{Parts: parts}) }
 
+// ReportCompleted records that an engine ran a request to its end.
+func (r *Runner) ReportCompleted(request Request) { r.step(RequestCompleted{Request: request}) }
+
 // Collect returns new records for another instance, at most maxBytes.
 func (r *Runner) Collect(maxBytes int) *peerpb.Deltas {
 	r.mu.Lock()
@@ -75,7 +74,7 @@
 	return r.core.Collect(r.o.Clock(), maxBytes)
 }
 
-// Snapshot returns all records for an instance that has just started.
+// Snapshot returns the records that matter to an instance that has just started.
 func (r *Runner) Snapshot() *peerpb.Deltas {
 	r.mu.Lock()
 	defer r.mu.Unlock()
