Count the delay of a refusal from the third crash

Change: a mark keeps when its count last reached the limit, also when it comes from another instance. Two specs of suspect ('refuse content that goes on crashing engines', and the same through another instance) fail before and pass. The properties of suspect, generation, placement and instance pass with 2,000 cases each.

--- a/suspect/core.go
+++ b/suspect/core.go
@@ -106,7 +106,9 @@
 	version   uint64
 	cleared   bool
 	changedAt time.Duration // last change of crashes or cleared
-	sendsLeft int
+	// refusableSince is when crashes last reached crashesForRefusal.
+	refusableSince time.Duration
+	sendsLeft      int
 	// sharedCrashes is the highest crash count that the content reached by the same
 	// crash as the content of another request. The content is refused only above
 	// it, since the other request may be the cause.
@@ -163,7 +165,7 @@
 		return api.IsolationNone
 	}
 	switch crashes := m.currentCrashes(now); {
-	case crashes >= crashesForRefusal && m.sharedCrashes < m.crashes && now-m.changedAt >= refusalDelay:
+	case crashes >= crashesForRefusal && m.sharedCrashes < m.crashes && now-m.refusableSince >= refusalDelay:
 		return api.IsolationRefused
 	case crashes >= crashesForAlone:
 		return api.IsolationExclusive
@@ -319,7 +321,7 @@
 // updateMark changes a mark and increments its version. It persists the mark if
 // the store has it or has to keep it.
 func (c *Core) updateMark(now time.Duration, digest api.Digest, m *mark, crashes uint32, cleared bool) {
-	m.crashes, m.cleared, m.changedAt = crashes, cleared, now
+	m.set(now, crashes, cleared)
 	m.version++
 	m.sendsLeft = gossipSends
 	c.detectSharedCrash(digest, m)
@@ -345,6 +347,14 @@
 	}
 }
 
+// set changes the count of a mark at a time.
+func (m *mark) set(at time.Duration, crashes uint32, cleared bool) {
+	if m.cleared || m.crashes < crashesForRefusal {
+		m.refusableSince = at
+	}
+	m.crashes, m.cleared, m.changedAt = crashes, cleared, at
+}
+
 func (c *Core) persistMark(now time.Duration, digest api.Digest, m *mark) {
 	c.actions = append(c.actions, PersistMark{
 		Digest: digest, Crashes: m.crashes, Version: m.version,
--- a/suspect/delta.go
+++ b/suspect/delta.go
@@ -64,8 +64,8 @@
 		return // the mark has decayed
 	}
 	m = c.getOrCreateMark(digest)
-	m.crashes, m.version, m.cleared = remote.Deaths, remote.Version, remote.Cleared
-	m.changedAt = now - age
+	m.set(now-age, remote.Deaths, remote.Cleared)
+	m.version = remote.Version
 	m.sendsLeft = gossipSends
 	c.detectSharedCrash(digest, m)
 	// The instance that made the change writes it to the store.
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -51,6 +51,30 @@
 		}
 	})
 
+	// Guards against a refusal that each further crash delays.
+	It("refuse content that goes on crashing engines", func() {
+		interval := refusalDelay / 2
+		at := time.Duration(0)
+		for i := range 10 {
+			at = time.Duration(i) * interval
+			crash(at, fmt.Sprint("e", i), fmt.Sprint("d", i), 1)
+		}
+		Expect(c.IsolationLevel(at, content(1))).To(Equal(api.IsolationRefused))
+	})
+
+	// Guards against the same at an instance that learns the crashes from another.
+	It("refuse content that goes on crashing engines of other instances", func() {
+		interval := refusalDelay / 2
+		other := NewCore(CoreOptions{})
+		at := time.Duration(0)
+		for i := range 10 {
+			at = time.Duration(i) * interval
+			crash(at, fmt.Sprint("e", i), fmt.Sprint("d", i), 1)
+			other.Step(at, MarksReceived{Marks: c.Collect(at, 1000)})
+		}
+		Expect(other.IsolationLevel(at, content(1))).To(Equal(api.IsolationRefused))
+	})
+
 	// Guards against a poison request that crashes engines of one domain in quick
 	// succession and is mistaken for a failure of the domain.
 	It("refuse only the content that crashes engines of one domain one after the other", func() {
