--- a/standins/platform/deployment/config.go
+++ b/standins/platform/deployment/config.go
@@ -93,6 +93,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version += 1 + d.version%3
+	d.putConfiguration()
+}
+
+// RewriteConfiguration writes the configuration again under its version, as the
+// operator does when the store has lost it.
+func (d *Deployment) RewriteConfiguration() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.putConfiguration()
+}
+
+func (d *Deployment) putConfiguration() {
 	d.Store.Put("config", "main", configuration{
 		Version: d.version,
 		Routes: []routeConfig{
