Order the revisions of the store by its era

Cause: a revision orders states only within one life of the store, and was compared over restores. An instance that read a new version at a lower revision did not pass it on, and those who read through it waited for the old revision.

Change: storesync.Revision has an era and a number; the store's client, the follower and the relay between instances carry both. The registry keeps endpoints draining that drained before the restore, ignores those that had left, and gives those that the copy lacks time to register again. An instance that hears of a newer configuration fetches it after a second.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	peerClients     *peer.Clients
 	fleet           *fleet.Runner // nil if other instances cannot call this one
 	forwarder       *forward.Handler
+	newerTables     chan newerTable
 	// stopDeadline is the time by the boot clock at which the process exits, in
 	// nanoseconds; 0 if the instance is not stopping.
 	stopDeadline atomic.Int64
@@ -100,7 +101,7 @@
 
 // New builds an instance. It opens no listener; Run does.
 func New(o Options) (*Gateway, error) {
-	g := &Gateway{o: o, table: &routing.CurrentTable{}}
+	g := &Gateway{o: o, table: &routing.CurrentTable{}, newerTables: make(chan newerTable, 1)}
 	clock := bootclock.Now
 	s := o.Settings
 	scope := o.Metrics.Scope
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,6 +28,9 @@
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
 )
 
+// at returns a revision of a store that names no era.
+func at(number uint64) storesync.Revision { return storesync.Revision{Number: number} }
+
 func TestGateway(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "gateway")
@@ -58,20 +61,20 @@
 func (s *fakeStore) ReadTable(context.Context) (storesync.TableRead, error) {
 	route := routing.Route{Name: "r", Host: "h", Prefix: "/", MaxAttempts: 1, Services: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	table := routing.New(1, []routing.Route{route}, []routing.Service{{Name: "s"}}, nil, routing.Limits{})
-	return storesync.TableRead{Table: table, Revision: 1}, s.err()
+	return storesync.TableRead{Table: table, Revision: at(1)}, s.err()
 }
 
-func (s *fakeStore) WatchTable(_ context.Context, after uint64, _ time.Duration) (storesync.TableRead, error) {
+func (s *fakeStore) WatchTable(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.TableRead, error) {
 	time.Sleep(20 * time.Millisecond)
 	return storesync.TableRead{Revision: after}, s.err()
 }
 
 func (s *fakeStore) ListEndpoints(context.Context) (storesync.EndpointList, error) {
 	e := registry.Endpoint{ID: "e", Service: "s", Address: "127.0.0.1:1", Domain: "d", Slots: 1}
-	return storesync.EndpointList{Endpoints: []registry.Endpoint{e}, Revision: 1}, s.err()
+	return storesync.EndpointList{Endpoints: []registry.Endpoint{e}, Revision: at(1)}, s.err()
 }
 
-func (s *fakeStore) WatchEndpoints(_ context.Context, after uint64, _ time.Duration) (storesync.EndpointChanges, error) {
+func (s *fakeStore) WatchEndpoints(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.EndpointChanges, error) {
 	time.Sleep(20 * time.Millisecond)
 	return storesync.EndpointChanges{Revision: after}, s.err()
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -30,9 +30,14 @@
 
 func (s configVersions) Registrations() map[api.InstanceID]uint64 { return nil }
 
-// NotifyNewerHead does nothing: the configuration is read through the relay, which
-// also reports its age.
-func (s configVersions) NotifyNewerHead(string, uint64) {}
+// NotifyNewerHead hands over to fetchNewerTables. One notice is enough: there is
+// another with each exchange.
+func (s configVersions) NotifyNewerHead(address string, version uint64) {
+	select {
+	case s.newerTables <- newerTable{address: address, version: version}:
+	default:
+	}
+}
 
 // noRegistrations replaces the store for the fleet component. In package instance, a
 // registration makes the acceptance of a ticket wait for the instance. Here there
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -27,6 +27,7 @@
 	g.addTask(&group, "restarted engines", g.restartDetector.Run)
 	g.addTask(&group, "quarantine", g.quarantine.Run)
 	g.addTask(&group, "rate limits", g.limiter.Run)
+	g.addTask(&group, "newer configurations", g.fetchNewerTables)
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
 	g.addTask(&group, "lateness", g.measureLateness)
 	if g.fleet != nil {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -56,6 +56,11 @@
 // StoreResponded reports that the store has responded to a call.
 type StoreResponded struct{}
 
+// StoreRestored reports that the store was restored from a copy. Registrations that
+// began since the copy are missing until their endpoints register again, and some that
+// have ended since are back.
+type StoreRestored struct{}
+
 // Tick lets the core remove lapsed registrations whose grace period has ended.
 type Tick struct{}
 
@@ -75,6 +80,7 @@
 func (EndpointChanged) event()     {}
 func (EndpointRemoved) event()     {}
 func (StoreResponded) event()      {}
+func (StoreRestored) event()       {}
 func (Tick) event()                {}
 func (PeerListReceived) event()    {}
 
@@ -122,7 +128,14 @@
 	lastResponseAt time.Duration // last response of the store
 	recoveredAt    time.Duration // last recovery of the store after an outage
 	storeResponded bool          // the store has responded at least once
-	changes        []Change
+	restoredAt     time.Duration // last restore of the store; 0 is none
+	departed       map[api.EndpointID]departure
+	// departuresCheckedAt is when departures were last forgotten.
+	departuresCheckedAt time.Duration
+	// fromCopy are registrations that had ended before the store was restored from a
+	// copy that has them. They are ignored for copyGrace.
+	fromCopy map[api.EndpointID]Endpoint
+	changes  []Change
 }
 
 // NewCore returns an empty table.
@@ -131,6 +144,8 @@
 		entries:   make(map[api.EndpointID]*entry),
 		byAddress: make(map[string][]api.EndpointID),
 		lapsed:    make(map[api.EndpointID]bool),
+		departed:  make(map[api.EndpointID]departure),
+		fromCopy:  make(map[api.EndpointID]Endpoint),
 	}
 }
 
@@ -144,25 +159,31 @@
 		c.applyList(now, e.Endpoints)
 	case EndpointChanged:
 		c.recordStoreResponse(now)
-		c.applyRegistration(e.Endpoint)
+		delete(c.fromCopy, e.Endpoint.ID)
+		c.applyRegistration(now, e.Endpoint)
 	case EndpointRemoved:
 		c.recordStoreResponse(now)
+		delete(c.fromCopy, e.ID)
 		c.handleMissing(now, e.ID)
 	case StoreResponded:
 		c.recordStoreResponse(now)
+	case StoreRestored:
+		c.recordStoreResponse(now)
+		c.recoveredAt, c.restoredAt = now, now
 	case ReplacementObserved:
 		if known, ok := c.entries[e.Replaces]; ok && known.endpoint.Address == e.Endpoint.Address {
-			c.remove(known)
-			c.applyRegistration(e.Endpoint)
+			c.remove(now, known)
+			c.applyRegistration(now, e.Endpoint)
 		}
 	case PeerListReceived:
 		if len(c.entries) == 0 {
 			for _, endpoint := range e.Endpoints {
-				c.applyRegistration(endpoint)
+				c.applyRegistration(now, endpoint)
 			}
 		}
 	}
 	c.expireLapsed(now)
+	c.expireDepartures(now)
 	return c.changes
 }
 
@@ -189,9 +210,14 @@
 
 func (c *Core) applyList(now time.Duration, endpoints []Endpoint) {
 	seen := make(map[api.EndpointID]bool, len(endpoints))
+	clear(c.fromCopy)
 	for _, endpoint := range endpoints {
 		seen[endpoint.ID] = true
-		c.applyRegistration(endpoint)
+		if c.isFromCopy(now, endpoint) {
+			c.fromCopy[endpoint.ID] = endpoint
+			continue
+		}
+		c.applyRegistration(now, endpoint)
 	}
 	for _, endpoint := range c.Endpoints() {
 		if !seen[endpoint.ID] {
@@ -203,10 +229,10 @@
 // applyRegistration adds or updates an endpoint. It reports at most one kind of
 // change of the same incarnation: draining goes before restored, and restored
 // before updated.
-func (c *Core) applyRegistration(endpoint Endpoint) {
+func (c *Core) applyRegistration(now time.Duration, endpoint Endpoint) {
 	known, ok := c.entries[endpoint.ID]
 	if !ok {
-		if c.removeOlderAtAddress(endpoint) {
+		if c.hasDrained(endpoint) || c.removeOlderAtAddress(now, endpoint) {
 			return
 		}
 		c.entries[endpoint.ID] = &entry{endpoint: endpoint}
@@ -218,8 +244,13 @@
 	if endpoint.Incarnation < before.Incarnation {
 		return // a late message about an earlier incarnation
 	}
-	if moved := endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address; moved && c.removeOlderAtAddress(endpoint) {
-		c.remove(known)
+	if endpoint.Incarnation == before.Incarnation && endpoint.Incarnation != 0 && before.Draining {
+		// An endpoint that drains does not become ready again; the store may have
+		// lost its message.
+		endpoint.Draining = true
+	}
+	if moved := endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address; moved && c.removeOlderAtAddress(now, endpoint) {
+		c.remove(now, known)
 		return
 	}
 	lapsed := known.expiresAt != 0
@@ -230,6 +261,7 @@
 	known.endpoint = endpoint
 	switch {
 	case endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address:
+		c.recordDeparture(now, before)
 		c.appendChange(before, Gone)
 		c.appendChange(endpoint, Added)
 	case endpoint.Draining && !before.Draining:
@@ -245,7 +277,7 @@
 // address, and reports whether the table has one there with a higher incarnation,
 // in which case the endpoint itself is outdated. An address has one endpoint, but
 // endpoints with equal incarnations both stay.
-func (c *Core) removeOlderAtAddress(endpoint Endpoint) bool {
+func (c *Core) removeOlderAtAddress(now time.Duration, endpoint Endpoint) bool {
 	for _, id := range slices.Clone(c.byAddress[endpoint.Address]) {
 		if id == endpoint.ID {
 			continue
@@ -255,7 +287,7 @@
 			return true
 		}
 		if other.Incarnation < endpoint.Incarnation {
-			c.remove(c.entries[other.ID])
+			c.remove(now, c.entries[other.ID])
 		}
 	}
 	return false
@@ -270,7 +302,7 @@
 		return
 	}
 	if c.recoveredAt == 0 || now-c.recoveredAt >= reregistrationGrace {
-		c.remove(known)
+		c.remove(now, known)
 		return
 	}
 	known.expiresAt = c.recoveredAt + reregistrationGrace
@@ -281,7 +313,7 @@
 func (c *Core) expireLapsed(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(c.lapsed)) {
 		if known := c.entries[id]; now >= known.expiresAt {
-			c.remove(known)
+			c.remove(now, known)
 		}
 	}
 }
@@ -299,7 +331,8 @@
 	c.byAddress[endpoint.Address] = remaining
 }
 
-func (c *Core) remove(known *entry) {
+func (c *Core) remove(now time.Duration, known *entry) {
+	c.recordDeparture(now, known.endpoint)
 	delete(c.entries, known.endpoint.ID)
 	delete(c.lapsed, known.endpoint.ID)
 	c.unindexAddress(known.endpoint)
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -45,17 +45,17 @@
 	mu                sync.Mutex
 	table             *routing.Table
 	compressed        *compressedDocument // of table
-	tableRevision     uint64
+	tableRevision     storesync.Revision
 	endpoints         map[api.EndpointID]registry.Endpoint
-	endpointsRevision uint64
+	endpointsRevision storesync.Revision
 	changeLog         []logEntry
-	changeLogStart    uint64        // changeLog has all changes after this revision
-	changed           chan struct{} // closed and replaced when something is recorded
+	changeLogStart    storesync.Revision // changeLog has all changes after this revision
+	changed           chan struct{}      // closed and replaced when something is recorded
 }
 
 // logEntry is a change with the revision of the response that contained it.
 type logEntry struct {
-	revision uint64
+	revision storesync.Revision
 	event    registry.Event
 }
 
@@ -82,10 +82,10 @@
 }
 
 // RecordTable stores a configuration and the revision at which it was current.
-func (c *Cache) RecordTable(table *routing.Table, revision uint64) {
+func (c *Cache) RecordTable(table *routing.Table, revision storesync.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.tableRevision {
+	if revision.Before(c.tableRevision) {
 		return
 	}
 	if table != nil && (c.table == nil || table.Version > c.table.Version) {
@@ -102,7 +102,7 @@
 func (c *Cache) RecordList(list storesync.EndpointList) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if list.Revision < c.endpointsRevision {
+	if list.Revision.Before(c.endpointsRevision) {
 		return
 	}
 	clear(c.endpoints)
@@ -118,7 +118,7 @@
 func (c *Cache) RecordChanges(changes storesync.EndpointChanges) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if changes.Revision <= c.endpointsRevision {
+	if !c.endpointsRevision.Before(changes.Revision) {
 		return
 	}
 	for _, event := range changes.Events {
@@ -132,7 +132,7 @@
 	c.notifyWaiters()
 }
 
-func (c *Cache) recordEvent(event registry.Event, revision uint64) {
+func (c *Cache) recordEvent(event registry.Event, revision storesync.Revision) {
 	switch e := event.(type) {
 	case registry.EndpointsListed:
 		clear(c.endpoints)
@@ -163,11 +163,11 @@
 	var response *peerpb.TableAnswer
 	var compressed *compressedDocument
 	err := c.wait(ctx, r, c.tableContact, func() bool { return c.table != nil }, func() bool {
-		response = &peerpb.TableAnswer{Revision: c.tableRevision, AgeMs: ageMS(c.tableContact)}
-		if c.table == nil || c.tableRevision <= r.GetAfter() {
-			response.Revision = r.GetAfter()
+		response = &peerpb.TableAnswer{Revision: r.GetAfter(), Era: r.GetAfterEra(), AgeMs: ageMS(c.tableContact)}
+		if c.table == nil || !requestedAfter(r).Before(c.tableRevision) {
 			return false
 		}
+		response.Revision, response.Era = c.tableRevision.Number, c.tableRevision.Era
 		response.Document, compressed = c.table.Document, c.compressed
 		return true
 	})
@@ -188,19 +188,20 @@
 // after the caller's revision, as WatchTable does.
 func (c *Cache) WatchEndpoints(ctx context.Context, r *peerpb.WatchRequest) (*peerpb.EndpointsAnswer, error) {
 	var response *peerpb.EndpointsAnswer
-	err := c.wait(ctx, r, c.endpointContact, func() bool { return c.endpointsRevision != 0 }, func() bool {
-		response = &peerpb.EndpointsAnswer{Revision: r.GetAfter(), AgeMs: ageMS(c.endpointContact)}
-		if c.endpointsRevision <= r.GetAfter() {
+	err := c.wait(ctx, r, c.endpointContact, func() bool { return c.endpointsRevision.Number != 0 }, func() bool {
+		after := requestedAfter(r)
+		response = &peerpb.EndpointsAnswer{Revision: r.GetAfter(), Era: r.GetAfterEra(), AgeMs: ageMS(c.endpointContact)}
+		if !after.Before(c.endpointsRevision) {
 			return false
 		}
-		response.Revision = c.endpointsRevision
-		if r.GetAfter() < c.changeLogStart {
+		response.Revision, response.Era = c.endpointsRevision.Number, c.endpointsRevision.Era
+		if after.Before(c.changeLogStart) {
 			response.Complete = true
 			response.Changes = c.allEndpoints()
 			return true
 		}
 		for _, entry := range c.changeLog {
-			if entry.revision > r.GetAfter() {
+			if after.Before(entry.revision) {
 				response.Changes = append(response.Changes, encodeEvent(entry.event))
 			}
 		}
@@ -209,6 +210,10 @@
 	return response, err
 }
 
+func requestedAfter(r *peerpb.WatchRequest) storesync.Revision {
+	return storesync.Revision{Era: r.GetAfterEra(), Number: r.GetAfter()}
+}
+
 func (c *Cache) allEndpoints() []*peerpb.EndpointChange {
 	list := make([]*peerpb.EndpointChange, 0, len(c.endpoints))
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -49,21 +50,21 @@
 var _ storesync.Store = (*peerStore)(nil)
 
 func (p *peerStore) ReadTable(ctx context.Context) (storesync.TableRead, error) {
-	return p.watchTable(ctx, 0, peerWatchWait)
+	return p.watchTable(ctx, storesync.Revision{}, peerWatchWait)
 }
 
-func (p *peerStore) WatchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
+func (p *peerStore) WatchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
 	return p.watchTable(ctx, after, wait)
 }
 
-func (p *peerStore) watchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
+func (p *peerStore) watchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
 	ctx, cancel := peerCall(ctx)
 	defer cancel()
 	response, err := p.relay.WatchTable(ctx, p.watchRequest(after, wait))
 	if err != nil {
 		return storesync.TableRead{}, err
 	}
-	read := storesync.TableRead{Revision: response.GetRevision(), Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale}
+	read := storesync.TableRead{Revision: storesync.Revision{Era: response.GetEra(), Number: response.GetRevision()}, Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale}
 	p.scope.Counter("document_bytes_received").Inc(int64(len(response.GetDocument()) + len(response.GetGzipDocument())))
 	document := response.GetDocument()
 	if len(response.GetGzipDocument()) > 0 {
@@ -78,22 +79,22 @@
 }
 
 func (p *peerStore) ListEndpoints(ctx context.Context) (storesync.EndpointList, error) {
-	response, err := p.watchEndpoints(ctx, 0, peerWatchWait)
+	response, err := p.watchEndpoints(ctx, storesync.Revision{}, peerWatchWait)
 	if err != nil {
 		return storesync.EndpointList{}, err
 	}
 	return storesync.EndpointList{
-		Endpoints: decodeEndpoints(response.GetChanges()), Revision: response.GetRevision(),
+		Endpoints: decodeEndpoints(response.GetChanges()), Revision: endpointsRevision(response),
 		Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale,
 	}, nil
 }
 
-func (p *peerStore) WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (storesync.EndpointChanges, error) {
+func (p *peerStore) WatchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.EndpointChanges, error) {
 	response, err := p.watchEndpoints(ctx, after, wait)
 	if err != nil {
 		return storesync.EndpointChanges{}, err
 	}
-	read := storesync.EndpointChanges{Revision: response.GetRevision(), Age: milliseconds(response.GetAgeMs())}
+	read := storesync.EndpointChanges{Revision: endpointsRevision(response), Age: milliseconds(response.GetAgeMs())}
 	if response.GetComplete() {
 		read.Events = []registry.Event{registry.EndpointsListed{Endpoints: decodeEndpoints(response.GetChanges())}}
 		return read, nil
@@ -108,7 +109,7 @@
 	return read, nil
 }
 
-func (p *peerStore) watchEndpoints(ctx context.Context, after uint64, wait time.Duration) (*peerpb.EndpointsAnswer, error) {
+func (p *peerStore) watchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (*peerpb.EndpointsAnswer, error) {
 	ctx, cancel := peerCall(ctx)
 	defer cancel()
 	return p.relay.WatchEndpoints(ctx, p.watchRequest(after, wait))
@@ -120,12 +121,29 @@
 	return transfer.WithBounds(transfer.Observe(ctx, nil), peerBounds)
 }
 
-func (p *peerStore) watchRequest(after uint64, wait time.Duration) *peerpb.WatchRequest {
+func (p *peerStore) watchRequest(after storesync.Revision, wait time.Duration) *peerpb.WatchRequest {
 	return &peerpb.WatchRequest{
-		After: after, WaitMs: uint32(min(wait, peerWatchWait).Milliseconds()), AnyAge: p.acceptStale, AcceptsGzip: true,
+		After: after.Number, AfterEra: after.Era, WaitMs: uint32(min(wait, peerWatchWait).Milliseconds()), AnyAge: p.acceptStale, AcceptsGzip: true,
 	}
 }
 
+// errNoTable means that the instance has no configuration.
+var errNoTable = errors.New("the instance has no configuration")
+
+// FetchTable returns the configuration of an instance, whatever its age.
+func FetchTable(ctx context.Context, relay peerpb.Relay, decode func([]byte) (*routing.Table, error), scope tally.Scope) (*routing.Table, error) {
+	peer := &peerStore{relay: relay, decode: decode, acceptStale: true, scope: scope}
+	read, err := peer.watchTable(ctx, storesync.Revision{}, 0)
+	if err == nil && read.Table == nil {
+		err = errNoTable
+	}
+	return read.Table, err
+}
+
+func endpointsRevision(response *peerpb.EndpointsAnswer) storesync.Revision {
+	return storesync.Revision{Era: response.GetEra(), Number: response.GetRevision()}
+}
+
 func decodeEndpoints(changes []*peerpb.EndpointChange) []registry.Endpoint {
 	list := make([]registry.Endpoint, 0, len(changes))
 	for _, change := range changes {
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -105,8 +105,8 @@
 	return r.read(ctx)
 }
 
-func (r storeReader) WatchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
-	if _, revision, changed := r.store.state(); revision <= after {
+func (r storeReader) WatchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
+	if _, revision, changed := r.store.state(); revision <= after.Number {
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -125,7 +125,7 @@
 	table, revision, _ := r.store.state()
 	r.store.reads.Add(1)
 	err := send(ctx, len(table.Document), r.store.region, r.own)
-	return storesync.TableRead{Table: table, Revision: revision}, err
+	return storesync.TableRead{Table: table, Revision: at(revision)}, err
 }
 
 // linkedRelay serves the cache of an instance over its link and the caller's.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -26,6 +26,9 @@
 	"github.com/hibiscusstair/hibiscusstair/storesync"
 )
 
+// at returns a revision of a store that names no era.
+func at(number uint64) storesync.Revision { return storesync.Revision{Number: number} }
+
 func TestRelay(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "relay")
@@ -48,18 +51,18 @@
 }
 
 func (s *fakeStore) ReadTable(context.Context) (storesync.TableRead, error) {
-	return storesync.TableRead{Table: table(9), Revision: 50}, s.result()
+	return storesync.TableRead{Table: table(9), Revision: at(50)}, s.result()
 }
 
-func (s *fakeStore) WatchTable(_ context.Context, after uint64, _ time.Duration) (storesync.TableRead, error) {
+func (s *fakeStore) WatchTable(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.TableRead, error) {
 	return storesync.TableRead{Revision: after}, s.result()
 }
 
 func (s *fakeStore) ListEndpoints(context.Context) (storesync.EndpointList, error) {
-	return storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("direct")}, Revision: 50}, s.result()
+	return storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("direct")}, Revision: at(50)}, s.result()
 }
 
-func (s *fakeStore) WatchEndpoints(_ context.Context, after uint64, _ time.Duration) (storesync.EndpointChanges, error) {
+func (s *fakeStore) WatchEndpoints(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.EndpointChanges, error) {
 	return storesync.EndpointChanges{Revision: after}, s.result()
 }
 
@@ -152,8 +155,8 @@
 
 	BeforeEach(func() {
 		n = newNode("n", "d")
-		n.cache.RecordTable(table(3), 10)
-		n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("a"), endpoint("b")}, Revision: 10})
+		n.cache.RecordTable(table(3), at(10))
+		n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("a"), endpoint("b")}, Revision: at(10)})
 	})
 
 	It("returns only data newer than the caller's revision", func() {
@@ -170,7 +173,7 @@
 	It("responds to a waiting caller when a change is recorded", func() {
 		go func() {
 			time.Sleep(20 * time.Millisecond)
-			n.cache.RecordChanges(storesync.EndpointChanges{Revision: 12, Events: []registry.Event{registry.EndpointRemoved{ID: "a"}}})
+			n.cache.RecordChanges(storesync.EndpointChanges{Revision: at(12), Events: []registry.Event{registry.EndpointRemoved{ID: "a"}}})
 		}()
 		began := time.Now()
 		response, err := n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 1000})
@@ -183,7 +186,7 @@
 
 	// Guards against a caller that misses changes which the log no longer has.
 	It("sends the complete list to a caller whose revision precedes the log", func() {
-		n.cache.RecordChanges(storesync.EndpointChanges{Revision: 12, Events: []registry.Event{registry.EndpointRemoved{ID: "a"}}})
+		n.cache.RecordChanges(storesync.EndpointChanges{Revision: at(12), Events: []registry.Event{registry.EndpointRemoved{ID: "a"}}})
 		response, err := n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{After: 4})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.Complete).To(BeTrue())
@@ -228,7 +231,7 @@
 		n.tableContactLost.Store(true)
 		time.AfterFunc(50*time.Millisecond, func() {
 			n.tableContactLost.Store(false)
-			n.cache.RecordTable(table(4), 12)
+			n.cache.RecordTable(table(4), at(12))
 		})
 		response, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 500})
 		Expect(err).NotTo(HaveOccurred())
@@ -244,7 +247,7 @@
 		starting.endpointContactLost.Store(true)
 		time.AfterFunc(50*time.Millisecond, func() {
 			starting.tableContactLost.Store(false)
-			starting.cache.RecordTable(table(3), 10)
+			starting.cache.RecordTable(table(3), at(10))
 		})
 		response, err := starting.cache.WatchTable(ctx, &peerpb.WatchRequest{WaitMs: 1000})
 		Expect(err).NotTo(HaveOccurred())
@@ -255,13 +258,41 @@
 
 	// Guards against going back to an older version or revision.
 	It("keeps the newest recorded configuration", func() {
-		n.cache.RecordTable(table(2), 11)
-		n.cache.RecordTable(table(1), 5)
+		n.cache.RecordTable(table(2), at(11))
+		n.cache.RecordTable(table(1), at(5))
 		response, _ := n.cache.WatchTable(ctx, &peerpb.WatchRequest{})
 		Expect(response.Document).To(Equal([]byte{3}))
 		Expect(response.Revision).To(BeEquivalentTo(11))
 	})
 
+	// Guards against callers that wait for a revision of a store that was restored from a copy.
+	It("passes on what it read at a lower revision of a later era", func() {
+		restored := storesync.Revision{Era: 2, Number: 4}
+		n.cache.RecordTable(table(5), restored)
+		n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("c")}, Revision: restored})
+		tableRead, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{After: 10, AfterEra: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tableRead.Document).To(Equal([]byte{5}))
+		Expect([]uint64{tableRead.Era, tableRead.Revision}).To(Equal([]uint64{2, 4}))
+		endpoints, err := n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{After: 10, AfterEra: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(endpoints.Complete).To(BeTrue())
+		Expect(endpoints.Changes).To(HaveLen(1))
+		Expect([]uint64{endpoints.Era, endpoints.Revision}).To(Equal([]uint64{2, 4}))
+	})
+
+	It("keeps what it read when a response of the earlier era arrives late", func() {
+		n.cache.RecordTable(table(5), storesync.Revision{Era: 2, Number: 4})
+		n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("c")}, Revision: storesync.Revision{Era: 2, Number: 4}})
+		n.cache.RecordTable(table(4), storesync.Revision{Era: 1, Number: 30})
+		n.cache.RecordList(storesync.EndpointList{Revision: storesync.Revision{Era: 1, Number: 30}})
+		n.cache.RecordChanges(storesync.EndpointChanges{Revision: storesync.Revision{Era: 1, Number: 31}, Events: []registry.Event{registry.EndpointRemoved{ID: "c"}}})
+		response, err := n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Changes).To(HaveLen(1))
+		Expect([]uint64{response.Era, response.Revision}).To(Equal([]uint64{2, 4}))
+	})
+
 	// Guards against a link of 10 Mbit/s that is filled for seconds by the same
 	// large configuration for each instance of a failure domain.
 	It("compresses a large configuration once for all callers that accept it", func() {
@@ -269,7 +300,7 @@
 		cache := relay.NewCache(scope)
 		cache.SetContacts(fakeContact{n, &n.tableContactLost}, fakeContact{n, &n.endpointContactLost})
 		large := largeTable(4)
-		cache.RecordTable(large, 11)
+		cache.RecordTable(large, at(11))
 		for range 3 {
 			response, err := cache.WatchTable(ctx, &peerpb.WatchRequest{AcceptsGzip: true})
 			Expect(err).NotTo(HaveOccurred())
@@ -280,7 +311,7 @@
 			Expect(io.ReadAll(reader)).To(Equal(large.Document))
 		}
 		Expect(scope.Snapshot().Counters()["documents_compressed+"].Value()).To(BeEquivalentTo(1))
-		cache.RecordTable(largeTable(5), 12)
+		cache.RecordTable(largeTable(5), at(12))
 		response, err := cache.WatchTable(ctx, &peerpb.WatchRequest{AcceptsGzip: true, After: 11})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.GzipDocument).NotTo(BeEmpty())
@@ -290,7 +321,7 @@
 	// Guards against documents that an older instance cannot read.
 	It("sends the document as it is to callers that do not accept compression", func() {
 		large := largeTable(4)
-		n.cache.RecordTable(large, 11)
+		n.cache.RecordTable(large, at(11))
 		response, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.GzipDocument).To(BeEmpty())
@@ -324,8 +355,8 @@
 	newLeader := func() *peerNode {
 		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 			n := newNode(name, "d")
-			n.cache.RecordTable(table(4), 20)
-			n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("relayed")}, Revision: 20})
+			n.cache.RecordTable(table(4), at(20))
+			n.cache.RecordList(storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("relayed")}, Revision: at(20)})
 			members = []api.Member{n.member}
 			if _, err := newSource().ReadTable(ctx); err == nil && direct.calls.Load() == 0 {
 				return n
@@ -366,7 +397,7 @@
 	It("receives a large configuration compressed", func() {
 		n := newLeader()
 		large := largeTable(6)
-		n.cache.RecordTable(large, 30)
+		n.cache.RecordTable(large, at(30))
 		read, err := newSource().ReadTable(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read.Table.Version).To(BeEquivalentTo(6))
@@ -380,7 +411,7 @@
 	// while all are replaced.
 	It("reads through an instance that does not compress", func() {
 		n := newLeader()
-		n.cache.RecordTable(largeTable(6), 30)
+		n.cache.RecordTable(largeTable(6), at(30))
 		older := httptest.NewServer(peerpb.NewRelayServer(uncompressedRelay{n.cache}))
 		DeferCleanup(older.Close)
 		members[0].Address = older.Listener.Addr().String()
@@ -419,7 +450,7 @@
 	// store.
 	It("reads through an instance of another failure domain when the store is unreachable", func() {
 		n := newNode("far", "other")
-		n.cache.RecordTable(table(5), 30)
+		n.cache.RecordTable(table(5), at(30))
 		members = []api.Member{n.member}
 		direct.down.Store(true)
 		source := newSource()
@@ -436,8 +467,8 @@
 	// Guards against asking instances that only know what this one told them.
 	It("asks instances of other failure domains before those of its own", func() {
 		own, far := newNode("zz", "d"), newNode("far", "other")
-		far.cache.RecordTable(table(5), 30)
-		own.cache.RecordTable(table(4), 20)
+		far.cache.RecordTable(table(5), at(30))
+		own.cache.RecordTable(table(4), at(20))
 		direct.down.Store(true)
 		// Peers are chosen at random, so the read is repeated.
 		for range 10 {
@@ -453,7 +484,7 @@
 	// cannot serve although another one could give it data.
 	It("accepts stale data only while it has none", func() {
 		n := newNode("far", "other")
-		n.cache.RecordTable(table(5), 30)
+		n.cache.RecordTable(table(5), at(30))
 		n.tableContactLost.Store(true)
 		members = []api.Member{n.member}
 		direct.down.Store(true)
--- a/relay/source.go
+++ b/relay/source.go
@@ -77,7 +77,7 @@
 }
 
 // WatchTable waits for a newer configuration.
-func (s *Source) WatchTable(ctx context.Context, after uint64, wait time.Duration) (storesync.TableRead, error) {
+func (s *Source) WatchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
 	return readStore(s, func(store storesync.Store) (storesync.TableRead, error) { return store.WatchTable(ctx, after, wait) })
 }
 
@@ -87,7 +87,7 @@
 }
 
 // WatchEndpoints waits for changes of registrations.
-func (s *Source) WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (storesync.EndpointChanges, error) {
+func (s *Source) WatchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.EndpointChanges, error) {
 	return readStore(s, func(store storesync.Store) (storesync.EndpointChanges, error) {
 		return store.WatchEndpoints(ctx, after, wait)
 	})
@@ -97,7 +97,7 @@
 // one responds. While the store is in backoff, other instances are tried before
 // it.
 func readStore[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
-	if response, err := readThroughLeaders(s, call); err == nil || errors.Is(err, storesync.ErrCompacted) {
+	if response, err := readThroughLeaders(s, call); err == nil || isAnswer(err) {
 		return response, err
 	}
 	if s.storeInBackoff() {
@@ -107,7 +107,7 @@
 	}
 	s.o.Scope.Counter("read_directly").Inc(1)
 	response, err := call(s.o.DirectStore)
-	if err == nil || errors.Is(err, storesync.ErrCompacted) {
+	if err == nil || isAnswer(err) {
 		s.setStoreFailedAt(0)
 		return response, err
 	}
@@ -130,7 +130,7 @@
 			return response, errNoPeer
 		}
 		response, err = call(s.storeAt(leader, false))
-		if err == nil || errors.Is(err, storesync.ErrCompacted) {
+		if err == nil || isAnswer(err) {
 			s.o.Scope.Counter("read_through_leader").Inc(1)
 			return response, err
 		}
@@ -155,6 +155,11 @@
 	return response, err
 }
 
+// isAnswer reports whether an error is what the store says of the requested revision.
+func isAnswer(err error) bool {
+	return errors.Is(err, storesync.ErrCompacted) || errors.Is(err, storesync.ErrRestored)
+}
+
 var errNoPeer = errors.New("no other instance to read the store through")
 
 func (s *Source) storeAt(address string, acceptStale bool) storesync.Store {
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -52,10 +52,17 @@
 // ErrCompacted means that the store no longer has the changes since a revision.
 var ErrCompacted = errors.New("the store has compacted the history since the revision")
 
+// ErrRestored means that the store was restored from a copy since a revision, so that
+// changes since then cannot be told from earlier ones.
+var ErrRestored = errors.New("the store was restored since the revision")
+
+// errEarlierEra means that a response is of an era before the known one.
+var errEarlierEra = errors.New("the response is older than the restore of the store")
+
 // TableRead is the result of a read of the configuration.
 type TableRead struct {
 	Table    *routing.Table // nil if there is none or it has not changed
-	Revision uint64
+	Revision Revision
 	// Age is the time since the store responded; 0 if it was read directly.
 	Age time.Duration
 	// MayBeStale is true if the result may be older than the store's state.
@@ -66,7 +73,7 @@
 // entry of an endpoint in the store.
 type EndpointList struct {
 	Endpoints    []registry.Endpoint
-	Revision     uint64
+	Revision     Revision
 	DecodeErrors []error
 	Age          time.Duration
 	MayBeStale   bool
@@ -75,14 +82,14 @@
 // EndpointChanges are the changes of registrations after a revision.
 type EndpointChanges struct {
 	Events       []registry.Event
-	Revision     uint64
+	Revision     Revision
 	DecodeErrors []error
 	Age          time.Duration
 }
 
 // Recorder stores what was read, so that other instances can read it.
 type Recorder interface {
-	RecordTable(table *routing.Table, revision uint64)
+	RecordTable(table *routing.Table, revision Revision)
 	RecordList(list EndpointList)
 	RecordChanges(changes EndpointChanges)
 }
@@ -90,9 +97,9 @@
 // Store is a client of the platform's store.
 type Store interface {
 	ReadTable(ctx context.Context) (TableRead, error)
-	WatchTable(ctx context.Context, after uint64, wait time.Duration) (TableRead, error)
+	WatchTable(ctx context.Context, after Revision, wait time.Duration) (TableRead, error)
 	ListEndpoints(ctx context.Context) (EndpointList, error)
-	WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (EndpointChanges, error)
+	WatchEndpoints(ctx context.Context, after Revision, wait time.Duration) (EndpointChanges, error)
 }
 
 // Options configures a Follower.
@@ -152,20 +159,23 @@
 
 // FollowTable keeps the configuration up to date until the context ends.
 func (f *Follower) FollowTable(ctx context.Context) error {
-	revision := uint64(0)
+	revision := Revision{}
 	for ctx.Err() == nil {
 		read, err := f.readTable(ctx, revision)
+		if err == nil && read.Revision.Era < revision.Era && !read.MayBeStale {
+			err = errEarlierEra
+		}
 		switch {
-		case errors.Is(err, ErrCompacted):
+		case historyLost(err):
 			f.count("table_compacted")
-			revision = 0
+			revision.Number = 0
 			continue
 		case err != nil:
 			f.recordFailureAndWait(ctx, f.tableContact, err)
 			continue
 		}
 		if read.Table != nil {
-			f.applyTable(read.Table, "store")
+			f.applyTable(read.Table, "store", read.Revision)
 		}
 		if read.MayBeStale {
 			// A stale configuration is used until the store responds, and is
@@ -175,20 +185,34 @@
 		}
 		f.recordSuccess(f.tableContact, read.Age)
 		f.o.Recorder.RecordTable(read.Table, read.Revision)
+		f.logRestore(f.tableContact, revision, read.Revision)
 		revision = read.Revision
-		if revision == 0 {
+		if revision.Number == 0 {
 			sleep(ctx, emptyStoreDelay)
 		}
 	}
 	return ctx.Err()
 }
 
-func (f *Follower) readTable(ctx context.Context, revision uint64) (TableRead, error) {
+// historyLost reports whether a watch cannot continue, so that everything has to be
+// read again.
+func historyLost(err error) bool { return errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) }
+
+// logRestore logs that the store was restored between two reads.
+func (f *Follower) logRestore(contact *StoreContact, before, now Revision) {
+	if before.Era == now.Era || before.Number == 0 && before.Era == 0 {
+		return
+	}
+	f.count("store_restored")
+	f.o.Log.Warn("store was restored", "reading", contact.kind, "revision", now.String(), "before", before.String())
+}
+
+func (f *Follower) readTable(ctx context.Context, revision Revision) (TableRead, error) {
 	f.count("store_calls")
 	// Contact is not lost while a document arrives from the store: other
 	// instances wait for it and do not read it themselves.
 	ctx = transfer.Observe(ctx, func() { f.tableContact.recordResponse(0) })
-	if revision == 0 {
+	if revision.Number == 0 {
 		return f.o.Store.ReadTable(ctx)
 	}
 	return f.o.Store.WatchTable(ctx, revision, tableWatchWait)
@@ -196,9 +220,9 @@
 
 // ApplyPeerTable activates a configuration from another instance if it is
 // newer.
-func (f *Follower) ApplyPeerTable(table *routing.Table) { f.applyTable(table, "instance") }
+func (f *Follower) ApplyPeerTable(table *routing.Table) { f.applyTable(table, "instance", Revision{}) }
 
-func (f *Follower) applyTable(table *routing.Table, source string) {
+func (f *Follower) applyTable(table *routing.Table, source string, revision Revision) {
 	before := f.o.Table.Version()
 	if !f.o.Table.Apply(table) {
 		return
@@ -206,25 +230,26 @@
 	f.checkSynced()
 	f.o.Scope.Gauge("configuration_version").Update(float64(table.Version))
 	f.o.Log.Info("configuration activated", "version", table.Version, "before", before,
-		"routes", table.RouteCount(), "source", source, "store_age_ms", f.tableContact.Age().Milliseconds(),
+		"routes", table.RouteCount(), "source", source, "revision", revision.String(), "store_age_ms", f.tableContact.Age().Milliseconds(),
 		"bytes", len(table.Document), "decode_ms", table.DecodeTime.Milliseconds())
 }
 
 // FollowEndpoints keeps the registry up to date until the context ends.
 func (f *Follower) FollowEndpoints(ctx context.Context) error {
-	revision := uint64(0)
+	revision := Revision{}
 	for ctx.Err() == nil {
 		next, err := f.syncEndpoints(ctx, revision)
 		switch {
-		case errors.Is(err, ErrCompacted):
+		case historyLost(err):
 			f.count("registrations_compacted")
-			revision = 0
+			revision.Number = 0
 			continue
 		case err != nil:
 			f.recordFailureAndWait(ctx, f.endpointContact, err)
 			continue
 		}
 		if next != revision {
+			f.logRestore(f.endpointContact, revision, next)
 			revision = next
 			sleep(ctx, watchBatchDelay)
 		}
@@ -233,35 +258,44 @@
 }
 
 // syncEndpoints reads and applies the list of registrations, or their changes
-// after the revision. It returns the revision to continue from, 0 to list again.
-func (f *Follower) syncEndpoints(ctx context.Context, revision uint64) (uint64, error) {
+// after the revision. It returns the revision to continue from; number 0 is to list
+// again.
+func (f *Follower) syncEndpoints(ctx context.Context, revision Revision) (Revision, error) {
 	f.count("store_calls")
-	if revision == 0 {
+	if revision.Number == 0 {
 		list, err := f.o.Store.ListEndpoints(ctx)
+		if err == nil && list.Revision.Era < revision.Era && !list.MayBeStale {
+			err = errEarlierEra
+		}
 		if err != nil {
-			return 0, err
+			return revision, err
 		}
 		f.logDecodeErrors(list.DecodeErrors)
 		if list.MayBeStale {
 			f.o.Registry.Apply(registry.PeerListReceived{Endpoints: list.Endpoints})
 			f.recordAnyList()
 			sleep(ctx, retryDelay)
-			return 0, nil
+			return revision, nil
 		}
 		f.recordSuccess(f.endpointContact, list.Age)
 		f.o.Recorder.RecordList(list)
+		f.applyRestore(revision, list.Revision)
 		f.o.Registry.Apply(registry.EndpointsListed{Endpoints: list.Endpoints})
 		f.hasCurrentList.Store(true)
 		f.recordAnyList()
 		return list.Revision, nil
 	}
 	changes, err := f.o.Store.WatchEndpoints(ctx, revision, endpointWatchWait)
+	if err == nil && changes.Revision.Era < revision.Era {
+		err = errEarlierEra
+	}
 	if err != nil {
-		return 0, err
+		return revision, err
 	}
 	f.logDecodeErrors(changes.DecodeErrors)
 	f.recordSuccess(f.endpointContact, changes.Age)
 	f.o.Recorder.RecordChanges(changes)
+	f.applyRestore(revision, changes.Revision)
 	f.o.Registry.Apply(registry.StoreResponded{})
 	for _, event := range changes.Events {
 		f.o.Registry.Apply(event)
@@ -269,6 +303,13 @@
 	return changes.Revision, nil
 }
 
+// applyRestore tells the registry that the store was restored between two reads.
+func (f *Follower) applyRestore(before, now Revision) {
+	if before.Era != 0 && before.Era < now.Era {
+		f.o.Registry.Apply(registry.StoreRestored{})
+	}
+}
+
 func (f *Follower) recordAnyList() {
 	f.hasAnyList.Store(true)
 	f.checkSynced()
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -41,6 +41,12 @@
 	err            error
 	tableErr       error // fails watches of the configuration only
 	mayBeStale     bool
+	era            uint64
+}
+
+// at returns a revision of the current era.
+func (s *fakeStore) at(number uint64) storesync.Revision {
+	return storesync.Revision{Era: s.era, Number: number}
 }
 
 func (s *fakeStore) putTable(version uint64) {
@@ -67,20 +73,22 @@
 func (s *fakeStore) ReadTable(context.Context) (storesync.TableRead, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return storesync.TableRead{Table: s.table, Revision: s.revision, MayBeStale: s.mayBeStale}, s.err
+	return storesync.TableRead{Table: s.table, Revision: s.at(s.revision), MayBeStale: s.mayBeStale}, s.err
 }
 
-func (s *fakeStore) WatchTable(_ context.Context, after uint64, _ time.Duration) (storesync.TableRead, error) {
+func (s *fakeStore) WatchTable(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.TableRead, error) {
 	time.Sleep(5 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.err != nil || s.tableErr != nil:
 		return storesync.TableRead{}, errDown
-	case after < s.oldest && !s.watchesEmpty:
+	case after.Number < s.oldest && !s.watchesEmpty:
 		return storesync.TableRead{}, storesync.ErrCompacted
-	case s.tableRevision > after && !s.watchesEmpty:
-		return storesync.TableRead{Table: s.table, Revision: s.revision}, nil
+	case after.Era < s.era:
+		return storesync.TableRead{}, storesync.ErrRestored
+	case s.tableRevision > after.Number && !s.watchesEmpty:
+		return storesync.TableRead{Table: s.table, Revision: s.at(s.revision)}, nil
 	}
 	return storesync.TableRead{Revision: after}, nil
 }
@@ -88,28 +96,30 @@
 func (s *fakeStore) ListEndpoints(context.Context) (storesync.EndpointList, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := storesync.EndpointList{Revision: s.revision, MayBeStale: s.mayBeStale}
+	list := storesync.EndpointList{Revision: s.at(s.revision), MayBeStale: s.mayBeStale}
 	for _, e := range s.endpoints {
 		list.Endpoints = append(list.Endpoints, e)
 	}
 	return list, s.err
 }
 
-func (s *fakeStore) WatchEndpoints(_ context.Context, after uint64, _ time.Duration) (storesync.EndpointChanges, error) {
+func (s *fakeStore) WatchEndpoints(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.EndpointChanges, error) {
 	time.Sleep(5 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.err != nil:
 		return storesync.EndpointChanges{}, s.err
-	case after < s.oldest && !s.watchesEmpty:
+	case after.Number < s.oldest && !s.watchesEmpty:
 		return storesync.EndpointChanges{}, storesync.ErrCompacted
+	case after.Era < s.era:
+		return storesync.EndpointChanges{}, storesync.ErrRestored
 	}
 	changes := storesync.EndpointChanges{Revision: after}
 	for i, e := range s.events {
-		if s.eventRevisions[i] > after && !s.watchesEmpty {
+		if s.eventRevisions[i] > after.Number && !s.watchesEmpty {
 			changes.Events = append(changes.Events, e)
-			changes.Revision = s.eventRevisions[i]
+			changes.Revision = s.at(s.eventRevisions[i])
 		}
 	}
 	return changes, nil
@@ -118,9 +128,9 @@
 // discardRecorder records nothing.
 type discardRecorder struct{}
 
-func (discardRecorder) RecordTable(*routing.Table, uint64)      {}
-func (discardRecorder) RecordList(storesync.EndpointList)       {}
-func (discardRecorder) RecordChanges(storesync.EndpointChanges) {}
+func (discardRecorder) RecordTable(*routing.Table, storesync.Revision) {}
+func (discardRecorder) RecordList(storesync.EndpointList)              {}
+func (discardRecorder) RecordChanges(storesync.EndpointChanges)        {}
 
 func endpoint(id string) registry.Endpoint {
 	return registry.Endpoint{ID: api.EndpointID(id), Incarnation: 1, Service: "s", Address: id + ":1", Slots: 1}
@@ -243,4 +253,69 @@
 		Eventually(current.Version).Should(BeEquivalentTo(4))
 		Eventually(follower.TableContact().Lost).Should(BeFalse())
 	})
+
+	Context("when the store is restored from a copy", func() {
+		// restore starts an era in which the revision goes back and the registrations are
+		// those of the copy.
+		restore := func(revision uint64) {
+			store.update(func() {
+				store.era++
+				store.revision, store.oldest = revision, 0
+				store.events, store.eventRevisions = nil, nil
+			})
+		}
+
+		register := func(id string) {
+			store.update(func() { store.endpoints[id] = endpoint(id) })
+			store.appendEvent(registry.EndpointChanged{Endpoint: endpoint(id)})
+		}
+
+		BeforeEach(func() {
+			store.update(func() { store.era, store.revision = 1, 40 })
+			store.putTable(3)
+			start()
+			Eventually(current.Version).Should(BeEquivalentTo(3))
+			Eventually(entries.Endpoints).Should(HaveLen(1))
+		})
+
+		// Guards against waiting for a revision that the store reaches only much later.
+		It("follows changes at revisions below those of the earlier era", func() {
+			restore(10)
+			store.putTable(4)
+			Eventually(current.Version).Should(BeEquivalentTo(4))
+			register("b")
+			Eventually(entries.Endpoints).Should(HaveLen(2))
+		})
+
+		// Guards against changes that are missed since their revisions had been given out before.
+		It("reads what changed below a revision that was given out again", func() {
+			store.update(func() {
+				store.era++
+				store.endpoints["b"] = endpoint("b")
+				store.events, store.eventRevisions = nil, nil
+				store.revision += 20
+				store.table, store.tableRevision = routing.New(4, nil, nil, nil, routing.Limits{}), 30
+			})
+			Eventually(current.Version).Should(BeEquivalentTo(4))
+			Eventually(entries.Endpoints).Should(HaveLen(2))
+		})
+
+		It("keeps the configuration if that of the copy is older", func() {
+			restore(10)
+			store.putTable(2)
+			Consistently(current.Version, "100ms").Should(BeEquivalentTo(3))
+		})
+
+		// Guards against a response of the earlier era that arrives late, for example through another instance.
+		It("ignores responses of the earlier era", func() {
+			restore(10)
+			store.putTable(4)
+			Eventually(current.Version).Should(BeEquivalentTo(4))
+			register("b")
+			Eventually(entries.Endpoints).Should(HaveLen(2))
+			store.update(func() { store.era-- })
+			register("late")
+			Consistently(entries.Endpoints, "300ms").Should(HaveLen(2))
+		})
+	})
 })
