--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
 	"github.com/hibiscusstair/hibiscusstair/upstream"
@@ -38,6 +39,9 @@
 	Balance     *balance.Balancer
 	Pool        *upstream.Pool
 	RetryBudget *RetryBudget
+	// OnLeaving is called when a response says that its endpoint leaves; nil ignores
+	// it. The balancer has to choose no leaving endpoint.
+	OnLeaving func(registry.Endpoint)
 	// Permits limits the requests to endpoints that ask for it; nil limits none.
 	Permits Permits
 	// Quarantine tracks contents and prompt parts that crash endpoints; nil disables
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -58,11 +58,23 @@
 	return false
 }
 
+// observeResponse records what a response says of its endpoint. A response to another
+// request, or of another endpoint, says nothing.
+func (h *Handler) observeResponse(req *request, endpoint registry.Endpoint, info ResponseInfo) {
+	if info.Misdirected || info.ID != "" && info.ID != req.info.ID {
+		return
+	}
+	h.recordLimit(req, endpoint, info)
+	if info.Leaving && !endpoint.Draining && h.o.OnLeaving != nil {
+		h.o.OnLeaving(endpoint)
+	}
+}
+
 // recordLimit records what a response says about the limit of its endpoint. Only a
 // response to a request that ran shows the end of a limit.
 func (h *Handler) recordLimit(req *request, endpoint registry.Endpoint, info ResponseInfo) {
 	switch {
-	case h.o.Permits == nil || info.Misdirected:
+	case h.o.Permits == nil:
 	case info.RateLimitErr != nil:
 		req.log.Warn("unreadable limit of an endpoint", "endpoint", endpoint.ID, "error", info.RateLimitErr)
 	case info.RateLimit.Named:
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -261,9 +261,7 @@
 	body, err := readBody(response)
 	_ = response.Body.Close()
 	info := h.o.Protocol.DecodeResponse(response)
-	if info.ID == "" || info.ID == req.info.ID {
-		h.recordLimit(req, lease.Endpoint, info)
-	}
+	h.observeResponse(req, lease.Endpoint, info)
 	if err != nil || (info.ID != "" && info.ID != req.info.ID) {
 		conn.Close()
 		r.err, r.outcome = h.attemptError(ctx, "the answer broke off, is too large or belongs to another request")
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -67,6 +67,8 @@
 	Misdirected bool
 	// Signed is true if the response carries the endpoint's signature.
 	Signed bool
+	// Leaving is true if the endpoint says that it leaves.
+	Leaving bool
 	// RateLimit is the limit that the endpoint names; RateLimitErr says that it
 	// could not be read.
 	RateLimit    RateLimit
--- a/forward/run.go
+++ b/forward/run.go
@@ -163,9 +163,7 @@
 func (s *stream) handleHeader(r *streamAttempt, response *http.Response) *attemptResult {
 	s.h.activity.record(s.h.o.Clock())
 	info := s.h.o.Protocol.DecodeResponse(response)
-	if info.ID == "" || info.ID == s.req.info.ID {
-		s.h.recordLimit(s.req, r.lease.Endpoint, info)
-	}
+	s.h.observeResponse(s.req, r.lease.Endpoint, info)
 	interrupted := func(why reason.Reason, run reason.RunStatus, outcome balance.Outcome, message string) *attemptResult {
 		s.mayHaveRun = s.mayHaveRun || run != reason.RunNo
 		err := reason.New(why, "%s", message).WithRun(run)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,8 +143,8 @@
 			Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
 			InstanceCount: g.liveInstanceCount,
 		}),
-		Permits: g.limiter,
-		Clock:   clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
+		Permits: g.limiter, OnLeaving: g.recordLeaving,
+		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced: g.follower.Synced(),
 	})
 	return g, nil
@@ -243,6 +243,11 @@
 	}
 }
 
+// recordLeaving records that an endpoint has said that it leaves.
+func (g *Gateway) recordLeaving(endpoint registry.Endpoint) {
+	g.registry.Apply(registry.LeavingObserved{ID: endpoint.ID, Incarnation: endpoint.Incarnation})
+}
+
 func (g *Gateway) reportSuspectedEndpoint(endpoint registry.Endpoint) {
 	g.restartDetector.ReportFailure(endpoint)
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -68,6 +68,12 @@
 // the table is empty, since it may be older than the table.
 type PeerListReceived struct{ Endpoints []Endpoint }
 
+// LeavingObserved reports that an endpoint has said to this instance that it leaves.
+type LeavingObserved struct {
+	ID          api.EndpointID
+	Incarnation int64
+}
+
 // ReplacementObserved reports that another endpoint responds at the address of a
 // registered one while the store is unreachable.
 type ReplacementObserved struct {
@@ -76,6 +82,7 @@
 }
 
 func (ReplacementObserved) event() {}
+func (LeavingObserved) event()     {}
 func (EndpointsListed) event()     {}
 func (EndpointChanged) event()     {}
 func (EndpointRemoved) event()     {}
@@ -175,6 +182,11 @@
 			c.remove(now, known)
 			c.applyRegistration(now, e.Endpoint)
 		}
+	case LeavingObserved:
+		if known, ok := c.entries[e.ID]; ok && known.endpoint.Incarnation == e.Incarnation && !known.endpoint.Draining {
+			known.endpoint.Draining = true
+			c.appendChange(known.endpoint, StartedDraining)
+		}
 	case PeerListReceived:
 		if len(c.entries) == 0 {
 			for _, endpoint := range e.Endpoints {
--- a/registry/restore_test.go
+++ b/registry/restore_test.go
@@ -51,6 +51,17 @@
 		Expect(core.Endpoints()[0].Draining).To(BeTrue())
 	})
 
+	// Guards against an endpoint that is used again since the store does not know yet that it leaves.
+	It("keeps an endpoint draining that said so itself", func() {
+		said := registry.LeavingObserved{ID: "a", Incarnation: 1}
+		Expect(kinds(core.Step(steadyTime, said))).To(Equal([]registry.ChangeKind{registry.StartedDraining}))
+		Expect(core.Step(steadyTime, said)).To(BeEmpty())
+		core.Step(steadyTime, registry.EndpointChanged{Endpoint: endpoint("a", 1)})
+		core.Step(steadyTime, registry.EndpointsListed{Endpoints: []registry.Endpoint{endpoint("a", 1), endpoint("b", 1)}})
+		Expect(core.Endpoints()[0].Draining).To(BeTrue())
+		Expect(core.Step(steadyTime, registry.LeavingObserved{ID: "b", Incarnation: 7})).To(BeEmpty())
+	})
+
 	It("ignores an endpoint that drained and left, but not its next incarnation", func() {
 		core.Step(steadyTime, registry.EndpointChanged{Endpoint: draining})
 		core.Step(steadyTime+time.Second, registry.EndpointRemoved{ID: "a"})
--- /dev/null
+++ b/standins/platform/soak/leaving_test.go
@@ -0,0 +1,92 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/deployment"
+	"github.com/hibiscusstair/hibiscusstair/standins/platform/world"
+)
+
+// leavingNotice is the users' bound for requests to an endpoint that has said that it
+// leaves.
+const leavingNotice = 2500 * time.Millisecond
+
+// startOneInstance starts a deployment with a single instance.
+func startOneInstance() *deployment.Deployment {
+	GinkgoHelper()
+	d, err := deployment.Start(deployment.Options{
+		Instances: 1, Engines: 3, EngineParameters: world.FastEngine, LogDirectory: GinkgoT().TempDir(), OnError: func(error) {},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go d.Run(ctx)
+	Expect(d.WaitReady(ctx)).To(Succeed())
+	return d
+}
+
+// sendFor sends requests of a kind to the instance for a time, several at once, and
+// returns their outcomes.
+func sendFor(d *deployment.Deployment, kind world.RequestKind, duration time.Duration) []world.Outcome {
+	var mu sync.Mutex
+	var outcomes []world.Outcome
+	var group sync.WaitGroup
+	until := time.Now().Add(duration)
+	for caller := range 6 {
+		group.Go(func() {
+			for number := 0; time.Now().Before(until); number++ {
+				id := fmt.Sprintf("%s-%d-%d-%d", kind, until.UnixNano(), caller, number)
+				outcome := world.Send(context.Background(), world.Request{
+					AttemptID: id, Kind: kind, Host: deployment.Host, APIKey: d.APIKeys()[0], InstanceAddress: d.Instances[0].CallerAddress,
+					Target: fmt.Sprintf("/%s/%s", kind, id), Body: []byte(id), PromptTokens: 100, OutputTokens: 12, Timeout: 5 * time.Second,
+				})
+				mu.Lock()
+				outcomes = append(outcomes, outcome)
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+// receivedBy returns how many requests the endpoint received from a time on.
+func receivedBy(d *deployment.Deployment, e *world.Endpoint, from time.Time) (count int) {
+	for _, r := range d.RequestLog.Requests() {
+		if r.IncarnationID == e.IncarnationID() && r.ReceivedAt.After(from) {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("An endpoint that says in its responses that it leaves", func() {
+	// Guards against requests to an endpoint that leaves before the store says so.
+	DescribeTable("gets no more requests", func(kind world.RequestKind, endpointOf func(*deployment.Deployment) *world.Endpoint) {
+		d := startOneInstance()
+		leaving := endpointOf(d)
+		leaving.SetLeaving()
+		began := time.Now()
+		_ = sendFor(d, kind, time.Second)
+		Expect(receivedBy(d, leaving, began)).To(BeNumerically(">", 0))
+		time.Sleep(leavingNotice)
+		noticed := time.Now()
+		for _, outcome := range sendFor(d, kind, 2*time.Second) {
+			Expect(outcome.Status).To(Equal(http.StatusOK))
+		}
+		Expect(receivedBy(d, leaving, noticed)).To(BeZero())
+	},
+		Entry("of streams", world.KindStream, func(d *deployment.Deployment) *world.Endpoint { return d.Engines[0] }),
+		Entry("of orders", world.KindOrder, func(d *deployment.Deployment) *world.Endpoint { return d.Desks[0] }),
+		Entry("of lookups", world.KindLookup, func(d *deployment.Deployment) *world.Endpoint { return d.Desks[0] }),
+	)
+})
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -88,6 +89,9 @@
 	activeRequests    int
 	rateLimit         float64 // requests per second that responses name; 0 is none
 	deadly            *DeadlyContent
+	leaving           bool          // all responses say that the endpoint leaves
+	busyFor           time.Duration // the Retry-After of the rejections of all requests; 0 is none
+	rejections        []time.Time   // of requests because of busyFor
 	// onStart starts background work of the endpoint. It is called with mu
 	// locked.
 	onStart func()
@@ -260,6 +264,52 @@
 	return e.deadly
 }
 
+// SetLeaving makes all responses say that the endpoint leaves. Its registration does
+// not change.
+func (e *Endpoint) SetLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// SetBusy makes the endpoint reject all requests and ask to be left alone for a time;
+// 0 ends it.
+func (e *Endpoint) SetBusy(retryAfter time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busyFor = retryAfter
+}
+
+// Rejections returns when the endpoint rejected requests because of SetBusy.
+func (e *Endpoint) Rejections() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.rejections)
+}
+
+// rejectBusy rejects a request if the endpoint is busy, and reports whether it did.
+func (e *Endpoint) rejectBusy(w http.ResponseWriter) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busyFor == 0 {
+		return false
+	}
+	e.rejections = append(e.rejections, time.Now())
+	w.Header().Set("Hibiscusstair-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(e.busyFor.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// writeLeaving adds that the endpoint leaves to the header of a response.
+func (e *Endpoint) writeLeaving(header http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		header.Set("Server-Leaving", "1")
+	}
+}
+
 // IncarnationID returns the identifier of the current or last start.
 func (e *Endpoint) IncarnationID() string {
 	e.mu.Lock()
@@ -286,6 +336,7 @@
 // handle serves the health check, rejects requests for another incarnation or
 // beyond the capacity, and passes the others to the engine or desk.
 func (e *Endpoint) handle(incarnationID string, w http.ResponseWriter, r *http.Request) {
+	e.writeLeaving(w.Header())
 	switch r.URL.Path {
 	case "/healthz":
 		w.Header().Set("Hibiscusstair-Instance-Id", incarnationID)
@@ -302,6 +353,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.rejectBusy(w) {
+		return
+	}
 	if e.addActive(1) > e.Slots+e.queueLength {
 		e.addActive(-1)
 		w.Header().Set("Hibiscusstair-Not-Executed", "1")
