Respect the pause that an endpoint asks for with a rejection

Nothing read the header of an endpoint's response.

standins/platform/soak, 'An endpoint that rejects requests and asks to be left alone', before: 7 streams in the time after a rejection, where 2 are allowed; no order reached the endpoint again once it was free, because each rejection had raised its error rate; Retry-After 0.1 s instead of 3 s.

Change: the balancer does not choose the endpoint, also for continuations, until the time is over. If only such endpoints are left, the request is refused at once (endpoint_busy) with the shortest time that is left.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -121,6 +121,7 @@
 	latencyMS           float64       // moving average of the response time of a plain service
 	refusedUntil        time.Duration // the endpoint is avoided until then after a refusal
 	rateLimit           rateLimit
+	deferredUntil       time.Duration // the endpoint takes no requests of this instance until then
 
 	// otherLoad is the part of the last load report that other instances cause.
 	otherLoad  Load
@@ -215,7 +216,7 @@
 		case slices.Contains(request.Exclude, e.ID):
 			excluded++
 			continue
-		case e.rateLimit.blocks(now, request):
+		case e.blocks(now, request):
 			limited++
 			continue
 		case c.exceedsMaxDelay(now, e, request):
@@ -233,7 +234,7 @@
 		return c.Choose(now, request)
 	}
 	if best == nil && limited > 0 {
-		return nil, c.rateLimitError(now, request.Service)
+		return nil, c.blockedError(now, request.Service)
 	}
 	if best == nil && tooSlow > 0 {
 		return nil, reason.New(reason.Overloaded, "prompts wait at all engines")
@@ -269,12 +270,12 @@
 	return e.running+e.backups >= e.Slots || (capacity > 0 && load.Tokens+request.Tokens > capacity)
 }
 
-// AvailableEndpoints returns the endpoints of a service that are neither
-// draining nor suspect.
+// AvailableEndpoints returns the endpoints of a service that take requests of this
+// instance, and are neither draining nor suspect.
 func (c *Core) AvailableEndpoints(now time.Duration, service string) []registry.Endpoint {
 	var list []registry.Endpoint
 	for _, e := range c.byService[service] {
-		if !e.Draining && now >= e.suspectUntil {
+		if !e.Draining && now >= e.suspectUntil && now >= e.deferredUntil {
 			list = append(list, e.Endpoint)
 		}
 	}
@@ -282,8 +283,8 @@
 }
 
 // IsAvailable reports whether the endpoint is registered with the same
-// incarnation and address and is not suspect.
+// incarnation and address, takes requests of this instance and is not suspect.
 func (c *Core) IsAvailable(now time.Duration, e registry.Endpoint) bool {
 	known, ok := c.endpoints[e.ID]
-	return ok && known.Incarnation == e.Incarnation && known.Address == e.Address && now >= known.suspectUntil
+	return ok && known.Incarnation == e.Incarnation && known.Address == e.Address && now >= known.suspectUntil && now >= known.deferredUntil
 }
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -74,6 +74,13 @@
 	b.core.SetLimited(id, incarnation, limited)
 }
 
+// Defer records that an endpoint wants no requests of this instance for a time.
+func (b *Balancer) Defer(e registry.Endpoint, wait time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.Defer(b.options.Clock(), e.ID, e.Incarnation, wait)
+}
+
 // Withdraw ends a lease for which no permit was granted. The endpoint is not chosen
 // for the given time.
 func (b *Balancer) Withdraw(l *Lease, wait time.Duration) {
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -63,7 +63,7 @@
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	for _, e := range c.byService[request.Service] {
-		if e.Draining || e.rateLimit.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
+		if e.Draining || e.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
 			continue
 		}
 		cost := c.cost(now, e, request)
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -42,17 +42,38 @@
 	}
 }
 
-// rateLimitError returns the refusal of a request for which only endpoints without
-// a permit are left.
-func (c *Core) rateLimitError(now time.Duration, service string) *reason.Error {
+// Defer records that an endpoint has rejected a request and wants none from this
+// instance for a time.
+func (c *Core) Defer(now time.Duration, id api.EndpointID, incarnation int64, wait time.Duration) {
+	if e, ok := c.endpoints[id]; ok && e.Incarnation == incarnation {
+		e.deferredUntil = max(e.deferredUntil, now+wait)
+	}
+}
+
+// blocks reports whether the endpoint must not be chosen for the request, because of
+// its rate limit or a deferral.
+func (e *endpoint) blocks(now time.Duration, request Request) bool {
+	return now < e.deferredUntil || e.rateLimit.blocks(now, request)
+}
+
+// blockedError returns the refusal of a request for which only endpoints are left that
+// give no permit or have deferred it. It advises to return when the first of them takes
+// requests.
+func (c *Core) blockedError(now time.Duration, service string) *reason.Error {
 	wait := time.Duration(0)
+	limited := false
 	for _, e := range c.byService[service] {
-		if !e.rateLimit.limited || e.Draining {
+		deferred := now < e.deferredUntil
+		if e.Draining || !e.rateLimit.limited && !deferred {
 			continue
 		}
-		if left := e.rateLimit.blockedUntil - now; wait == 0 || left < wait {
+		limited = limited || !deferred
+		if left := max(e.rateLimit.blockedUntil, e.deferredUntil) - now; wait == 0 || left < wait {
 			wait = max(left, minRateLimitWait)
 		}
 	}
-	return reason.New(reason.EndpointRate, "all endpoints with capacity limit their requests").WithRetryAfter(wait)
+	if limited {
+		return reason.New(reason.EndpointRate, "all endpoints with capacity limit their requests").WithRetryAfter(wait)
+	}
+	return reason.New(reason.EndpointBusy, "all endpoints with capacity have asked for a pause").WithRetryAfter(wait)
 }
--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -44,6 +44,26 @@
 		Expect(after.Suspected).To(BeFalse())
 	})
 
+	// Guards against requests to an endpoint that has said for how long it wants none, also
+	// after its limit has changed, and for continuations.
+	It("are not chosen while they have asked for a pause", func() {
+		core := newCore("i", 2)
+		first, _ := core.Choose(0, request)
+		core.Defer(0, first.Endpoint.ID, first.Endpoint.Incarnation, 3*time.Second)
+		core.Defer(0, first.Endpoint.ID, first.Endpoint.Incarnation, time.Second)
+		core.SetLimited(first.Endpoint.ID, first.Endpoint.Incarnation, false)
+		second, _ := core.Choose(2*time.Second, request)
+		Expect(second.Endpoint.ID).NotTo(Equal(first.Endpoint.ID))
+		Expect(core.IsAvailable(2*time.Second, first.Endpoint)).To(BeFalse())
+		core.Defer(2*time.Second, second.Endpoint.ID, second.Endpoint.Incarnation, 5*time.Second)
+		_, refusal := core.Choose(2500*time.Millisecond, request)
+		Expect(refusal.Reason).To(Equal(reason.EndpointBusy))
+		Expect(refusal.RetryAfter).To(Equal(500 * time.Millisecond))
+		third, refusal := core.Choose(3*time.Second, request)
+		Expect(refusal).To(BeNil())
+		Expect(third.Endpoint.ID).To(Equal(first.Endpoint.ID))
+	})
+
 	It("are left out for requests that take no permit", func() {
 		core := newCore("i", 2)
 		first, _ := core.Choose(0, request)
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -65,6 +65,13 @@
 		return
 	}
 	h.recordLimit(req, endpoint, info)
+	if info.RetryAfterErr != nil {
+		req.log.Warn("unreadable pause of an endpoint", "endpoint", endpoint.ID, "error", info.RetryAfterErr)
+	}
+	if info.RetryAfter > 0 {
+		req.log.Info("endpoint asked for a pause", "endpoint", endpoint.ID, "pause_ms", info.RetryAfter.Milliseconds())
+		h.o.Balance.Defer(endpoint, info.RetryAfter)
+	}
 	if info.Leaving && !endpoint.Draining && h.o.OnLeaving != nil {
 		h.o.OnLeaving(endpoint)
 	}
--- a/forward/place.go
+++ b/forward/place.go
@@ -96,7 +96,7 @@
 	switch err.Reason {
 	case reason.Overloaded:
 		return time.Duration(float64(s.req.route.TargetLatency) * overloadRetryShare)
-	case reason.EndpointRate:
+	case reason.EndpointRate, reason.EndpointBusy:
 		return err.RetryAfter
 	}
 	return retryAfter(s.req.info.Timeout)
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -69,6 +69,10 @@
 	Signed bool
 	// Leaving is true if the endpoint says that it leaves.
 	Leaving bool
+	// RetryAfter is the time for which an endpoint that rejected the request wants
+	// none of this instance; 0 is none. RetryAfterErr says that it could not be read.
+	RetryAfter    time.Duration
+	RetryAfterErr error
 	// RateLimit is the limit that the endpoint names; RateLimitErr says that it
 	// could not be read.
 	RateLimit    RateLimit
--- a/reason/list.go
+++ b/reason/list.go
@@ -48,6 +48,7 @@
 	AccountTokens       Reason = "account_tokens"
 	NoSlot              Reason = "no_slot"
 	EndpointRate        Reason = "endpoint_rate"
+	EndpointBusy        Reason = "endpoint_busy"
 	RetryBudget         Reason = "retry_budget"
 	CrossRegionBudget   Reason = "cross_region_budget"
 	RecoveryPaced       Reason = "recovery_paced"
@@ -124,6 +125,7 @@
 	AccountRate:         {http.StatusTooManyRequests, "the account's request rate is used up"},
 	AccountTokens:       {http.StatusTooManyRequests, "the account's tokens in flight are used up"},
 	NoSlot:              {http.StatusTooManyRequests, "no slot became free in time"},
+	EndpointBusy:        {http.StatusServiceUnavailable, "the endpoints have rejected requests and asked for a pause"},
 	EndpointRate:        {http.StatusServiceUnavailable, "the endpoints limit the requests of all instances, and the limit is used up"},
 	RetryBudget:         {http.StatusServiceUnavailable, "the retry budget is used up"},
 	CrossRegionBudget:   {http.StatusServiceUnavailable, "the budget of the billed link between regions is used up"},
--- a/standins/platform/soak/leaving_test.go
+++ b/standins/platform/soak/leaving_test.go
@@ -90,3 +90,63 @@
 		Entry("of lookups", world.KindLookup, func(d *deployment.Deployment) *world.Endpoint { return d.Desks[0] }),
 	)
 })
+
+var _ = Describe("An endpoint that rejects requests and asks to be left alone", func() {
+	const retryAfter = 3 * time.Second
+	// maxDisturbances is the users' bound for requests from half a second after a
+	// rejection to the end of the time.
+	const maxDisturbances = 2
+
+	// disturbances returns the most rejections that followed one rejection within its time.
+	disturbances := func(e *world.Endpoint) (most int) {
+		rejections := e.Rejections()
+		for i, first := range rejections {
+			count := 0
+			for _, at := range rejections[i+1:] {
+				if since := at.Sub(first); since > 500*time.Millisecond && since < retryAfter {
+					count++
+				}
+			}
+			most = max(most, count)
+		}
+		return most
+	}
+
+	// Guards against instances that go on sending to an endpoint that has said for how long it wants nothing.
+	DescribeTable("gets no requests meanwhile, and some afterwards", func(kind world.RequestKind, endpointOf func(*deployment.Deployment) *world.Endpoint) {
+		d := startOneInstance()
+		busy := endpointOf(d)
+		busy.SetBusy(retryAfter)
+		for _, outcome := range sendFor(d, kind, retryAfter) {
+			Expect(outcome.Status).To(Equal(http.StatusOK))
+		}
+		Expect(busy.Rejections()).NotTo(BeEmpty())
+		Expect(disturbances(busy)).To(BeNumerically("<=", maxDisturbances))
+		busy.SetBusy(0)
+		time.Sleep(retryAfter)
+		began := time.Now()
+		_ = sendFor(d, kind, time.Second)
+		Expect(receivedBy(d, busy, began)).To(BeNumerically(">", 0))
+	},
+		Entry("of streams", world.KindStream, func(d *deployment.Deployment) *world.Endpoint { return d.Engines[0] }),
+		Entry("of orders", world.KindOrder, func(d *deployment.Deployment) *world.Endpoint { return d.Desks[0] }),
+		Entry("of lookups", world.KindLookup, func(d *deployment.Deployment) *world.Endpoint { return d.Desks[0] }),
+	)
+
+	// Guards against callers that wait for endpoints which can't serve them.
+	It("makes instances refuse at once and say when to return, if all endpoints ask so", func() {
+		d := startOneInstance()
+		for _, desk := range d.Desks {
+			desk.SetBusy(retryAfter)
+		}
+		_ = sendFor(d, world.KindLookup, 500*time.Millisecond)
+		for _, outcome := range sendFor(d, world.KindLookup, 500*time.Millisecond) {
+			Expect(outcome.Status).To(Equal(http.StatusServiceUnavailable))
+			Expect(outcome.RetryAfter).To(BeNumerically("~", retryAfter, retryAfter/2))
+			Expect(outcome.EndedAt.Sub(outcome.SentAt)).To(BeNumerically("<", 200*time.Millisecond))
+		}
+		for _, desk := range d.Desks {
+			Expect(disturbances(desk)).To(BeNumerically("<=", maxDisturbances))
+		}
+	})
+})
