Report the content of a crashed engine after a reattachment

Change: an attempt that takes over a stream takes over that this instance opened it. TestCrashIsReportedAfterReattachment fails before and passes.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -73,7 +73,7 @@
 	}
 	a.placing = false
 	a.stream = newStreamName(g.request.ConnectionSalt, a.number)
-	a.newStream = true
+	a.newStream, a.opened = true, true
 	a.grant = ev.Grant.ID
 	a.endpoint = ev.Grant.Endpoint
 	a.lastActivityAt = now
@@ -199,7 +199,7 @@
 func (c *Core) reattachAttempt(now time.Duration, g *generation, old *attempt) {
 	a := c.newAttempt(now, g)
 	a.endpoint = old.endpoint
-	a.stream = old.stream
+	a.stream, a.opened = old.stream, old.opened
 	a.grant, old.grant = old.grant, 0
 	a.unreportedTokens, old.unreportedTokens = old.unreportedTokens, 0
 	a.verifying, a.verifyTokens = old.verifying, old.verifyTokens
--- a/generation/silence.go
+++ b/generation/silence.go
@@ -222,7 +222,7 @@
 			if g.done || a.placing || a.endpoint.ID != id {
 				continue
 			}
-			if a.newStream || a.receivedChunk {
+			if a.opened || a.receivedChunk {
 				running = append(running, g.request.Digest)
 			}
 			c.failAttempt(now, g, a, api.OutcomeCrashed, reason.EngineClosed, false)
--- a/generation/state.go
+++ b/generation/state.go
@@ -79,6 +79,9 @@
 	stream    string // name of the engine's stream
 	placing   bool   // waits for an endpoint
 	newStream bool   // OpenStream created the engine's stream; false: ReattachStream
+	// opened says that this instance opened the engine's stream, for this attempt or
+	// for one that it continues.
+	opened bool
 
 	nextPosition int
 	prefixHash   uint64
