--- a/forward/place.go
+++ b/forward/place.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
-	"context"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
+	"github.com/hibiscusstair/hibiscusstair/internal/wait"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
 
@@ -75,7 +75,7 @@
 			}
 			return nil, false, err.WithRetryAfter(s.retryAfter(err))
 		}
-		sleep(s.ctx, engineRetryInterval)
+		wait.For(s.ctx, engineRetryInterval)
 	}
 }
 
@@ -118,12 +118,3 @@
 	}
 	return ids
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/gateway/newer.go
+++ b/gateway/newer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/internal/wait"
 	"github.com/hibiscusstair/hibiscusstair/relay"
 )
 
@@ -30,7 +31,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case newer := <-g.newerTables:
-			if !wait(ctx, newerTableDelay) {
+			if !wait.For(ctx, newerTableDelay) {
 				return ctx.Err()
 			}
 			if g.table.Version() < newer.version {
@@ -51,15 +52,3 @@
 	}
 	g.follower.ApplyPeerTable(table)
 }
-
-// wait reports whether the time passed before the context ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/internal/wait"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/ring"
 )
@@ -349,7 +350,7 @@
 	if level != api.IsolationExclusive {
 		return level
 	}
-	sleep(ctx, crashMarkDelay)
+	wait.For(ctx, crashMarkDelay)
 	return r.o.Marks.IsolationLevel(digest)
 }
 
@@ -369,7 +370,7 @@
 	request.Isolation = level
 	grant, err := r.o.Placer.Place(ctx, request)
 	if err != nil && level != api.IsolationNone {
-		sleep(ctx, isolatedRetryInterval)
+		wait.For(ctx, isolatedRetryInterval)
 	}
 	return grant, err
 }
@@ -384,16 +385,6 @@
 	}
 }
 
-// sleep waits for the duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Drain refuses new requests and waits until all responses in progress have ended.
 func (r *Runner) Drain(ctx context.Context) error {
 	r.draining.Store(true)
--- a/standins/platform/world/batch.go
+++ b/standins/platform/world/batch.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/internal/wait"
 )
 
 // EngineParameters are the capacity and the speed of an engine.
@@ -109,7 +111,7 @@
 // of all generations.
 func (b *batch) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleepContext(ctx, b.step())
+		wait.For(ctx, b.step())
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/standins/platform/world/desk.go
+++ b/standins/platform/world/desk.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/internal/wait"
 )
 
 // deskProcessingTime is the time that a desk takes for a request.
@@ -31,7 +33,7 @@
 
 func serveDesk(e *Endpoint, faults *DeskFaults, incarnationID string, w http.ResponseWriter, r *http.Request) {
 	body := e.recordRequest(incarnationID, r)
-	if !sleepContext(r.Context(), deskProcessingTime) {
+	if !wait.For(r.Context(), deskProcessingTime) {
 		return
 	}
 	attempt := r.Header.Get("Hibiscusstair-Attempt-Id")
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
+	"github.com/hibiscusstair/hibiscusstair/internal/wait"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 )
@@ -180,7 +181,7 @@
 		if read.MayBeStale {
 			// A stale configuration is used until the store responds, and is
 			// read again.
-			sleep(ctx, retryDelay)
+			wait.For(ctx, retryDelay)
 			continue
 		}
 		f.recordSuccess(f.tableContact, read.Age)
@@ -188,7 +189,7 @@
 		f.logRestore(f.tableContact, revision, read.Revision)
 		revision = read.Revision
 		if revision.Number == 0 {
-			sleep(ctx, emptyStoreDelay)
+			wait.For(ctx, emptyStoreDelay)
 		}
 	}
 	return ctx.Err()
@@ -251,7 +252,7 @@
 		if next != revision {
 			f.logRestore(f.endpointContact, revision, next)
 			revision = next
-			sleep(ctx, watchBatchDelay)
+			wait.For(ctx, watchBatchDelay)
 		}
 	}
 	return ctx.Err()
@@ -274,7 +275,7 @@
 		if list.MayBeStale {
 			f.o.Registry.Apply(registry.PeerListReceived{Endpoints: list.Endpoints})
 			f.recordAnyList()
-			sleep(ctx, retryDelay)
+			wait.For(ctx, retryDelay)
 			return revision, nil
 		}
 		f.recordSuccess(f.endpointContact, list.Age)
@@ -341,19 +342,10 @@
 		f.o.Log.Warn("store contact lost", "reading", contact.kind, "error", err, "age_ms", contact.Age().Milliseconds())
 	}
 	if f.o.Table.Load() == nil {
-		sleep(ctx, startRetryDelay)
+		wait.For(ctx, startRetryDelay)
 		return
 	}
-	sleep(ctx, retryDelay)
+	wait.For(ctx, retryDelay)
 }
 
 func (f *Follower) count(name string) { f.o.Scope.Counter(name).Inc(1) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/suspect/runner.go
+++ b/suspect/runner.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/internal/wait"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/ring"
 	"github.com/hibiscusstair/hibiscusstair/store"
@@ -175,7 +176,7 @@
 			return
 		}
 		r.options.Log.Warn("cannot load crash marks from the store; retrying", "error", err.Error())
-		if !sleep(ctx, retryDelay) {
+		if !wait.For(ctx, retryDelay) {
 			return
 		}
 	}
@@ -199,17 +200,6 @@
 	r.step(MarksReceived{Marks: marks})
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (r *Runner) writeMarks(ctx context.Context) {
 	limiter := rate.NewLimiter(writesPerSecond, writeBurst)
 	for {
@@ -232,7 +222,7 @@
 			r.writesDone.Inc(1)
 			return
 		}
-		if !errors.Is(err, store.ErrConflict) && !sleep(ctx, retryDelay) {
+		if !errors.Is(err, store.ErrConflict) && !wait.For(ctx, retryDelay) {
 			return
 		}
 	}
