--- a/forward/crash.go
+++ b/forward/crash.go
@@ -3,149 +3,16 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
-const (
-	// attributionWindow is how long after its end an attempt without a good end counts
-	// as the possible cause if its endpoint is found to have ended too. A silent
-	// endpoint is removed from the registry after three heartbeat intervals, 3.6 s,
-	// and the watch that reports it may be late.
-	attributionWindow = 8 * time.Second
-	// maxEndedAttempts bounds the ended attempts that are remembered for an endpoint.
-	maxEndedAttempts = 256
-)
-
-// trackedAttempt is an attempt of a request at an endpoint.
-type trackedAttempt struct {
-	request quarantine.Request
-	sent    bool // the request was sent, at least in part
-	// served is true once the engine has generated servedAfterEvents events.
-	served  bool
-	endedAt time.Duration // 0 while it runs
-	// reported is true once its endpoint was reported as crashed.
-	reported bool
-}
-
-// evidence returns what the endpoint may have crashed with.
-func (a *trackedAttempt) evidence() quarantine.Request {
-	if a.served {
-		return quarantine.Request{Content: a.request.Content}
-	}
-	return a.request
-}
-
-// incarnation identifies one start of an endpoint.
-type incarnation struct {
-	id      api.EndpointID
-	started int64
-}
-
-func incarnationOf(e registry.Endpoint) incarnation {
-	return incarnation{id: e.ID, started: e.Incarnation}
-}
-
-// attemptTracker knows the attempts that run on each endpoint, and those that have
-// ended there without a good end. They are the possible causes if the endpoint is
-// found to have crashed, in whatever way and however late.
-type attemptTracker struct {
-	mu       sync.Mutex
-	attempts map[incarnation][]*trackedAttempt
-}
-
-func (t *attemptTracker) add(endpoint registry.Endpoint, request quarantine.Request) *trackedAttempt {
-	added := &trackedAttempt{request: request}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	key := incarnationOf(endpoint)
-	t.attempts[key] = append(t.attempts[key], added)
-	return added
-}
-
-// markSent has to be called before the request is sent.
-func (t *attemptTracker) markSent(a *trackedAttempt) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a.sent = true
-}
-
-func (t *attemptTracker) markServed(a *trackedAttempt) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a.served = true
-}
-
-// remove removes an attempt that ended well or was not executed.
-func (t *attemptTracker) remove(endpoint registry.Endpoint, removed *trackedAttempt) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.removeWhere(incarnationOf(endpoint), func(a *trackedAttempt) bool { return a == removed })
-}
-
-// end keeps an attempt without a good end for attributionWindow, if it was sent.
-func (t *attemptTracker) end(now time.Duration, endpoint registry.Endpoint, ended *trackedAttempt) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	ended.endedAt = now
-	key := incarnationOf(endpoint)
-	surplus := -maxEndedAttempts
-	for _, a := range t.attempts[key] {
-		if a.endedAt != 0 {
-			surplus++
-		}
-	}
-	t.removeWhere(key, func(a *trackedAttempt) bool {
-		if a == ended && !a.sent {
-			return true
-		}
-		if a.endedAt == 0 {
-			return false
-		}
-		surplus--
-		return surplus >= 0 || now-a.endedAt > attributionWindow
-	})
-}
-
-func (t *attemptTracker) removeWhere(key incarnation, remove func(*trackedAttempt) bool) {
-	t.attempts[key] = slices.DeleteFunc(t.attempts[key], remove)
-	if len(t.attempts[key]) == 0 {
-		delete(t.attempts, key)
-	}
-}
-
-// takeUnreported returns the requests that the endpoint may have crashed with and that
-// were not returned before.
-func (t *attemptTracker) takeUnreported(now time.Duration, endpoint registry.Endpoint) []quarantine.Request {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var requests []quarantine.Request
-	for _, a := range t.attempts[incarnationOf(endpoint)] {
-		if !a.sent || a.reported || a.endedAt != 0 && now-a.endedAt > attributionWindow {
-			continue
-		}
-		a.reported = true
-		requests = append(requests, a.evidence())
-	}
-	return requests
-}
-
-// forget drops what is known of an endpoint.
-func (t *attemptTracker) forget(endpoint registry.Endpoint) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.attempts, incarnationOf(endpoint))
-}
-
 // endpointActivity is when any endpoint last sent something to this instance.
 type endpointActivity struct{ last atomic.Int64 }
 
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -1,14 +1,11 @@
 package world
 
 import (
-	"bytes"
-	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -238,78 +235,6 @@
 	e.rateLimit = perSecond
 }
 
-// DeadlyContent is content that ends the engines which run it.
-type DeadlyContent struct {
-	Body []byte
-	// AfterEvents is the number of events that an engine sends before it ends.
-	AfterEvents int
-	// End ends the engine. It is called in a goroutine of its own.
-	End func(e *Endpoint)
-}
-
-// SetDeadlyContent sets the content that ends the engine; nil is none.
-func (e *Endpoint) SetDeadlyContent(content *DeadlyContent) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.deadly = content
-}
-
-// deadlyContent returns the deadly content if the body is its body, otherwise nil.
-func (e *Endpoint) deadlyContent(body []byte) *DeadlyContent {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.deadly == nil || !bytes.Equal(e.deadly.Body, body) {
-		return nil
-	}
-	return e.deadly
-}
-
-// SetLeaving makes all responses say that the endpoint leaves. Its registration does
-// not change.
-func (e *Endpoint) SetLeaving() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = true
-}
-
-// SetBusy makes the endpoint reject all requests and ask to be left alone for a time;
-// 0 ends it.
-func (e *Endpoint) SetBusy(retryAfter time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.busyFor = retryAfter
-}
-
-// Rejections returns when the endpoint rejected requests because of SetBusy.
-func (e *Endpoint) Rejections() []time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Clone(e.rejections)
-}
-
-// rejectBusy rejects a request if the endpoint is busy, and reports whether it did.
-func (e *Endpoint) rejectBusy(w http.ResponseWriter) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.busyFor == 0 {
-		return false
-	}
-	e.rejections = append(e.rejections, time.Now())
-	w.Header().Set("Hibiscusstair-Not-Executed", "1")
-	w.Header().Set("Retry-After", strconv.FormatFloat(e.busyFor.Seconds(), 'f', -1, 64))
-	w.WriteHeader(http.StatusServiceUnavailable)
-	return true
-}
-
-// writeLeaving adds that the endpoint leaves to the header of a response.
-func (e *Endpoint) writeLeaving(header http.Header) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.leaving {
-		header.Set("Server-Leaving", "1")
-	}
-}
-
 // IncarnationID returns the identifier of the current or last start.
 func (e *Endpoint) IncarnationID() string {
 	e.mu.Lock()
@@ -379,16 +304,3 @@
 	})
 	return body
 }
-
-// sleepContext sleeps for d and reports whether the whole time passed before the
-// context ended.
-func sleepContext(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
