--- a/standins/platform/soak/crash_test.go
+++ b/standins/platform/soak/crash_test.go
@@ -142,22 +142,14 @@
 var _ = Describe("Content that ends each engine which runs it", func() {
 	// Guards against content that goes on ending engines after three have ended, whatever way they end.
 	DescribeTable("is found by all instances", func(ending engineEnd) {
-		d, err := deployment.Start(deployment.Options{
-			Instances: 4, Engines: 12, EngineParameters: world.FastEngine, LogDirectory: GinkgoT().TempDir(), OnError: func(error) {},
-		})
-		Expect(err).NotTo(HaveOccurred())
-		defer d.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-		defer cancel()
-		go d.Run(ctx)
-		Expect(d.WaitReady(ctx)).To(Succeed())
+		d := startDeployment(4, 12)
 		for _, e := range d.Engines {
 			e.SetDeadlyContent(&world.DeadlyContent{Body: []byte(deadlyBody), AfterEvents: ending.afterEvents, End: ending.end(d)})
 			if !ending.throughProxy {
 				e.SetRegisteredAddress(e.Address()) // a proxy would accept connections
 			}
 		}
-		load, stop := context.WithTimeout(ctx, deadlyDuration)
+		load, stop := context.WithTimeout(context.Background(), deadlyDuration)
 		defer stop()
 		var group sync.WaitGroup
 		for i := range soundCallers {
@@ -183,4 +175,32 @@
 		Entry("in silence", engineEnd{end: endSilently, throughProxy: true}),
 		Entry("while instances are killed", engineEnd{end: endAndRefuse(engineRestart), killInstances: true}),
 	)
+
+	// Guards against an instance that learns nothing of what was found while it stood still.
+	It("is known to an instance that stood still meanwhile", func() {
+		d := startDeployment(4, 12)
+		for _, e := range d.Engines {
+			e.SetDeadlyContent(&world.DeadlyContent{Body: []byte(deadlyBody), End: endAndRefuse(engineRestart)(d)})
+			e.SetRegisteredAddress(e.Address())
+		}
+		away := d.Instances[0]
+		away.Process().Pause()
+		time.Sleep(time.Second) // until it is not ready
+		load, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		sendStreams(load, d, "deadly", deadlyInterval, func(int) string { return deadlyBody })
+		Expect(len(receivedWith(d, deadlyBody))).To(BeNumerically(">=", 3))
+		away.Process().Continue()
+		time.Sleep(noticeTime)
+		before := len(receivedWith(d, deadlyBody))
+		for i := range 6 {
+			outcome := world.Send(context.Background(), world.Request{
+				AttemptID: fmt.Sprint("late-", i), Kind: world.KindStream, Host: deployment.Host, APIKey: d.APIKeys()[0],
+				InstanceAddress: away.CallerAddress, Target: "/stream/1", Body: []byte(deadlyBody),
+				PromptTokens: 800, OutputTokens: 240, Timeout: 5 * time.Second,
+			})
+			GinkgoWriter.Println("status", outcome.Status)
+		}
+		Expect(len(receivedWith(d, deadlyBody)) - before).To(BeNumerically("<=", maxLateRetries))
+	})
 })
--- a/standins/platform/soak/leaving_test.go
+++ b/standins/platform/soak/leaving_test.go
@@ -18,21 +18,6 @@
 // leaves.
 const leavingNotice = 2500 * time.Millisecond
 
-// startOneInstance starts a deployment with a single instance.
-func startOneInstance() *deployment.Deployment {
-	GinkgoHelper()
-	d, err := deployment.Start(deployment.Options{
-		Instances: 1, Engines: 3, EngineParameters: world.FastEngine, LogDirectory: GinkgoT().TempDir(), OnError: func(error) {},
-	})
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(d.Close)
-	ctx, cancel := context.WithCancel(context.Background())
-	DeferCleanup(cancel)
-	go d.Run(ctx)
-	Expect(d.WaitReady(ctx)).To(Succeed())
-	return d
-}
-
 // sendFor sends requests of a kind to the instance for a time, several at once, and
 // returns their outcomes.
 func sendFor(d *deployment.Deployment, kind world.RequestKind, duration time.Duration) []world.Outcome {
@@ -72,7 +57,7 @@
 var _ = Describe("An endpoint that says in its responses that it leaves", func() {
 	// Guards against requests to an endpoint that leaves before the store says so.
 	DescribeTable("gets no more requests", func(kind world.RequestKind, endpointOf func(*deployment.Deployment) *world.Endpoint) {
-		d := startOneInstance()
+		d := startDeployment(1, 3)
 		leaving := endpointOf(d)
 		leaving.SetLeaving()
 		began := time.Now()
@@ -114,7 +99,7 @@
 
 	// Guards against instances that go on sending to an endpoint that has said for how long it wants nothing.
 	DescribeTable("gets no requests meanwhile, and some afterwards", func(kind world.RequestKind, endpointOf func(*deployment.Deployment) *world.Endpoint) {
-		d := startOneInstance()
+		d := startDeployment(1, 3)
 		busy := endpointOf(d)
 		busy.SetBusy(retryAfter)
 		for _, outcome := range sendFor(d, kind, retryAfter) {
@@ -135,7 +120,7 @@
 
 	// Guards against callers that wait for endpoints which can't serve them.
 	It("makes instances refuse at once and say when to return, if all endpoints ask so", func() {
-		d := startOneInstance()
+		d := startDeployment(1, 3)
 		for _, desk := range d.Desks {
 			desk.SetBusy(retryAfter)
 		}
--- a/standins/platform/soak/limit_test.go
+++ b/standins/platform/soak/limit_test.go
@@ -69,20 +69,12 @@
 	// Guards against limits that each process applies on its own, or that are
 	// forgotten when a process is killed and started again.
 	It("get no more than they take while instances are killed", func() {
-		directory := GinkgoT().TempDir()
-		d, err := deployment.Start(deployment.Options{
-			Instances: 4, Engines: 3, EngineParameters: world.FastEngine, LogDirectory: directory, OnError: func(error) {},
-		})
-		Expect(err).NotTo(HaveOccurred())
-		defer d.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-		defer cancel()
-		go d.Run(ctx)
-		Expect(d.WaitReady(ctx)).To(Succeed())
+		d := startDeployment(4, 3)
 		for _, desk := range d.Desks {
 			desk.SetRateLimit(deskLimit)
 		}
-		load, stop := context.WithCancel(ctx)
+		load, stop := context.WithCancel(context.Background())
+		defer stop()
 		var group sync.WaitGroup
 		var mu sync.Mutex
 		served := 0
--- a/standins/platform/soak/restore_test.go
+++ b/standins/platform/soak/restore_test.go
@@ -45,16 +45,7 @@
 	var d *deployment.Deployment
 
 	BeforeEach(func() {
-		var err error
-		d, err = deployment.Start(deployment.Options{
-			Instances: 6, Engines: 6, EngineParameters: world.FastEngine, LogDirectory: GinkgoT().TempDir(), OnError: func(error) {},
-		})
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-		ctx, cancel := context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		go d.Run(ctx)
-		Expect(d.WaitReady(ctx)).To(Succeed())
+		d = startDeployment(6, 6)
 	})
 
 	// restore makes changes, loses them in a restored store, and writes again what the
