--- a/standins/platform/deployment/deployment.go
+++ b/standins/platform/deployment/deployment.go
@@ -186,6 +186,20 @@
 	return append(append([]*world.Endpoint(nil), d.Engines...), d.Desks...)
 }
 
+// EndStaleRegistrations ends the registrations of earlier incarnations, which the
+// platform does when they are not renewed.
+func (d *Deployment) EndStaleRegistrations() {
+	current := make(map[string]bool)
+	for _, e := range d.endpoints() {
+		current[e.IncarnationID()] = true
+	}
+	for _, name := range d.Store.Names("servers") {
+		if !current[name] {
+			d.Store.Delete("servers", name)
+		}
+	}
+}
+
 // WaitReady waits until all instances are ready. Run has to be active meanwhile.
 func (d *Deployment) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
--- a/standins/platform/soak/soak.go
+++ b/standins/platform/soak/soak.go
@@ -31,6 +31,8 @@
 	LogDirectory string
 	// NoFaults turns off fault injection.
 	NoFaults bool
+	// SecondFaults adds the faults of injectSecondFaults.
+	SecondFaults bool
 }
 
 // Report is the result of a soak run.
@@ -96,6 +98,9 @@
 	if !s.options.NoFaults {
 		group.Go(func() { s.injectFaults(ctx) })
 	}
+	if s.options.SecondFaults {
+		group.Go(func() { s.injectSecondFaults(ctx) })
+	}
 	group.Wait()
 }
 
--- a/standins/platform/soak/soak_test.go
+++ b/standins/platform/soak/soak_test.go
@@ -42,13 +42,16 @@
 	})
 
 	DescribeTable("keep their guarantees to callers under overlapping faults",
-		func(seed int) {
-			report := run(soak.Options{Seed: uint64(seed), Duration: 8 * time.Second, Instances: 4, Engines: 9, Callers: 8})
+		func(seed int, secondFaults bool) {
+			report := run(soak.Options{
+				Seed: uint64(seed), Duration: 8 * time.Second, Instances: 4, Engines: 9, Callers: 8, SecondFaults: secondFaults,
+			})
 			Expect(report.Requests).To(BeNumerically(">", 50))
 		},
-		Entry("seed 1", 1),
-		Entry("seed 2", 2),
+		Entry("seed 1", 1, false),
+		Entry("seed 2", 2, false),
 		// The first request after a limit had ended was refused.
-		Entry("seed 20285", 20285),
+		Entry("seed 20285", 20285, false),
+		Entry("seed 3, with a store that is restored", 3, true),
 	)
 })
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -120,7 +120,7 @@
 	}
 	e.incarnationID = fmt.Sprintf("i-%s-%d", e.listenAddress, e.startCount)
 	e.startedAtMS = time.Now().UnixMilli()
-	e.draining = false
+	e.draining, e.leaving = false, false
 	e.listener = listener
 	if e.onStart != nil {
 		e.onStart()
--- a/standins/platform/world/store.go
+++ b/standins/platform/world/store.go
@@ -133,6 +133,13 @@
 	return copied
 }
 
+// Names returns the names of the objects of a kind.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
+}
+
 // SetDown sets whether every call fails with status 503.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
