Test content that ends the endpoints of a service for orders

An order is sent once for each of its caller's attempts, so no instance sees three ends by itself, and the service has three endpoints.

--- a/standins/platform/soak/crash_test.go
+++ b/standins/platform/soak/crash_test.go
@@ -41,6 +41,7 @@
 
 // engineEnd is a way in which engines end, and what happens beside it.
 type engineEnd struct {
+	kind          world.RequestKind // of the content
 	end           func(*deployment.Deployment) func(*world.Endpoint)
 	afterEvents   int
 	throughProxy  bool
@@ -102,16 +103,16 @@
 	}
 }
 
-// sendStreams sends streams of one content each until the context ends.
-func sendStreams(ctx context.Context, d *deployment.Deployment, name string, interval time.Duration, body func(int) string) {
+// sendRequests sends requests of a kind until the context ends.
+func sendRequests(ctx context.Context, d *deployment.Deployment, kind world.RequestKind, name string, interval time.Duration, body func(int) string) {
 	random := rand.New(rand.NewPCG(7, world.Hash([]byte(name))))
 	var group sync.WaitGroup
 	defer group.Wait()
 	for number := 0; ctx.Err() == nil; number++ {
 		if ready := d.ReadyInstances(); len(ready) > 0 {
 			request := world.Request{
-				AttemptID: fmt.Sprintf("%s-%d", name, number), Kind: world.KindStream, Host: deployment.Host, APIKey: d.APIKeys()[0],
-				InstanceAddress: ready[random.IntN(len(ready))].CallerAddress, Target: "/stream/1", Body: []byte(body(number)),
+				AttemptID: fmt.Sprintf("%s-%d", name, number), Kind: kind, Host: deployment.Host, APIKey: d.APIKeys()[0],
+				InstanceAddress: ready[random.IntN(len(ready))].CallerAddress, Target: fmt.Sprintf("/%s/1", kind), Body: []byte(body(number)),
 				PromptTokens: 800, OutputTokens: 240, Timeout: 8 * time.Second,
 			}
 			group.Go(func() { world.Send(context.Background(), request) })
@@ -143,7 +144,7 @@
 	// Guards against content that goes on ending engines after three have ended, whatever way they end.
 	DescribeTable("is found by all instances", func(ending engineEnd) {
 		d := startDeployment(4, 12)
-		for _, e := range d.Engines {
+		for _, e := range append(d.Engines, d.Desks...) {
 			e.SetDeadlyContent(&world.DeadlyContent{Body: []byte(deadlyBody), AfterEvents: ending.afterEvents, End: ending.end(d)})
 			if !ending.throughProxy {
 				e.SetRegisteredAddress(e.Address()) // a proxy would accept connections
@@ -155,10 +156,12 @@
 		for i := range soundCallers {
 			name := fmt.Sprint("sound", i)
 			group.Go(func() {
-				sendStreams(load, d, name, 300*time.Millisecond, func(n int) string { return fmt.Sprint(name, n) })
+				sendRequests(load, d, ending.kind, name, 300*time.Millisecond, func(n int) string { return fmt.Sprint(name, n) })
 			})
 		}
-		group.Go(func() { sendStreams(load, d, "deadly", deadlyInterval, func(int) string { return deadlyBody }) })
+		group.Go(func() {
+			sendRequests(load, d, ending.kind, "deadly", deadlyInterval, func(int) string { return deadlyBody })
+		})
 		if ending.killInstances {
 			group.Go(func() { killInTurn(load, d) })
 		}
@@ -169,11 +172,12 @@
 		GinkgoWriter.Printf("%d requests reached engines, %d of them late\n", len(received), len(late))
 		Expect(len(late)).To(BeNumerically("<=", maxLateRetries))
 	},
-		Entry("with refused connections", engineEnd{end: endAndRefuse(engineRestart)}),
-		Entry("after some events", engineEnd{end: endAndRefuse(engineRestart), afterEvents: 5}),
-		Entry("and start again at once", engineEnd{end: endAndRefuse(0)}),
-		Entry("in silence", engineEnd{end: endSilently, throughProxy: true}),
-		Entry("while instances are killed", engineEnd{end: endAndRefuse(engineRestart), killInstances: true}),
+		Entry("with refused connections", engineEnd{kind: world.KindStream, end: endAndRefuse(engineRestart)}),
+		Entry("after some events", engineEnd{kind: world.KindStream, end: endAndRefuse(engineRestart), afterEvents: 5}),
+		Entry("and start again at once", engineEnd{kind: world.KindStream, end: endAndRefuse(0)}),
+		Entry("in silence", engineEnd{kind: world.KindStream, end: endSilently, throughProxy: true}),
+		Entry("of a service for orders", engineEnd{kind: world.KindOrder, end: endAndRefuse(engineRestart)}),
+		Entry("while instances are killed", engineEnd{kind: world.KindStream, end: endAndRefuse(engineRestart), killInstances: true}),
 	)
 
 	// Guards against an instance that learns nothing of what was found while it stood still.
@@ -188,7 +192,7 @@
 		time.Sleep(time.Second) // until it is not ready
 		load, stop := context.WithTimeout(context.Background(), 5*time.Second)
 		defer stop()
-		sendStreams(load, d, "deadly", deadlyInterval, func(int) string { return deadlyBody })
+		sendRequests(load, d, world.KindStream, "deadly", deadlyInterval, func(int) string { return deadlyBody })
 		Expect(len(receivedWith(d, deadlyBody))).To(BeNumerically(">=", 3))
 		away.Process().Continue()
 		time.Sleep(noticeTime)
--- a/standins/platform/world/desk.go
+++ b/standins/platform/world/desk.go
@@ -33,6 +33,11 @@
 
 func serveDesk(e *Endpoint, faults *DeskFaults, incarnationID string, w http.ResponseWriter, r *http.Request) {
 	body := e.recordRequest(incarnationID, r)
+	if deadly := e.deadlyContent(body); deadly != nil {
+		go deadly.End(e)
+		<-r.Context().Done()
+		return
+	}
 	if !wait.For(r.Context(), deskProcessingTime) {
 		return
 	}
--- a/standins/platform/world/misbehaviour.go
+++ b/standins/platform/world/misbehaviour.go
@@ -8,16 +8,17 @@
 	"time"
 )
 
-// DeadlyContent is content that ends the engines which run it.
+// DeadlyContent is content that ends the endpoints which run it.
 type DeadlyContent struct {
 	Body []byte
-	// AfterEvents is the number of events that an engine sends before it ends.
+	// AfterEvents is the number of events that an engine sends before it ends. Desks
+	// send nothing.
 	AfterEvents int
-	// End ends the engine. It is called in a goroutine of its own.
+	// End ends the endpoint. It is called in a goroutine of its own.
 	End func(e *Endpoint)
 }
 
-// SetDeadlyContent sets the content that ends the engine; nil is none.
+// SetDeadlyContent sets the content that ends the endpoint; nil is none.
 func (e *Endpoint) SetDeadlyContent(content *DeadlyContent) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
