Name poison content and the added faults of the soak by the usual terms

Read as a newcomer: the stand-in's content that ends endpoints is what suspect calls poison, its faults stand in faults.go, and the soak's added faults are its extra ones. Nothing else changes.

--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -31,7 +31,7 @@
 			os.Exit(1)
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, Duration: *duration, Instances: *instances, Engines: *engines, Callers: *callers, LogDirectory: logs, SecondFaults: true,
+			Seed: seed, Duration: *duration, Instances: *instances, Engines: *engines, Callers: *callers, LogDirectory: logs, ExtraFaults: true,
 		})
 		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d guarantees violated\n",
 			seed, report.Requests, report.Served, len(report.Faults), len(report.Violations))
--- a/standins/platform/soak/crash_test.go
+++ b/standins/platform/soak/crash_test.go
@@ -20,12 +20,12 @@
 )
 
 const (
-	// deadlyBody is the content that ends the engines which run it.
-	deadlyBody = "deadly"
-	// deadlyInterval is the time between two callers that send it.
-	deadlyInterval = 400 * time.Millisecond
-	// deadlyDuration is how long it is sent.
-	deadlyDuration = 7 * time.Second
+	// poisonBody is the content that ends the engines which run it.
+	poisonBody = "poison"
+	// poisonInterval is the time between two callers that send it.
+	poisonInterval = 400 * time.Millisecond
+	// poisonDuration is how long it is sent.
+	poisonDuration = 7 * time.Second
 	// noticeTime is the time after the third end in which the instances have to find
 	// the content, and maxLateRetries the requests with it that may reach engines
 	// afterwards. Both are the users' bound.
@@ -145,12 +145,12 @@
 	DescribeTable("is found by all instances", func(ending engineEnd) {
 		d := startDeployment(4, 12)
 		for _, e := range append(d.Engines, d.Desks...) {
-			e.SetDeadlyContent(&world.DeadlyContent{Body: []byte(deadlyBody), AfterEvents: ending.afterEvents, End: ending.end(d)})
+			e.SetPoisonContent(&world.PoisonContent{Body: []byte(poisonBody), AfterEvents: ending.afterEvents, End: ending.end(d)})
 			if !ending.throughProxy {
 				e.SetRegisteredAddress(e.Address()) // a proxy would accept connections
 			}
 		}
-		load, stop := context.WithTimeout(context.Background(), deadlyDuration)
+		load, stop := context.WithTimeout(context.Background(), poisonDuration)
 		defer stop()
 		var group sync.WaitGroup
 		for i := range soundCallers {
@@ -160,13 +160,13 @@
 			})
 		}
 		group.Go(func() {
-			sendRequests(load, d, ending.kind, "deadly", deadlyInterval, func(int) string { return deadlyBody })
+			sendRequests(load, d, ending.kind, "poison", poisonInterval, func(int) string { return poisonBody })
 		})
 		if ending.killInstances {
 			group.Go(func() { killInTurn(load, d) })
 		}
 		group.Wait()
-		received := receivedWith(d, deadlyBody)
+		received := receivedWith(d, poisonBody)
 		Expect(len(received)).To(BeNumerically(">=", 3))
 		late := slices.DeleteFunc(slices.Clone(received), func(at time.Time) bool { return at.Before(received[2].Add(noticeTime)) })
 		GinkgoWriter.Printf("%d requests reached engines, %d of them late\n", len(received), len(late))
@@ -184,7 +184,7 @@
 	It("is known to an instance that stood still meanwhile", func() {
 		d := startDeployment(4, 12)
 		for _, e := range d.Engines {
-			e.SetDeadlyContent(&world.DeadlyContent{Body: []byte(deadlyBody), End: endAndRefuse(engineRestart)(d)})
+			e.SetPoisonContent(&world.PoisonContent{Body: []byte(poisonBody), End: endAndRefuse(engineRestart)(d)})
 			e.SetRegisteredAddress(e.Address())
 		}
 		away := d.Instances[0]
@@ -192,19 +192,19 @@
 		time.Sleep(time.Second) // until it is not ready
 		load, stop := context.WithTimeout(context.Background(), 5*time.Second)
 		defer stop()
-		sendRequests(load, d, world.KindStream, "deadly", deadlyInterval, func(int) string { return deadlyBody })
-		Expect(len(receivedWith(d, deadlyBody))).To(BeNumerically(">=", 3))
+		sendRequests(load, d, world.KindStream, "poison", poisonInterval, func(int) string { return poisonBody })
+		Expect(len(receivedWith(d, poisonBody))).To(BeNumerically(">=", 3))
 		away.Process().Continue()
 		time.Sleep(noticeTime)
-		before := len(receivedWith(d, deadlyBody))
+		before := len(receivedWith(d, poisonBody))
 		for i := range 6 {
 			outcome := world.Send(context.Background(), world.Request{
 				AttemptID: fmt.Sprint("late-", i), Kind: world.KindStream, Host: deployment.Host, APIKey: d.APIKeys()[0],
-				InstanceAddress: away.CallerAddress, Target: "/stream/1", Body: []byte(deadlyBody),
+				InstanceAddress: away.CallerAddress, Target: "/stream/1", Body: []byte(poisonBody),
 				PromptTokens: 800, OutputTokens: 240, Timeout: 5 * time.Second,
 			})
 			GinkgoWriter.Println("status", outcome.Status)
 		}
-		Expect(len(receivedWith(d, deadlyBody)) - before).To(BeNumerically("<=", maxLateRetries))
+		Expect(len(receivedWith(d, poisonBody)) - before).To(BeNumerically("<=", maxLateRetries))
 	})
 })
--- a/standins/platform/soak/restore.go
+++ b/standins/platform/soak/restore.go
@@ -10,21 +10,21 @@
 )
 
 const (
-	// maxSecondFaultInterval is the longest time between the starts of two faults of
-	// injectSecondFaults.
-	maxSecondFaultInterval = 4 * time.Second
+	// maxExtraFaultInterval is the longest time between the starts of two faults of
+	// injectExtraFaults.
+	maxExtraFaultInterval = 4 * time.Second
 	// drainTime is how long an engine serves on after it has said that it leaves.
 	drainTime = 2500 * time.Millisecond
 )
 
-// injectSecondFaults starts random faults beside those of injectFaults, and waits until
+// injectExtraFaults starts random faults beside those of injectFaults, and waits until
 // all have ended. They are drawn apart, so that a seed keeps its other faults.
-func (s *soak) injectSecondFaults(ctx context.Context) {
+func (s *soak) injectExtraFaults(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 4))
 	faults := []func(*rand.Rand){s.restoreStore, s.leaveWithoutRegistration, s.pauseDesk}
 	var group sync.WaitGroup
 	defer group.Wait()
-	for wait.For(ctx, randomDuration(random, 0, maxSecondFaultInterval)) {
+	for wait.For(ctx, randomDuration(random, 0, maxExtraFaultInterval)) {
 		seed := random.Uint64()
 		fault := faults[random.IntN(len(faults))]
 		group.Go(func() { fault(rand.New(rand.NewPCG(seed, 2))) })
--- a/standins/platform/soak/soak.go
+++ b/standins/platform/soak/soak.go
@@ -31,8 +31,8 @@
 	LogDirectory string
 	// NoFaults turns off fault injection.
 	NoFaults bool
-	// SecondFaults adds the faults of injectSecondFaults.
-	SecondFaults bool
+	// ExtraFaults adds the faults of injectExtraFaults.
+	ExtraFaults bool
 }
 
 // Report is the result of a soak run.
@@ -98,8 +98,8 @@
 	if !s.options.NoFaults {
 		group.Go(func() { s.injectFaults(ctx) })
 	}
-	if s.options.SecondFaults {
-		group.Go(func() { s.injectSecondFaults(ctx) })
+	if s.options.ExtraFaults {
+		group.Go(func() { s.injectExtraFaults(ctx) })
 	}
 	group.Wait()
 }
--- a/standins/platform/soak/soak_test.go
+++ b/standins/platform/soak/soak_test.go
@@ -42,9 +42,9 @@
 	})
 
 	DescribeTable("keep their guarantees to callers under overlapping faults",
-		func(seed int, secondFaults bool) {
+		func(seed int, extraFaults bool) {
 			report := run(soak.Options{
-				Seed: uint64(seed), Duration: 8 * time.Second, Instances: 4, Engines: 9, Callers: 8, SecondFaults: secondFaults,
+				Seed: uint64(seed), Duration: 8 * time.Second, Instances: 4, Engines: 9, Callers: 8, ExtraFaults: extraFaults,
 			})
 			Expect(report.Requests).To(BeNumerically(">", 50))
 		},
--- a/standins/platform/world/desk.go
+++ b/standins/platform/world/desk.go
@@ -33,8 +33,8 @@
 
 func serveDesk(e *Endpoint, faults *DeskFaults, incarnationID string, w http.ResponseWriter, r *http.Request) {
 	body := e.recordRequest(incarnationID, r)
-	if deadly := e.deadlyContent(body); deadly != nil {
-		go deadly.End(e)
+	if poison := e.poisonContent(body); poison != nil {
+		go poison.End(e)
 		<-r.Context().Done()
 		return
 	}
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -85,7 +85,7 @@
 	startedAtMS       int64
 	activeRequests    int
 	rateLimit         float64 // requests per second that responses name; 0 is none
-	deadly            *DeadlyContent
+	poison            *PoisonContent
 	leaving           bool          // all responses say that the endpoint leaves
 	busyFor           time.Duration // the Retry-After of the rejections of all requests; 0 is none
 	rejections        []time.Time   // of requests because of busyFor
--- a/standins/platform/world/engine.go
+++ b/standins/platform/world/engine.go
@@ -66,13 +66,13 @@
 	body := e.recordRequest(incarnationID, r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Hibiscusstair-Server-Signature", "s."+incarnationID)
-	deadly := e.deadlyContent(body)
-	if deadly == nil {
+	poison := e.poisonContent(body)
+	if poison == nil {
 		writeEvents(w, r, g, Hash(body), EventCount(g.maxOutputTokens))
 		return
 	}
-	writeEvents(w, r, g, Hash(body), g.lastEvent+deadly.AfterEvents)
-	go deadly.End(e)
+	writeEvents(w, r, g, Hash(body), g.lastEvent+poison.AfterEvents)
+	go poison.End(e)
 	<-r.Context().Done()
 }
 
--- a/standins/platform/world/misbehaviour.go
+++ b/standins/platform/world/faults.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// DeadlyContent is content that ends the endpoints which run it.
-type DeadlyContent struct {
+// PoisonContent is content that ends the endpoints which run it.
+type PoisonContent struct {
 	Body []byte
 	// AfterEvents is the number of events that an engine sends before it ends. Desks
 	// send nothing.
@@ -18,21 +18,21 @@
 	End func(e *Endpoint)
 }
 
-// SetDeadlyContent sets the content that ends the endpoint; nil is none.
-func (e *Endpoint) SetDeadlyContent(content *DeadlyContent) {
+// SetPoisonContent sets the content that ends the endpoint; nil is none.
+func (e *Endpoint) SetPoisonContent(content *PoisonContent) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.deadly = content
+	e.poison = content
 }
 
-// deadlyContent returns the deadly content if the body is its body, otherwise nil.
-func (e *Endpoint) deadlyContent(body []byte) *DeadlyContent {
+// poisonContent returns the poison content if the body is its body, otherwise nil.
+func (e *Endpoint) poisonContent(body []byte) *PoisonContent {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.deadly == nil || !bytes.Equal(e.deadly.Body, body) {
+	if e.poison == nil || !bytes.Equal(e.poison.Body, body) {
 		return nil
 	}
-	return e.deadly
+	return e.poison
 }
 
 // SetLeaving makes all responses say that the endpoint leaves. Its registration does
