--- a/standins/platform/soak/restore.go
+++ b/standins/platform/soak/restore.go
@@ -48,7 +48,7 @@
 }
 
 // leaveWithoutRegistration lets an engine say in its responses that it leaves, while its
-// registration stays as it is. It starts again when it is idle.
+// registration stays as it is. It ends and starts again after drainTime.
 func (s *soak) leaveWithoutRegistration(random *rand.Rand) {
 	e := s.Engines[random.IntN(len(s.Engines))]
 	s.logFault("an engine of %s says that it leaves", e.Domain)
