Apply changed settings while an instance runs

Cause: a reload was only logged. Retry limits, the stop timeout, the store's address, seeds, regions and limits kept their first values until a restart, and a file that changed without a signal was not read at all.

The soak's reload fault changes the file, breaks it for a while and signals in half of the cases.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -173,6 +173,9 @@
 	}
 }
 
+// SetRegions sets the region of each failure domain.
+func (c *Core) SetRegions(regions map[api.FailureDomain]api.Region) { c.options.Regions = regions }
+
 // SetKVCapacity sets the KV cache memory of each engine of a service, in tokens.
 func (c *Core) SetKVCapacity(service string, tokens int) { c.kvCapacity[service] = tokens }
 
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,6 +38,13 @@
 	b.core.SetKVCapacity(service, tokens)
 }
 
+// SetRegions sets the region of each failure domain.
+func (b *Balancer) SetRegions(regions map[api.FailureDomain]api.Region) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetRegions(regions)
+}
+
 // Apply adds, updates or removes the endpoint of a registry change.
 func (b *Balancer) Apply(change registry.Change) {
 	b.mu.Lock()
--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -39,7 +39,7 @@
 		Usage: "check a settings file of the platform and report all errors",
 		Flags: []cli.Flag{settingsFlag()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			if _, err := platform.LoadSettings(cmd.String(flagSettings)); err != nil {
+			if _, err := settingsFile(cmd).Load(); err != nil {
 				return cli.Exit(fmt.Sprintf("%+v", err), exitSettings)
 			}
 			_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
@@ -65,13 +65,22 @@
 	}
 }
 
-func runGateway(ctx context.Context, cmd *cli.Command) error {
-	loadSettings := func() (gateway.Settings, error) {
-		settings, err := platform.LoadSettings(cmd.String(flagSettings))
-		settings.PeerSecret = cmd.String(flagPeerSecret)
-		return settings, err
+// settingsFile returns the platform's settings file. The secret of the instances comes
+// from a flag.
+func settingsFile(cmd *cli.Command) gateway.SettingsFile {
+	return gateway.SettingsFile{
+		Read: func() ([]byte, error) { return os.ReadFile(cmd.String(flagSettings)) },
+		Parse: func(content []byte) (gateway.Settings, error) {
+			settings, err := platform.ParseSettings(content)
+			settings.PeerSecret = cmd.String(flagPeerSecret)
+			return settings, err
+		},
 	}
-	settings, err := loadSettings()
+}
+
+func runGateway(ctx context.Context, cmd *cli.Command) error {
+	file := settingsFile(cmd)
+	settings, err := file.Load()
 	if err != nil {
 		return cli.Exit(fmt.Sprintf("%+v", err), exitSettings)
 	}
@@ -89,7 +98,7 @@
 	engines := platform.NewEngineClient(platform.NewHTTPClient())
 	g, err := gateway.New(gateway.Options{
 		Settings:       settings,
-		LoadSettings:   loadSettings,
+		SettingsFile:   file,
 		ReloadSignals:  reloadSignals,
 		Protocol:       platform.Headers{},
 		Store:          platform.NewStore(settings.Store.String(), storeClient),
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
@@ -210,6 +211,22 @@
 	return c
 }
 
+// applySettings replaces the seed addresses and the bandwidth of this instance's link.
+func (c *Core) applySettings(now time.Duration, e SettingsChanged) {
+	for _, address := range c.options.SeedAddresses {
+		if !slices.Contains(e.SeedAddresses, address) {
+			delete(c.candidateAddresses, address)
+		}
+	}
+	c.options.SeedAddresses = e.SeedAddresses
+	for _, address := range e.SeedAddresses {
+		c.addCandidateAddress(address)
+	}
+	if e.LinkMbps != c.self.LinkMbps {
+		c.changeOwnEntry(now, func() { c.self.LinkMbps = e.LinkMbps })
+	}
+}
+
 func (c *Core) addCandidateAddress(address string) {
 	if _, known := c.candidateAddresses[address]; !known && address != "" && address != c.self.Address {
 		c.candidateAddresses[address] = -reconnectInterval
@@ -244,6 +261,8 @@
 	case DeltasUrgent:
 		c.urgentPending = true
 		return c.sendUrgent(now)
+	case SettingsChanged:
+		c.applySettings(now, e)
 	case LeaveStarted:
 		c.leaving = true
 		c.setOwnState(now, api.MemberLeaving)
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -66,6 +66,12 @@
 	OK          bool
 }
 
+// SettingsChanged carries settings that change while the instance runs.
+type SettingsChanged struct {
+	SeedAddresses []string
+	LinkMbps      uint32
+}
+
 // TicketStatus contains the values that the methods of TicketState return; see there.
 type TicketStatus struct {
 	Configured          bool // value of TicketState.Ready
@@ -99,6 +105,7 @@
 func (TicketStatus) event()      {}
 func (DeltasUrgent) event()      {}
 func (LeaveStarted) event()      {}
+func (SettingsChanged) event()   {}
 func (LeaveCompleted) event()    {}
 
 // Action is an output of the Core.
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -235,11 +235,16 @@
 	return []Action{IncarnationRestarted{Incarnation: incarnation}}
 }
 
-// setOwnState changes the state of this instance's entry and raises its version, so that
-// peers accept the change.
+// setOwnState changes the state of this instance's entry.
 func (c *Core) setOwnState(now time.Duration, state api.MemberState) {
+	c.changeOwnEntry(now, func() { c.self.State = state })
+}
+
+// changeOwnEntry changes this instance's entry and raises its version, so that peers
+// accept the change.
+func (c *Core) changeOwnEntry(now time.Duration, change func()) {
 	c.tableHash ^= entryHash(c.self.Member)
-	c.self.State = state
+	change()
 	c.self.Version++
 	c.tableHash ^= entryHash(c.self.Member)
 	c.tableChanged(now)
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -261,6 +261,12 @@
 // changes.
 func (r *Runner) SendDeltas() { r.events.TryPut(queuedEvent{event: DeltasUrgent{}}) }
 
+// ApplySettings replaces the seed addresses and the bandwidth of the instance's link in
+// Mbit/s. It waits while the event queue is full.
+func (r *Runner) ApplySettings(seedAddresses []string, linkMbps uint32) {
+	r.postEvent(SettingsChanged{SeedAddresses: seedAddresses, LinkMbps: linkMbps})
+}
+
 // Members returns the member table including this instance. The caller must not
 // modify it.
 func (r *Runner) Members() []api.Member { return *r.members.Load() }
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -42,6 +42,17 @@
 	return &RetryBudget{o: o, services: make(map[string]*serviceUsage)}
 }
 
+// SetLimits replaces the limits of the budget. The usage is kept unless the window
+// changes.
+func (b *RetryBudget) SetLimits(ratio, baseline float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if window != b.o.Window {
+		clear(b.services)
+	}
+	b.o.Ratio, b.o.Baseline, b.o.Window = ratio, baseline, window
+}
+
 // AddRequest counts a request to the service.
 func (b *RetryBudget) AddRequest(now time.Duration, service string) {
 	b.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -62,11 +63,11 @@
 // Options configures a Gateway.
 type Options struct {
 	Settings Settings
-	// LoadSettings reads the settings file again, on a signal of ReloadSignals.
-	LoadSettings   func() (Settings, error)
+	// SettingsFile is read again on a signal of ReloadSignals and when it changes.
+	SettingsFile   SettingsFile
 	ReloadSignals  <-chan os.Signal
 	Protocol       forward.Protocol
-	Store          storesync.Store
+	Store          Store
 	PartLister     prefixcache.PartLister
 	IdentityClient revive.IdentityClient
 	EngineClient   loadprobe.EngineClient
@@ -76,10 +77,18 @@
 	Metrics     *telemetry.Metrics
 }
 
+// Store is a client of the platform's store.
+type Store interface {
+	storesync.Store
+	// SetAddress changes the address to which further calls are sent.
+	SetAddress(address netip.AddrPort)
+}
+
 // Gateway is an instance that forwards callers' requests to endpoints by the
 // operator's routing table.
 type Gateway struct {
 	o               Options
+	settings        atomic.Pointer[Settings] // active settings, which can change while the instance runs
 	table           *routing.CurrentTable
 	registry        *registry.Registry
 	balancer        *balance.Balancer
@@ -92,6 +101,7 @@
 	relayCache      *relay.Cache
 	peerClients     *peer.Clients
 	fleet           *fleet.Runner // nil if other instances cannot call this one
+	retryBudget     *forward.RetryBudget
 	forwarder       *forward.Handler
 	newerTables     chan newerTable
 	// stopDeadline is the time by the boot clock at which the process exits, in
@@ -104,6 +114,7 @@
 	g := &Gateway{o: o, table: &routing.CurrentTable{}, newerTables: make(chan newerTable, 1)}
 	clock := bootclock.Now
 	s := o.Settings
+	g.settings.Store(&s)
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock})
 	g.balancer = balance.New(balance.Options{
@@ -137,13 +148,14 @@
 	promptIndex := prefixcache.New(prefixcache.Options{
 		Lister: o.PartLister, Engines: g.balancer.AvailableEndpoints, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
 	})
+	g.retryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{
+		Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
+		InstanceCount: g.liveInstanceCount,
+	})
 	g.forwarder = forward.New(forward.Options{
 		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, Quarantine: g.quarantine,
-		RetryBudget: forward.NewRetryBudget(forward.RetryBudgetOptions{
-			Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
-			InstanceCount: g.liveInstanceCount,
-		}),
-		Permits: g.limiter, OnLeaving: g.recordLeaving,
+		RetryBudget: g.retryBudget,
+		Permits:     g.limiter, OnLeaving: g.recordLeaving,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced: g.follower.Synced(),
 	})
@@ -170,7 +182,7 @@
 		Self:          api.Member{ID: s.Instance, Address: s.PeerListen.String(), Place: s.Place, LinkMbps: s.LinkMbps},
 		DirectStore:   g.o.Store,
 		Members:       g.knownMembers,
-		SeedAddresses: g.seedAddresses(),
+		SeedAddresses: g.seedAddresses,
 		RelayClient:   g.peerClients.Relay,
 		DecodeTable:   g.o.DecodeTable,
 		AcceptStale:   func() bool { return g.table.Load() == nil || !g.follower.HasCurrentList() },
@@ -219,9 +231,10 @@
 
 // seedAddresses returns the configured peer addresses except this instance's own.
 func (g *Gateway) seedAddresses() []string {
-	seeds := make([]string, 0, len(g.o.Settings.Peers))
-	for _, address := range g.o.Settings.Peers {
-		if address != g.o.Settings.PeerListen {
+	s := g.settings.Load()
+	seeds := make([]string, 0, len(s.Peers))
+	for _, address := range s.Peers {
+		if address != s.PeerListen {
 			seeds = append(seeds, address.String())
 		}
 	}
@@ -267,9 +280,8 @@
 	return !stopping && g.table.Load() != nil && g.registry.Len() > 0
 }
 
-// runHousekeeping closes idle connections, removes registrations whose grace period
-// after a store outage is over, and reads the settings file again on a reload
-// signal.
+// runHousekeeping closes idle connections and removes registrations whose grace period
+// after a store outage is over.
 func (g *Gateway) runHousekeeping(ctx context.Context) error {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
@@ -277,23 +289,9 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-g.o.ReloadSignals:
-			g.logSettingsChange()
 		case <-ticker.C:
 			g.pool.CloseExpired()
 			g.registry.Apply(registry.Tick{})
 		}
 	}
 }
-
-// logSettingsChange reads the settings again and logs whether the address for
-// callers or that of the store changed. It applies nothing.
-func (g *Gateway) logSettingsChange() {
-	next, err := g.o.LoadSettings()
-	if err != nil {
-		g.o.Log.Error("cannot read the changed settings; keeping the active ones", "error", err)
-		return
-	}
-	changed := next.CallerListen != g.o.Settings.CallerListen || next.Store != g.o.Settings.Store
-	g.o.Log.Info("settings read again; a change takes effect only after a restart", "restart_needed", changed)
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +44,19 @@
 type fakeStore struct {
 	mu        sync.Mutex
 	reachable bool
+	address   netip.AddrPort // last address that was set
+}
+
+func (s *fakeStore) SetAddress(address netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address = address
+}
+
+func (s *fakeStore) lastAddress() netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
 }
 
 func (s *fakeStore) setReachable(up bool) {
@@ -119,9 +135,43 @@
 	return netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", lastPort))
 }
 
+// fakeSettingsFile is a settings file whose content is "invalid" or stands for settings.
+type fakeSettingsFile struct {
+	mu       sync.Mutex
+	content  string
+	settings gateway.Settings
+}
+
+// write replaces the file; settings are what the content stands for.
+func (f *fakeSettingsFile) write(content string, settings gateway.Settings) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.content, f.settings = content, settings
+}
+
+func (f *fakeSettingsFile) settingsFile() gateway.SettingsFile {
+	return gateway.SettingsFile{
+		Read: func() ([]byte, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return []byte(f.content), nil
+		},
+		Parse: func(content []byte) (gateway.Settings, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if string(content) == "invalid" {
+				return gateway.Settings{}, errors.New("the file is invalid")
+			}
+			return f.settings, nil
+		},
+	}
+}
+
 var _ = Describe("Gateway", func() {
 	var (
 		store         *fakeStore
+		file          *fakeSettingsFile
+		logged        *lockedBuffer
 		settings      gateway.Settings
 		reloadSignals chan os.Signal
 		stop          context.CancelFunc
@@ -131,10 +181,10 @@
 	start := func() {
 		metrics := telemetry.NewMetrics()
 		g, err := gateway.New(gateway.Options{
-			Settings: settings, LoadSettings: func() (gateway.Settings, error) { return settings, nil }, ReloadSignals: reloadSignals,
+			Settings: settings, SettingsFile: file.settingsFile(), ReloadSignals: reloadSignals,
 			Protocol: plainProtocol{}, Store: store, PartLister: noEngines{}, IdentityClient: noEngines{}, EngineClient: noEngines{},
 			DecodeTable: func([]byte) (*routing.Table, error) { return nil, errNoEngine },
-			Log:         slog.New(slog.DiscardHandler), Metrics: metrics,
+			Log:         slog.New(slog.NewJSONHandler(logged, nil)), Metrics: metrics,
 		})
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -158,11 +208,13 @@
 
 	BeforeEach(func() {
 		store, reloadSignals = &fakeStore{reachable: true}, make(chan os.Signal, 1)
+		logged = &lockedBuffer{}
 		settings = gateway.Settings{
 			Instance: "i", Place: api.Place{Region: "r", FailureDomain: "d"},
 			CallerListen: unusedAddress(), ReadyListen: unusedAddress(), PeerListen: unusedAddress(), MetricsListen: unusedAddress(),
 			StopTimeout: 4 * time.Second, RetryRatio: 0.8, RetryBaseline: 10, RetryWindow: time.Second,
 		}
+		file = &fakeSettingsFile{content: "first", settings: settings}
 	})
 
 	// Guards against callers that are routed to an instance that cannot serve them.
@@ -199,4 +251,89 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 		_ = response.Body.Close()
 	})
+
+	// Guards against changed settings that take effect only after a restart, which
+	// would interrupt the running requests.
+	It("applies changed settings after a signal", func() {
+		start()
+		Eventually(ready, "5s").Should(Equal(http.StatusOK))
+		changed := settings
+		changed.Store = netip.MustParseAddrPort("127.0.0.1:7001")
+		changed.StopTimeout = 2600 * time.Millisecond
+		file.write("second", changed)
+		reloadSignals <- os.Interrupt
+		Eventually(store.lastAddress).Should(Equal(changed.Store))
+		Expect(logged.String()).To(ContainSubstring(`"applied":["store","stop_timeout"]`))
+		stop()
+		Eventually(ended, "2800ms").Should(Receive(BeNil()))
+	})
+
+	// Guards against an instance that keeps old settings because nobody sent it a
+	// signal.
+	It("applies a changed file without a signal", func() {
+		start()
+		changed := settings
+		changed.Store = netip.MustParseAddrPort("127.0.0.1:7001")
+		file.write("second", changed)
+		Eventually(store.lastAddress, "5s").Should(Equal(changed.Store))
+		Expect(logged.String()).To(ContainSubstring(`"signal":false`))
+	})
+
+	// Guards against an instance that stops serving because of a mistake in a file.
+	It("keeps the active settings while the file is invalid, and applies it once it is valid", func() {
+		start()
+		Eventually(ready, "5s").Should(Equal(http.StatusOK))
+		file.write("invalid", gateway.Settings{})
+		reloadSignals <- os.Interrupt
+		Eventually(logged.String).Should(ContainSubstring("the active ones stay in effect"))
+		Consistently(ready, "200ms").Should(Equal(http.StatusOK))
+		changed := settings
+		changed.Store = netip.MustParseAddrPort("127.0.0.1:7001")
+		file.write("third", changed)
+		Eventually(store.lastAddress, "5s").Should(Equal(changed.Store))
+	})
+
+	// Guards against requests that are cut and connections that are closed by a series
+	// of reloads.
+	It("keeps connections and requests during a series of reloads", func() {
+		start()
+		Eventually(ready, "5s").Should(Equal(http.StatusOK))
+		client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 3 * time.Second}
+		for i := range 20 {
+			changed := settings
+			changed.RetryBaseline = float64(i)
+			file.write(fmt.Sprint(i), changed)
+			reloadSignals <- os.Interrupt
+			reused := false
+			trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+			request, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.Background(), trace),
+				http.MethodGet, "http://"+settings.CallerListen.String()+"/", nil)
+			Expect(err).NotTo(HaveOccurred())
+			response, err := client.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			Expect(response.Close).To(BeFalse())
+			Expect(reused).To(Equal(i > 0))
+			Expect(ready()).To(Equal(http.StatusOK))
+		}
+	})
 })
+
+// lockedBuffer is a buffer that is safe for concurrent use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"time"
 
 	"github.com/oklog/run"
@@ -18,9 +17,7 @@
 
 // Run serves until the context ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
-	if limit := g.o.Settings.MemoryBytes; limit > 0 {
-		debug.SetMemoryLimit(int64(float64(limit) * memoryLimitFraction))
-	}
+	setMemoryLimit(g.settings.Load().MemoryBytes)
 	var group run.Group
 	g.addTask(&group, "configuration", g.follower.FollowTable)
 	g.addTask(&group, "registrations", g.follower.FollowEndpoints)
@@ -29,6 +26,7 @@
 	g.addTask(&group, "rate limits", g.limiter.Run)
 	g.addTask(&group, "newer configurations", g.fetchNewerTables)
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
+	g.addTask(&group, "settings", g.followSettings)
 	g.addTask(&group, "lateness", g.measureLateness)
 	if g.fleet != nil {
 		g.addTask(&group, "fleet", g.fleet.Run)
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -44,7 +44,7 @@
 // stop announces to the fleet that the instance leaves, and waits until the running
 // requests have completed, at most until exitReserve before the stop timeout.
 func (g *Gateway) stop() {
-	timeout := g.o.Settings.StopTimeout
+	timeout := g.settings.Load().StopTimeout
 	if timeout <= 0 {
 		timeout = defaultStopTimeout
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -40,8 +40,9 @@
 	DirectStore storesync.Store
 	// Members returns the known instances.
 	Members func() []api.Member
-	// SeedAddresses are the addresses of instances to ask before any member is known.
-	SeedAddresses []string
+	// SeedAddresses returns the addresses of instances to ask before any member is
+	// known; nil is none.
+	SeedAddresses func() []string
 	RelayClient   func(address string) peerpb.Relay
 	DecodeTable   func(document []byte) (*routing.Table, error)
 	// AcceptStale reports whether data of any age is accepted from other
@@ -166,14 +167,26 @@
 	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale, scope: s.o.Scope}
 }
 
+// linkMbps returns the bandwidth of this instance's link by its own member entry, which
+// follows the settings, or by the options before there is one.
+func (s *Source) linkMbps(members []api.Member) uint32 {
+	for _, m := range members {
+		if m.ID == s.o.Self.ID {
+			return m.LinkMbps
+		}
+	}
+	return s.o.Self.LinkMbps
+}
+
 // leader returns the address of the instance that reads for this failure
 // domain, or "" if this instance does. It is the highest-ranked of those with the
 // fastest link: a large configuration would delay callers' requests on a slow one.
 func (s *Source) leader() string {
 	addresses := make(map[api.InstanceID]string)
 	ids := []api.InstanceID{s.o.Self.ID}
-	fastest := s.o.Self.LinkMbps
-	for _, m := range s.o.Members() {
+	members := s.o.Members()
+	fastest := s.linkMbps(members)
+	for _, m := range members {
 		if m.ID == s.o.Self.ID || m.FailureDomain != s.o.Self.FailureDomain || m.State != api.MemberAlive {
 			continue
 		}
@@ -220,8 +233,8 @@
 	if len(addresses) == 0 {
 		addresses = own
 	}
-	if len(addresses) == 0 {
-		for _, seed := range s.o.SeedAddresses {
+	if len(addresses) == 0 && s.o.SeedAddresses != nil {
+		for _, seed := range s.o.SeedAddresses() {
 			if seed != s.o.Self.Address && !s.backoff.Contains(seed) {
 				addresses = append(addresses, seed)
 			}
--- a/standins/platform/deployment/config.go
+++ b/standins/platform/deployment/config.go
@@ -9,8 +9,8 @@
 // settingsText returns the settings file of an instance. The addresses are, in this
 // order, those for callers, readiness checks, peers and metrics, and that of the
 // store proxy. The settings have host and port of the metrics address as ip and
-// port-range.
-func settingsText(instance *Instance, addresses, controlAddresses []string) string {
+// port-range. The retry baseline is the fleet's number of retries in a window.
+func settingsText(instance *Instance, addresses, controlAddresses []string, retryBaseline int) string {
 	seeds := make([]string, 0, 3)
 	for _, address := range controlAddresses[:min(3, len(controlAddresses))] {
 		seeds = append(seeds, fmt.Sprintf("%q", address))
@@ -36,11 +36,11 @@
 grace-s = 8
 retry-budget-ratio = 0.8
 budget-window-s = 10
-budget-slack = 150
+budget-slack = %d
 [provider]
 address = %q
 `, instance.Name, metricsHost, instance.Domain, metricsPort, metricsPort, strings.Join(seeds, ","),
-		addresses[0], addresses[1], addresses[2], addresses[4])
+		addresses[0], addresses[1], addresses[2], retryBaseline, addresses[4])
 }
 
 // configuration is the configuration that the operator writes to the store.
--- a/standins/platform/deployment/node.go
+++ b/standins/platform/deployment/node.go
@@ -12,6 +12,10 @@
 	"github.com/hibiscusstair/hibiscusstair/standins/harness"
 )
 
+// defaultRetryBaseline is the number of retries in a window, for all instances
+// together, that the instances start with.
+const defaultRetryBaseline = 150
+
 // Instance is one instance with its last known readiness.
 type Instance struct {
 	Name          string
@@ -22,6 +26,8 @@
 
 	readyAddress string
 	settingsPath string
+	// settingsText returns the content of the settings file with a retry baseline.
+	settingsText func(retryBaseline int) string
 
 	mu        sync.Mutex
 	process   *harness.Process
@@ -65,7 +71,11 @@
 		controlAddresses = append(controlAddresses, addresses[2])
 		instance := &Instance{Name: fmt.Sprintf("front-%d", i), Domain: Domain(i), CallerAddress: addresses[0], readyAddress: addresses[1], StoreProxy: proxy}
 		instance.settingsPath = filepath.Join(d.options.LogDirectory, instance.Name+".toml")
-		if err := os.WriteFile(instance.settingsPath, []byte(settingsText(instance, addresses, controlAddresses)), 0o600); err != nil {
+		knownAddresses := controlAddresses
+		instance.settingsText = func(retryBaseline int) string {
+			return settingsText(instance, addresses, knownAddresses, retryBaseline)
+		}
+		if err := instance.WriteSettings(defaultRetryBaseline); err != nil {
 			return err
 		}
 		d.Instances = append(d.Instances, instance)
@@ -76,6 +86,18 @@
 	return nil
 }
 
+// WriteSettings replaces the settings file of the instance by one with a retry baseline.
+// It sends no signal.
+func (i *Instance) WriteSettings(retryBaseline int) error {
+	return os.WriteFile(i.settingsPath, []byte(i.settingsText(retryBaseline)), 0o600)
+}
+
+// BreakSettings replaces the settings file by one that is cut off in its middle.
+func (i *Instance) BreakSettings() error {
+	text := i.settingsText(defaultRetryBaseline)
+	return os.WriteFile(i.settingsPath, []byte(text[:len(text)/2]), 0o600)
+}
+
 // startInstance starts the process of an instance.
 func (d *Deployment) startInstance(instance *Instance) error {
 	process, err := harness.StartProcess(d.options.LogDirectory, instance.Name, d.binary, []string{"gateway"}, []string{"HIBISCUSSTAIR_CONFIG=" + instance.settingsPath})
--- a/standins/platform/soak/faults.go
+++ b/standins/platform/soak/faults.go
@@ -123,8 +123,27 @@
 	})
 }
 
+// reloadInstance changes the settings of an instance several times, with and without a
+// signal. In between the file is broken for a while.
 func (s *soak) reloadInstance(random *rand.Rand) {
-	s.injectIntoRandomInstance(random, "SIGHUP", func(_ *deployment.Instance, p *harness.Process) { p.Hangup() })
+	s.injectIntoRandomInstance(random, "settings change", func(instance *deployment.Instance, p *harness.Process) {
+		for change := range 1 + random.IntN(4) {
+			write := instance.BreakSettings
+			if change%2 == 0 {
+				write = func() error { return instance.WriteSettings(140 + random.IntN(20)) }
+			}
+			if err := write(); err != nil {
+				s.logFault("%s: settings not written: %s", instance.Name, err)
+			}
+			if random.IntN(2) == 0 {
+				p.Hangup()
+			}
+			time.Sleep(randomDuration(random, 10*time.Millisecond, 700*time.Millisecond))
+		}
+		if err := instance.WriteSettings(150); err != nil {
+			s.logFault("%s: settings not written: %s", instance.Name, err)
+		}
+	})
 }
 
 // killAll kills all instances at once, in a third of its calls.
