Ask a few engines for the prompt of a returning caller

Cause: an instance that a caller returns to asked every engine which prompt parts it holds.

Change: the engines that are asked are the eight of each failure domain that the session prefers, which is where generations and their backups are placed. Lists are kept for each engine instead of for a whole service, so that callers with different sessions share them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -273,18 +273,6 @@
 	return e.running+e.backups >= e.Slots || (capacity > 0 && load.Tokens+request.Tokens > capacity)
 }
 
-// AvailableEndpoints returns the endpoints of a service that take requests of this
-// instance, and are neither draining nor suspect.
-func (c *Core) AvailableEndpoints(now time.Duration, service string) []registry.Endpoint {
-	var list []registry.Endpoint
-	for _, e := range c.byService[service] {
-		if !e.Draining && now >= e.suspectUntil && now >= e.deferredUntil {
-			list = append(list, e.Endpoint)
-		}
-	}
-	return list
-}
-
 // IsAvailable reports whether the endpoint is registered with the same
 // incarnation and address, takes requests of this instance and is not suspect.
 func (c *Core) IsAvailable(now time.Duration, e registry.Endpoint) bool {
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -119,12 +119,12 @@
 	b.core.UpdateLoad(b.options.Clock(), e, load)
 }
 
-// AvailableEndpoints returns the endpoints of a service that are neither
-// draining nor suspect.
-func (b *Balancer) AvailableEndpoints(service string) []registry.Endpoint {
+// PreferredEndpoints returns the endpoints at which the generations of a session and
+// their backups are most likely.
+func (b *Balancer) PreferredEndpoints(service, session string) []registry.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.AvailableEndpoints(b.options.Clock(), service)
+	return b.core.PreferredEndpoints(b.options.Clock(), service, session)
 }
 
 // IsAvailable reports whether the endpoint is registered with the same
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 		Client: o.EngineClient, Balance: g.balancer, Clock: clock, Log: o.Log, Scope: scope.SubScope("loadprobe"),
 	})
 	promptIndex := prefixcache.New(prefixcache.Options{
-		Lister: o.PartLister, Engines: g.balancer.AvailableEndpoints, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
+		Lister: o.PartLister, Engines: g.balancer.PreferredEndpoints, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
 	})
 	g.retryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{
 		Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
--- a/prefixcache/prefixcache.go
+++ b/prefixcache/prefixcache.go
@@ -1,5 +1,5 @@
 // Package prefixcache finds the engines that still hold the KV cache of a
-// session's prompt, by querying the engines. It is used when a caller resumes a
+// session's prompt, by querying engines. It is used when a caller resumes a
 // stream that another instance, or this instance before its restart, served: an
 // engine that holds the prompt's KV cache continues at once, any other engine
 // has to prefill the prompt again.
@@ -32,8 +32,8 @@
 	// a part again at the least loaded engine costs less than using a busier
 	// engine that holds it.
 	minPartTokens = 512
-	// maxParts bounds the parts that are indexed for one service.
-	maxParts = 16384
+	// maxPartsPerEngine bounds the parts that are kept of one engine.
+	maxPartsPerEngine = 1024
 )
 
 // PromptPart is a part of a prompt whose KV cache an engine holds.
@@ -51,8 +51,8 @@
 // Options configures an Index.
 type Options struct {
 	Lister PartLister
-	// Engines returns the engines of a service that accept new work.
-	Engines func(service string) []registry.Endpoint
+	// Engines returns the engines of a service that are asked whether they hold a part.
+	Engines func(service, partID string) []registry.Endpoint
 	Clock   bootclock.Func
 	Log     *slog.Logger
 	Scope   tally.Scope
@@ -67,111 +67,113 @@
 // Index records which engines hold the KV cache of which prompt parts. It is
 // safe for concurrent use.
 type Index struct {
-	o        Options
-	mu       sync.Mutex
-	services map[string]*snapshot
+	o  Options
+	mu sync.Mutex
+	// lists holds the latest list of each engine, in progress or at most maxListAge
+	// old.
+	lists map[api.EndpointID]*engineList
 }
 
-// snapshot holds the lists that the engines of a service returned in one round.
-type snapshot struct {
-	startedAt time.Duration
-
-	mu           sync.Mutex
-	holders      map[string][]Holder
-	pendingLists int // lists not received yet
-	// changed is closed and replaced when a list arrives.
-	changed chan struct{}
+// engineList is the list of one engine.
+type engineList struct {
+	engine      registry.Endpoint
+	requestedAt time.Duration
+	done        chan struct{} // closed when tokens is complete
+	tokens      map[string]int
 }
 
 // New returns an empty index.
-func New(o Options) *Index { return &Index{o: o, services: make(map[string]*snapshot)} }
+func New(o Options) *Index { return &Index{o: o, lists: make(map[api.EndpointID]*engineList)} }
 
-// FindHolders returns the engines of the service that hold the KV cache of the
-// part, ordered by descending number of tokens. It returns as soon as one
-// engine reports the part, because waiting for engines in other regions would
-// delay the caller's next event, and waits for at most one round of lists.
+// FindHolders returns the engines that hold the KV cache of the part, ordered by
+// descending number of tokens. It returns as soon as one engine reports the part,
+// because waiting for engines in other regions would delay the caller's next event,
+// and waits for at most one list of each engine.
 func (i *Index) FindHolders(ctx context.Context, service, partID string) []Holder {
-	s := i.currentSnapshot(service)
-	for {
-		holders, changed := s.lookup(partID)
-		if len(holders) > 0 || changed == nil {
-			return holders
+	lists := i.currentLists(i.o.Engines(service, partID))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	arrived := make(chan *engineList, len(lists))
+	for _, list := range lists {
+		go func() {
+			select {
+			case <-list.done:
+			case <-ctx.Done():
+			}
+			arrived <- list
+		}()
+	}
+	for range lists {
+		if list := <-arrived; ctx.Err() != nil || list.holds(partID) {
+			break
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil
+	}
+	return holders(lists, partID)
+}
+
+// holders returns the engines whose complete lists have the part.
+func holders(lists []*engineList, partID string) []Holder {
+	var found []Holder
+	for _, list := range lists {
+		if list.holds(partID) {
+			found = append(found, Holder{Endpoint: list.engine.ID, Tokens: list.tokens[partID]})
 		}
 	}
+	slices.SortStableFunc(found, func(a, b Holder) int { return cmp.Compare(b.Tokens, a.Tokens) })
+	return found
 }
 
-// lookup returns the known holders of a part, and a channel that is closed when
-// another list arrives, or nil if no list is pending.
-func (s *snapshot) lookup(partID string) ([]Holder, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pendingLists == 0 {
-		return s.holders[partID], nil
+// holds reports whether the list is complete and has the part.
+func (l *engineList) holds(partID string) bool {
+	select {
+	case <-l.done:
+		_, ok := l.tokens[partID]
+		return ok
+	default:
+		return false
 	}
-	return s.holders[partID], s.changed
 }
 
-// currentSnapshot returns the latest snapshot, or starts a new one if that is
-// older than maxListAge.
-func (i *Index) currentSnapshot(service string) *snapshot {
+// currentLists returns the lists of the engines. Those that are missing or older than
+// maxListAge are requested.
+func (i *Index) currentLists(engines []registry.Endpoint) []*engineList {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.o.Clock()
-	if s, ok := i.services[service]; ok && now-s.startedAt < maxListAge {
-		return s
-	}
-	engines := i.o.Engines(service)
-	s := &snapshot{startedAt: now, pendingLists: len(engines), changed: make(chan struct{}), holders: make(map[string][]Holder)}
-	if len(engines) > 0 {
-		i.services[service] = s
-		go i.fillSnapshot(s, service, engines)
+	for id, list := range i.lists {
+		if now-list.requestedAt >= maxListAge {
+			delete(i.lists, id)
+		}
 	}
-	return s
-}
-
-// fillSnapshot requests the lists of all engines concurrently and adds them to
-// the snapshot.
-func (i *Index) fillSnapshot(s *snapshot, service string, engines []registry.Endpoint) {
-	var group sync.WaitGroup
+	lists := make([]*engineList, 0, len(engines))
 	for _, engine := range engines {
-		group.Go(func() { s.addList(engine, i.listParts(engine)) })
-	}
-	group.Wait()
-	i.o.Log.Info("held prompt parts listed", "service", service, "engines", len(engines), "parts", len(s.holders),
-		"took_ms", (i.o.Clock() - s.startedAt).Milliseconds())
-}
-
-// addList adds the list of one engine.
-func (s *snapshot) addList(engine registry.Endpoint, parts []PromptPart) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, part := range parts {
-		known := s.holders[part.ID]
-		if part.Tokens < minPartTokens || (known == nil && len(s.holders) >= maxParts) {
-			continue
+		list, ok := i.lists[engine.ID]
+		if !ok {
+			list = &engineList{engine: engine, requestedAt: now, done: make(chan struct{})}
+			i.lists[engine.ID] = list
+			go i.request(list)
 		}
-		known = append(slices.Clone(known), Holder{Endpoint: engine.ID, Tokens: part.Tokens})
-		slices.SortStableFunc(known, func(a, b Holder) int { return cmp.Compare(b.Tokens, a.Tokens) })
-		s.holders[part.ID] = known
+		lists = append(lists, list)
 	}
-	s.pendingLists--
-	close(s.changed)
-	s.changed = make(chan struct{})
+	return lists
 }
 
-func (i *Index) listParts(engine registry.Endpoint) []PromptPart {
+// request asks the engine for its list.
+func (i *Index) request(list *engineList) {
+	defer close(list.done)
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	i.o.Scope.Counter("lists").Inc(1)
-	parts, err := i.o.Lister.ListHeldParts(ctx, engine.Address)
+	parts, err := i.o.Lister.ListHeldParts(ctx, list.engine.Address)
 	if err != nil {
 		i.o.Scope.Counter("list_errors").Inc(1)
-		i.o.Log.Info("engine did not list its held prompt parts", "endpoint", engine.ID, "error", err)
+		i.o.Log.Info("engine did not list its held prompt parts", "endpoint", list.engine.ID, "error", err)
+		return
+	}
+	list.tokens = make(map[string]int)
+	for _, part := range parts {
+		if part.Tokens >= minPartTokens && len(list.tokens) < maxPartsPerEngine {
+			list.tokens[part.ID] = max(list.tokens[part.ID], part.Tokens)
+		}
 	}
-	return parts
 }
--- a/prefixcache/prefixcache_test.go
+++ b/prefixcache/prefixcache_test.go
@@ -53,7 +53,7 @@
 		}}
 		return prefixcache.New(prefixcache.Options{
 			Lister: l,
-			Engines: func(string) []registry.Endpoint {
+			Engines: func(string, string) []registry.Endpoint {
 				var list []registry.Endpoint
 				for _, address := range addresses {
 					list = append(list, registry.Endpoint{ID: api.EndpointID(address), Address: address})
@@ -96,7 +96,7 @@
 	It("does not cache the empty result of a lookup without engines", func() {
 		var engines []registry.Endpoint
 		index := prefixcache.New(prefixcache.Options{
-			Lister: l, Engines: func(string) []registry.Endpoint { return engines },
+			Lister: l, Engines: func(string, string) []registry.Endpoint { return engines },
 			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		Expect(index.FindHolders(context.Background(), "llm", "p")).To(BeEmpty())
