--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,6 +38,13 @@
 	b.core.SetKVCapacity(service, tokens)
 }
 
+// SetRegions sets the region of each failure domain.
+func (b *Balancer) SetRegions(regions map[api.FailureDomain]api.Region) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetRegions(regions)
+}
+
 // Apply adds, updates or removes the endpoint of a registry change.
 func (b *Balancer) Apply(change registry.Change) {
 	b.mu.Lock()
@@ -112,12 +119,12 @@
 	b.core.UpdateLoad(b.options.Clock(), e, load)
 }
 
-// AvailableEndpoints returns the endpoints of a service that are neither
-// draining nor suspect.
-func (b *Balancer) AvailableEndpoints(service string) []registry.Endpoint {
+// PreferredEndpoints returns the endpoints at which the generations of a session and
+// their backups are most likely.
+func (b *Balancer) PreferredEndpoints(service, session string) []registry.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.AvailableEndpoints(b.options.Clock(), service)
+	return b.core.PreferredEndpoints(b.options.Clock(), service, session)
 }
 
 // IsAvailable reports whether the endpoint is registered with the same
