Give up a direct read when another instance reads for the failure domain

Each also wrote one line for each of the 1,002 registrations.

The first list of registrations has one line in the log.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,6 +185,7 @@
 		Members:       g.knownMembers,
 		MembersKnown:  g.fleetJoined(),
 		SeedAddresses: g.seedAddresses,
+		FirstStart:    s.FirstStart,
 		RelayClient:   g.peerClients.Relay,
 		DecodeTable:   g.o.DecodeTable,
 		AcceptStale:   func() bool { return g.table.Load() == nil || !g.follower.HasCurrentList() },
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -30,6 +30,8 @@
 	// PeerSecret is the secret with which instances sign their calls to each other.
 	PeerSecret string
 
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
 	// LinkMbps is the bandwidth of the instance's link in Mbit/s; 0 is unknown.
 	LinkMbps uint32
 	// MemoryBytes is the memory that the process may use; 0 sets no limit.
--- a/registry/runner.go
+++ b/registry/runner.go
@@ -29,19 +29,29 @@
 // New returns an empty registry.
 func New(o Options) *Registry { return &Registry{options: o, core: NewCore()} }
 
-// Apply applies an event to the table.
+// Apply applies an event to the table. Each change has a line in the log, except those
+// of the first list, which has one line in all: after a kill of all, each instance
+// receives the list of all endpoints.
 func (r *Registry) Apply(event Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	first := r.core.Len() == 0
+	counts := make(map[ChangeKind]int64)
 	for _, change := range r.core.Step(r.options.Clock(), event) {
-		r.options.Scope.Tagged(map[string]string{"change": string(change.Kind)}).Counter("endpoint_changes").Inc(1)
-		if change.Kind != Updated {
+		counts[change.Kind]++
+		if change.Kind != Updated && !first {
 			r.options.Log.Info("endpoint changed", "change", change.Kind, "endpoint", change.Endpoint.ID,
 				"address", change.Endpoint.Address, "service", change.Endpoint.Service,
 				"failure_domain", change.Endpoint.Domain, "incarnation", change.Endpoint.Incarnation)
 		}
 		r.options.OnChange(change)
 	}
+	for kind, count := range counts {
+		r.options.Scope.Tagged(map[string]string{"change": string(kind)}).Counter("endpoint_changes").Inc(count)
+	}
+	if first && len(counts) > 0 {
+		r.options.Log.Info("endpoints listed", "endpoints", r.core.Len(), "changes", counts)
+	}
 }
 
 // Len returns the number of endpoints in the table.
--- a/relay/source.go
+++ b/relay/source.go
@@ -30,13 +30,6 @@
 	// maxLeadersAsked is the number of instances of the own failure domain that one
 	// read tries in the order of leaders. A silent one takes 0.8 s.
 	maxLeadersAsked = 3
-	// maxMembersWait is how long the first read waits until this instance knows other
-	// instances. An exchange with a seed in another region takes 35 ms with its new
-	// connection.
-	maxMembersWait = 250 * time.Millisecond
-	// maxFirstReadWait is how long after its own start an instance waits for a leader
-	// that has not read the store yet.
-	maxFirstReadWait = 1500 * time.Millisecond
 	// maxPeersAsked is the number of other instances that one read tries while
 	// the store is unreachable.
 	maxPeersAsked = 2
@@ -60,9 +53,12 @@
 	// instances, which is the case until this instance has a configuration and
 	// a list of registrations.
 	AcceptStale func() bool
-	Clock       bootclock.Func
-	Log         *slog.Logger
-	Scope       tally.Scope
+	// FirstStart says that the whole fleet starts for the first time, so that no caller
+	// waits yet.
+	FirstStart bool
+	Clock      bootclock.Func
+	Log        *slog.Logger
+	Scope      tally.Scope
 }
 
 // Source reads the store along the cheapest path that works: through the
@@ -87,47 +83,59 @@
 
 // ReadTable returns the newest configuration.
 func (s *Source) ReadTable(ctx context.Context) (storesync.TableRead, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.TableRead, error) { return store.ReadTable(ctx) })
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
+		return store.ReadTable(ctx)
+	})
 }
 
 // WatchTable waits for a newer configuration.
 func (s *Source) WatchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.TableRead, error) { return store.WatchTable(ctx, after, wait) })
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
+		return store.WatchTable(ctx, after, wait)
+	})
 }
 
 // ListEndpoints returns all registrations.
 func (s *Source) ListEndpoints(ctx context.Context) (storesync.EndpointList, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.EndpointList, error) { return store.ListEndpoints(ctx) })
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.EndpointList, error) {
+		return store.ListEndpoints(ctx)
+	})
 }
 
 // WatchEndpoints waits for changes of registrations.
 func (s *Source) WatchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.EndpointChanges, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.EndpointChanges, error) {
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.EndpointChanges, error) {
 		return store.WatchEndpoints(ctx, after, wait)
 	})
 }
 
+// readFunc reads a store.
+type readFunc[T any] func(ctx context.Context, store storesync.Store) (T, error)
+
 // readStore tries the leader, the store and other instances in this order until
 // one responds. While the store is in backoff, other instances are tried before
 // it.
-func readStore[T any](ctx context.Context, s *Source, call func(storesync.Store) (T, error)) (T, error) {
+func readStore[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
 	s.awaitMembers(ctx)
-	if response, err := readThroughLeaders(s, call); err == nil || isAnswer(err) {
+	if response, err := readThroughLeaders(ctx, s, call); err == nil || isAnswer(err) {
 		return response, err
 	}
 	if s.storeInBackoff() {
-		if response, err := readThroughPeers(s, call); err == nil {
+		if response, err := readThroughPeers(ctx, s, call); err == nil {
 			return response, nil
 		}
 	}
 	s.o.Scope.Counter("read_directly").Inc(1)
-	response, err := call(s.o.DirectStore)
+	response, err := readDirectly(ctx, s, call)
+	if errors.Is(err, errLeaderFound) {
+		return readStore(ctx, s, call)
+	}
 	if err == nil || isAnswer(err) {
 		s.setStoreFailedAt(0)
 		return response, err
 	}
 	s.setStoreFailedAt(s.o.Clock())
-	if response, peerErr := readThroughPeers(s, call); peerErr == nil {
+	if response, peerErr := readThroughPeers(ctx, s, call); peerErr == nil {
 		return response, nil
 	}
 	return response, err
@@ -136,7 +144,7 @@
 // readThroughLeaders reads the store through the leader of the failure domain. An
 // instance that does not respond loses the lead to the next one, which reads the
 // store for the others in its place.
-func readThroughLeaders[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
+func readThroughLeaders[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
 	var response T
 	err := errNoPeer
 	for asked := 0; asked < maxLeadersAsked; {
@@ -144,12 +152,12 @@
 		if leader == "" {
 			return response, errNoPeer
 		}
-		response, err = call(s.storeAt(leader, false))
+		response, err = call(ctx, s.storeAt(leader, false))
 		if err == nil || isAnswer(err) {
 			s.o.Scope.Counter("read_through_leader").Inc(1)
 			return response, err
 		}
-		if isNotRead(err) && s.o.Clock()-s.startedAt < maxFirstReadWait {
+		if isNotRead(err) && s.firstReadMayCome() {
 			s.o.Scope.Counter("waits_for_first_read").Inc(1)
 			continue
 		}
@@ -159,30 +167,13 @@
 	return response, err
 }
 
-// awaitMembers delays the first reads until this instance knows others. A fleet that
-// starts at once would otherwise read the store once for each instance.
-func (s *Source) awaitMembers(ctx context.Context) {
-	s.startOnce.Do(func() { s.startedAt = s.o.Clock() })
-	left := maxMembersWait - (s.o.Clock() - s.startedAt)
-	if s.o.MembersKnown == nil || left <= 0 {
-		return
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-s.o.MembersKnown:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // readThroughPeers reads the store through other instances, up to
 // maxPeersAsked.
-func readThroughPeers[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
+func readThroughPeers[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
 	var response T
 	err := errNoPeer
 	for _, address := range s.selectPeers() {
-		response, err = call(s.storeAt(address, s.o.AcceptStale()))
+		response, err = call(ctx, s.storeAt(address, s.o.AcceptStale()))
 		if err == nil {
 			s.o.Scope.Counter("read_through_helper").Inc(1)
 			return response, nil
