Read the store through a tree of instances

Each of the six failure domains read the store itself, so that each document crossed the link between the regions three times and each of six readers paid for its calls.

Instances that serve others watch for 0.2 s instead of 0.5 s, so that the age at the end stays below the loss of contact, which now follows the time to activate a configuration. While contact is lost a watch waits 50 ms, so that an instance that takes over knows at once.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	// idleTimeout is longer than the idle timeout that configurations state to
 	// callers, so that no request is sent on a connection that is being closed.
 	idleTimeout = 2 * time.Minute
+	// minActivationForRegionReaders is the time to activate a configuration from which on
+	// the configuration may take one more hop between instances.
+	minActivationForRegionReaders = 3500 * time.Millisecond
 	// retryBudgetFraction is the part of the fleet's retry budget that is used. The
 	// rest is a reserve: counts of live instances may be out of date, and callers'
 	// requests move between instances.
@@ -129,7 +132,7 @@
 	g.peerClients = peer.NewClients(s.PeerSecret, scope.SubScope("peer"))
 	g.follower = storesync.New(storesync.Options{
 		Store: g.newStoreReader(), Table: g.table, Registry: g.registry, Recorder: g.relayCache,
-		Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
+		TableActivation: s.TableActivation, Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
 	})
 	g.relayCache.SetContacts(g.follower.TableContact(), g.follower.EndpointContact())
 	g.quarantine = quarantine.New(quarantine.Options{
@@ -186,6 +189,7 @@
 		MembersKnown:  g.fleetJoined(),
 		SeedAddresses: g.seedAddresses,
 		FirstStart:    s.FirstStart,
+		RegionReaders: s.TableActivation >= minActivationForRegionReaders,
 		RelayClient:   g.peerClients.Relay,
 		DecodeTable:   g.o.DecodeTable,
 		AcceptStale:   func() bool { return g.table.Load() == nil || !g.follower.HasCurrentList() },
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -145,6 +145,7 @@
 	restart("peer_listen", next.PeerListen != s.PeerListen)
 	restart("metrics_listen", next.MetricsListen != s.MetricsListen)
 	restart("peer_secret", next.PeerSecret != s.PeerSecret)
+	restart("table_activation", next.TableActivation != s.TableActivation)
 	restart("memory_unlimited", next.MemoryBytes <= 0 && s.MemoryBytes > 0)
 
 	apply := func(name string, changed bool) {
--- a/gateway/reload_test.go
+++ b/gateway/reload_test.go
@@ -30,6 +30,7 @@
 		{"peer_listen", func(s *Settings) { s.PeerListen = other }, true},
 		{"metrics_listen", func(s *Settings) { s.MetricsListen = other }, true},
 		{"peer_secret", func(s *Settings) { s.PeerSecret = "t" }, true},
+		{"table_activation", func(s *Settings) { s.TableActivation = time.Second }, true},
 		{"memory_unlimited", func(s *Settings) { s.MemoryBytes = 0 }, true},
 		{"store", func(s *Settings) { s.Store = other }, false},
 		{"peers", func(s *Settings) { s.Peers = []netip.AddrPort{other} }, false},
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -36,6 +36,9 @@
 	LinkMbps uint32
 	// MemoryBytes is the memory that the process may use; 0 sets no limit.
 	MemoryBytes int64
+	// TableActivation is the time within which a new configuration has to be in force;
+	// 0 is unknown.
+	TableActivation time.Duration
 	// StopTimeout is how long the process may run after the stop signal; 0 is the
 	// default.
 	StopTimeout time.Duration
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -20,6 +20,9 @@
 	// Together with the wait of that instance's own watch it stays below the
 	// age at which store contact counts as lost.
 	peerWatchWait = 500 * time.Millisecond
+	// servingWatchWait replaces peerWatchWait for an instance that others read through:
+	// what it has is passed on, and ages with each hop.
+	servingWatchWait = 200 * time.Millisecond
 	// peerCallSlack is the time that the call may take beyond its wait until the
 	// response begins.
 	peerCallSlack = 300 * time.Millisecond
@@ -30,11 +33,13 @@
 	maxPeerTransferTime = 3 * time.Second
 )
 
-// peerBounds are the timeouts of a call to another instance.
-var peerBounds = transfer.Bounds{
-	FirstByte: peerWatchWait + peerCallSlack,
-	Stall:     peerStallTimeout,
-	Total:     peerWatchWait + peerCallSlack + maxPeerTransferTime,
+// peerBounds returns the timeouts of a call to another instance.
+func peerBounds(wait time.Duration) transfer.Bounds {
+	return transfer.Bounds{
+		FirstByte: wait + peerCallSlack,
+		Stall:     peerStallTimeout,
+		Total:     wait + peerCallSlack + maxPeerTransferTime,
+	}
 }
 
 // peerStore reads the store through another instance.
@@ -44,13 +49,14 @@
 	// acceptStale accepts the instance's data even if the instance has lost
 	// contact with the store.
 	acceptStale bool
+	maxWait     time.Duration // of a watch
 	scope       tally.Scope
 }
 
 var _ storesync.Store = (*peerStore)(nil)
 
 func (p *peerStore) ReadTable(ctx context.Context) (storesync.TableRead, error) {
-	return p.watchTable(ctx, storesync.Revision{}, peerWatchWait)
+	return p.watchTable(ctx, storesync.Revision{}, p.maxWait)
 }
 
 func (p *peerStore) WatchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
@@ -58,7 +64,7 @@
 }
 
 func (p *peerStore) watchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
-	ctx, cancel := peerCall(ctx)
+	ctx, cancel := p.peerCall(ctx)
 	defer cancel()
 	response, err := p.relay.WatchTable(ctx, p.watchRequest(after, wait))
 	if err != nil {
@@ -79,7 +85,7 @@
 }
 
 func (p *peerStore) ListEndpoints(ctx context.Context) (storesync.EndpointList, error) {
-	response, err := p.watchEndpoints(ctx, storesync.Revision{}, peerWatchWait)
+	response, err := p.watchEndpoints(ctx, storesync.Revision{}, p.maxWait)
 	if err != nil {
 		return storesync.EndpointList{}, err
 	}
@@ -110,20 +116,20 @@
 }
 
 func (p *peerStore) watchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (*peerpb.EndpointsAnswer, error) {
-	ctx, cancel := peerCall(ctx)
+	ctx, cancel := p.peerCall(ctx)
 	defer cancel()
 	return p.relay.WatchEndpoints(ctx, p.watchRequest(after, wait))
 }
 
 // peerCall returns the context of a call to another instance. Its progress shows
 // contact with that instance and not with the store.
-func peerCall(ctx context.Context) (context.Context, context.CancelFunc) {
-	return transfer.WithBounds(transfer.Observe(ctx, nil), peerBounds)
+func (p *peerStore) peerCall(ctx context.Context) (context.Context, context.CancelFunc) {
+	return transfer.WithBounds(transfer.Observe(ctx, nil), peerBounds(p.maxWait))
 }
 
 func (p *peerStore) watchRequest(after storesync.Revision, wait time.Duration) *peerpb.WatchRequest {
 	return &peerpb.WatchRequest{
-		After: after.Number, AfterEra: after.Era, WaitMs: uint32(min(wait, peerWatchWait).Milliseconds()), AnyAge: p.acceptStale, AcceptsGzip: true,
+		After: after.Number, AfterEra: after.Era, WaitMs: uint32(min(wait, p.maxWait).Milliseconds()), AnyAge: p.acceptStale, AcceptsGzip: true,
 	}
 }
 
@@ -132,7 +138,7 @@
 
 // FetchTable returns the configuration of an instance, whatever its age.
 func FetchTable(ctx context.Context, relay peerpb.Relay, decode func([]byte) (*routing.Table, error), scope tally.Scope) (*routing.Table, error) {
-	peer := &peerStore{relay: relay, decode: decode, acceptStale: true, scope: scope}
+	peer := &peerStore{relay: relay, decode: decode, acceptStale: true, maxWait: peerWatchWait, scope: scope}
 	read, err := peer.watchTable(ctx, storesync.Revision{}, 0)
 	if err == nil && read.Table == nil {
 		err = errNoTable
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -139,6 +139,7 @@
 }
 
 func (r linkedRelay) WatchTable(ctx context.Context, request *peerpb.WatchRequest) (*peerpb.TableAnswer, error) {
+	r.from.calls.Add(1)
 	response, err := r.Relay.WatchTable(ctx, request)
 	if r.from.silent.Load() {
 		<-ctx.Done()
@@ -156,7 +157,8 @@
 	link   *link
 	cache  *relay.Cache
 	table  *routing.CurrentTable
-	silent atomic.Bool // calls to it get no response
+	silent atomic.Bool  // calls to it get no response
+	calls  atomic.Int32 // received from other instances
 	// joined is closed when the instance knows the others; nil is from its start.
 	joined chan struct{}
 }
@@ -179,7 +181,8 @@
 	store      *growingStore
 	nodes      []*growingNode
 	members    []api.Member
-	firstStart bool // the fleet starts for the first time
+	firstStart bool          // the fleet starts for the first time
+	activation time.Duration // within which a configuration has to be in force
 }
 
 // newGrowingFleet returns a fleet in which the first instances of each failure
@@ -235,12 +238,12 @@
 	for _, n := range f.nodes {
 		source := relay.NewSource(relay.SourceOptions{
 			Self: n.member, DirectStore: storeReader{store: f.store, own: n.link},
-			Members: func() []api.Member { return n.knownMembers(f.members) }, MembersKnown: n.joined, FirstStart: f.firstStart,
+			Members: func() []api.Member { return n.knownMembers(f.members) }, MembersKnown: n.joined, FirstStart: f.firstStart, RegionReaders: f.activation > 0,
 			RelayClient: f.client(n), DecodeTable: decode, AcceptStale: func() bool { return n.table.Load() == nil },
 			Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		follower := storesync.New(storesync.Options{
-			Store: source, Table: n.table, Recorder: n.cache, Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			Store: source, Table: n.table, Recorder: n.cache, TableActivation: f.activation, Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		n.cache.SetContacts(follower.TableContact(), follower.EndpointContact())
 		followers = append(followers, follower)
@@ -351,3 +354,44 @@
 		})
 	}
 }
+
+// Guards against a reader whose calls grow with its failure domain, and against one read
+// of the store for each failure domain of a region. Each instance of a failure domain of
+// 56 sends two to four calls a second.
+func TestLargeFailureDomainsReadThroughATree(t *testing.T) {
+	for _, silent := range []int{0, 2} {
+		t.Run(fmt.Sprintf("%d silent", silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := newGrowingFleet(3, 53, 3)
+				f.activation = growthBound
+				f.follow(ctx)
+				time.Sleep(5 * time.Second)
+				for i, n := range f.nodes {
+					// The fast ones lead, and are the last of their failure domain here.
+					n.silent.Store(i%56 >= 53 && i%56 < 53+silent)
+					n.calls.Store(0)
+				}
+				f.store.complete.Store(0)
+				const length = 10 * time.Second
+				// One reader of a failure domain serves 110 calls a second.
+				const maxServedCalls = 60
+				time.Sleep(length)
+				busiest := 0.0
+				for _, n := range f.nodes {
+					busiest = max(busiest, float64(n.calls.Load())/length.Seconds())
+				}
+				f.store.put(growingTable(2, 200))
+				elapsed := f.timeUntil(2)
+				t.Logf("busiest %.1f calls a second, in force after %v", busiest, elapsed)
+				if elapsed >= growthBound {
+					t.Errorf("not in force after %v", elapsed)
+				}
+				if silent == 0 && busiest > maxServedCalls {
+					t.Errorf("an instance serves %.1f calls a second, want at most %d", busiest, maxServedCalls)
+				}
+			})
+		})
+	}
+}
--- a/relay/source.go
+++ b/relay/source.go
@@ -14,7 +14,6 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/internal/backoff"
-	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
@@ -27,8 +26,8 @@
 	// storeBackoff is how long other instances are asked before the store after
 	// a read of the store has failed.
 	storeBackoff = 1500 * time.Millisecond
-	// maxLeadersAsked is the number of instances of the own failure domain that one
-	// read tries in the order of leaders. A silent one takes 0.8 s.
+	// maxLeadersAsked is the number of instances that one read tries as its parent in
+	// the tree of readers. A silent one takes up to 0.8 s.
 	maxLeadersAsked = 3
 	// maxPeersAsked is the number of other instances that one read tries while
 	// the store is unreachable.
@@ -53,6 +52,9 @@
 	// instances, which is the case until this instance has a configuration and
 	// a list of registrations.
 	AcceptStale func() bool
+	// RegionReaders lets one instance of a large region read for all its failure
+	// domains, if a configuration may take effect some seconds after it was written.
+	RegionReaders bool
 	// FirstStart says that the whole fleet starts for the first time, so that no caller
 	// waits yet.
 	FirstStart bool
@@ -62,10 +64,11 @@
 }
 
 // Source reads the store along the cheapest path that works: through the
-// instance that reads for the failure domain, directly, or through any other
-// instance.
+// instance that its place in the tree of readers says, directly, or through any
+// other instance.
 type Source struct {
 	o             SourceOptions
+	tree          readerTree
 	backoff       *backoff.Set // of other instances, by address
 	startOnce     sync.Once
 	startedAt     time.Duration // first read
@@ -78,7 +81,7 @@
 
 // NewSource returns a source without failures.
 func NewSource(o SourceOptions) *Source {
-	return &Source{o: o, backoff: backoff.NewSet(o.Clock)}
+	return &Source{o: o, tree: readerTree{regionReaders: o.RegionReaders}, backoff: backoff.NewSet(o.Clock)}
 }
 
 // ReadTable returns the newest configuration.
@@ -141,9 +144,9 @@
 	return response, err
 }
 
-// readThroughLeaders reads the store through the leader of the failure domain. An
-// instance that does not respond loses the lead to the next one, which reads the
-// store for the others in its place.
+// readThroughLeaders reads the store through the parent in the tree of readers. An
+// instance that does not respond loses its place to the next one, which reads for the
+// others instead.
 func readThroughLeaders[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
 	var response T
 	err := errNoPeer
@@ -197,44 +200,35 @@
 var errNoPeer = errors.New("no other instance to read the store through")
 
 func (s *Source) storeAt(address string, acceptStale bool) storesync.Store {
-	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale, scope: s.o.Scope}
-}
-
-// linkMbps returns the bandwidth of this instance's link by its own member entry, which
-// follows the settings, or by the options before there is one.
-func (s *Source) linkMbps(members []api.Member) uint32 {
-	for _, m := range members {
-		if m.ID == s.o.Self.ID {
-			return m.LinkMbps
-		}
+	wait := peerWatchWait
+	if s.position().serves {
+		wait = servingWatchWait
 	}
-	return s.o.Self.LinkMbps
+	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale, maxWait: wait, scope: s.o.Scope}
 }
 
-// leader returns the address of the instance that reads for this failure
-// domain, or "" if this instance does. It is the highest-ranked of those with the
-// fastest link: a large configuration would delay callers' requests on a slow one.
+// leader returns the address of the instance that this one reads through, or "" if it
+// reads the store itself.
 func (s *Source) leader() string {
-	addresses := make(map[api.InstanceID]string)
-	ids := []api.InstanceID{s.o.Self.ID}
+	p := s.position()
+	s.recordLeader(p.parent)
+	return p.parent
+}
+
+func (s *Source) position() position {
 	members := s.o.Members()
-	fastest := s.linkMbps(members)
+	return s.tree.find(s.self(members), members, func(m api.Member) bool { return s.backoff.Contains(m.Address) })
+}
+
+// self returns this instance's own entry of the member table, which follows the
+// settings, or that of the options before there is one.
+func (s *Source) self(members []api.Member) api.Member {
 	for _, m := range members {
-		if m.ID == s.o.Self.ID || m.FailureDomain != s.o.Self.FailureDomain || m.State != api.MemberAlive {
-			continue
-		}
-		if s.backoff.Contains(m.Address) || m.LinkMbps < fastest {
-			continue
-		}
-		if m.LinkMbps > fastest {
-			fastest, ids = m.LinkMbps, ids[:0]
+		if m.ID == s.o.Self.ID {
+			return m
 		}
-		addresses[m.ID] = m.Address
-		ids = append(ids, m.ID)
 	}
-	leader := addresses[peer.Rank("read", ids)[0]]
-	s.recordLeader(leader)
-	return leader
+	return s.o.Self
 }
 
 // recordLeader records the leader's address and logs a change; "" is this
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -40,11 +40,18 @@
 	// watchBatchDelay is the delay after a read of registrations that brought
 	// changes, so that registrations that change together cost one call.
 	watchBatchDelay = 150 * time.Millisecond
-	// tableContactTimeout is the time without a response about the
+	// defaultTableContactTimeout is the time without a response about the
 	// configuration after which the contact counts as lost. A response through
 	// another instance may be as old as the waits of two watches, and a version
 	// has to become active within 2.5 s.
-	tableContactTimeout = 1800 * time.Millisecond
+	defaultTableContactTimeout = 1800 * time.Millisecond
+	// tableContactShare is the share of a longer time to activate a version that
+	// becomes the timeout.
+	tableContactShare = 0.72
+	// minWatchWait replaces the waits while contact is lost, so that the next response
+	// shows contact at once. An instance that takes over from another one may have lost
+	// it.
+	minWatchWait = 50 * time.Millisecond
 	// endpointContactTimeout is the same for registrations, whose watches wait
 	// longer.
 	endpointContactTimeout = 2400 * time.Millisecond
@@ -109,9 +116,16 @@
 	Table    *routing.CurrentTable
 	Registry *registry.Registry
 	Recorder Recorder
-	Clock    bootclock.Func
-	Log      *slog.Logger
-	Scope    tally.Scope
+	// TableActivation is the time within which a new configuration has to become
+	// active; 0 is unknown.
+	TableActivation time.Duration
+	Clock           bootclock.Func
+	Log             *slog.Logger
+	Scope           tally.Scope
+}
+
+func (o Options) tableContactTimeout() time.Duration {
+	return max(defaultTableContactTimeout, time.Duration(float64(o.TableActivation)*tableContactShare))
 }
 
 // Follower applies the store's changes to the configuration and the registry.
@@ -131,7 +145,7 @@
 func New(o Options) *Follower {
 	return &Follower{
 		o:               o,
-		tableContact:    newContact("configuration", o.Clock, tableContactTimeout),
+		tableContact:    newContact("configuration", o.Clock, o.tableContactTimeout()),
 		endpointContact: newContact("registrations", o.Clock, endpointContactTimeout),
 		synced:          make(chan struct{}),
 	}
@@ -216,7 +230,15 @@
 	if revision.Number == 0 {
 		return f.o.Store.ReadTable(ctx)
 	}
-	return f.o.Store.WatchTable(ctx, revision, tableWatchWait)
+	return f.o.Store.WatchTable(ctx, revision, watchWait(f.tableContact, tableWatchWait))
+}
+
+// watchWait returns the wait of the next watch.
+func watchWait(contact *StoreContact, longest time.Duration) time.Duration {
+	if contact.Lost() {
+		return minWatchWait
+	}
+	return longest
 }
 
 // ApplyPeerTable activates a configuration from another instance if it is
@@ -286,7 +308,7 @@
 		f.recordAnyList()
 		return list.Revision, nil
 	}
-	changes, err := f.o.Store.WatchEndpoints(ctx, revision, endpointWatchWait)
+	changes, err := f.o.Store.WatchEndpoints(ctx, revision, watchWait(f.endpointContact, endpointWatchWait))
 	if err == nil && changes.Revision.Era < revision.Era {
 		err = errEarlierEra
 	}
