Bound slow request bodies, and reset an HTTP/1.0 caller's broken stream

Cause, found by looking for what operators of similar systems reported: - a request whose body arrives a byte at a time was read without a bound, and held its memory and goroutine for ever (a spec waited 10 s in vain); - a request that is refused before its body is read waited for that body, since net/http reads it before it writes the response; - a stream that broke off ended an HTTP/1.0 caller's connection in the normal way, which is how a complete response ends there.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -28,10 +26,6 @@
 	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
-// defaultMaxBodyBytes is the maximum size of a request body if the
-// configuration sets none.
-const defaultMaxBodyBytes = 4 << 20
-
 // Options configures a Handler.
 type Options struct {
 	Protocol    Protocol
@@ -132,12 +126,14 @@
 	received := h.o.Clock()
 	info, err := h.o.Protocol.DecodeRequest(r)
 	if err != nil {
+		limitUnreadBody(w)
 		h.refuse(w, info, h.o.Log.With("request", info.ID), reason.From(err))
 		return
 	}
 	h.awaitSync(r.Context(), info)
 	req, refusal := h.admit(w, r, info, received)
 	if refusal != nil {
+		limitUnreadBody(w)
 		h.refuse(w, info, h.o.Log.With("request", info.ID), refusal)
 		return
 	}
@@ -186,17 +182,9 @@
 		return nil, reason.New(reason.NoEndpoint, "the route has no service").WithRetryAfter(retryAfter(info.Timeout))
 	}
 	req.deadline = earliestDeadline(received, info.Timeout, route.Timeout)
-	limit := table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, reason.New(reason.TooLarge, "the body is larger than %d bytes", limit)
-		}
-		return nil, reason.New(reason.BadRequest, "the body could not be read")
+	body, refusal := h.readCallerBody(w, req, table.Limits.MaxBodyBytes)
+	if refusal != nil {
+		return nil, refusal
 	}
 	req.body = body
 	req.identity = newIdentity(contentDigest(req.account, r.RequestURI, body), info.SharedPartIDs)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -181,8 +182,7 @@
 }
 
 // finish completes the request. A response that has started and cannot continue
-// is aborted by a panic with http.ErrAbortHandler, which net/http handles, so
-// that it does not look complete.
+// is aborted, so that it does not look complete.
 func (s *stream) finish(err *reason.Error) {
 	age := s.h.o.Clock() - s.req.received
 	switch {
@@ -207,5 +207,27 @@
 		s.req.log.Warn("response aborted", "reason", err.Reason, "message", err.Message, "attempts", s.req.attempts,
 			"event", s.lastEventID, "age_ms", age.Milliseconds())
 	}
+	s.abort()
+}
+
+// abort closes the caller's connection without the end of the response. The panic with
+// http.ErrAbortHandler is handled by net/http. The end of a response to an HTTP/1.0
+// caller is that of its connection, so it is reset.
+func (s *stream) abort() {
+	if !s.req.inbound.ProtoAtLeast(1, 1) && s.headerWritten {
+		s.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+func (s *stream) resetConnection() {
+	conn, _, err := s.controller.Hijack()
+	if err != nil {
+		s.req.log.Warn("cannot reset the caller's connection", "error", err)
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
