Read request bodies in one place

Cause: the bound on slow bodies, new in forward, stood in httpapi already. Change: httpapi.ReadBodyWithin serves both; forward maps a late body to its own reason, since a 400 would tell the caller not to come back. Measured: the specs of forward, httpapi, generation and order pass.

--- a/forward/body.go
+++ b/forward/body.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 )
 
@@ -33,21 +33,13 @@
 	if req.deadline != 0 {
 		timeout = h.remainingTime(req)
 	}
-	controller := http.NewResponseController(w)
-	// A connection that takes no deadline is bounded by the end of the request only.
-	_ = controller.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.inbound.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, reason.New(reason.TooLarge, "the body is larger than %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	body, err := httpapi.ReadBodyWithin(w, req.inbound, limit, timeout)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, reason.New(reason.DeadlineExceeded, "the body did not arrive before the deadline")
-	case err != nil:
-		return nil, reason.New(reason.BadRequest, "the body could not be read")
 	}
-	// From now on net/http reads to notice that the caller disconnects.
-	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, reason.From(err)
+	}
 	return body, nil
 }
 
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -87,6 +87,17 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+	body, err := ReadBodyWithin(w, r, limit, timeout)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, reason.New(reason.BadRequest, "the body did not arrive within %s", timeout)
+	}
+	return body, err
+}
+
+// ReadBodyWithin reads a request body of at most limit bytes. It returns
+// os.ErrDeadlineExceeded if the body has not arrived within the timeout, and a reason.Error
+// for any other failure.
+func ReadBodyWithin(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	// The deadline is cleared after the body, since a read deadline that passes
 	// during a streamed response would cancel the request. Errors are ignored:
 	// only the response writers of tests do not support deadlines.
@@ -102,7 +113,7 @@
 		return nil, reason.New(reason.TooLarge, "the body is larger than %d bytes", limit)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, reason.New(reason.BadRequest, "the body did not arrive within %s", timeout)
+		return nil, os.ErrDeadlineExceeded
 	}
 	return nil, reason.New(reason.BadRequest, "the body could not be read")
 }
