--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -30,10 +30,15 @@
 	// PeerSecret is the secret with which instances sign their calls to each other.
 	PeerSecret string
 
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
 	// LinkMbps is the bandwidth of the instance's link in Mbit/s; 0 is unknown.
 	LinkMbps uint32
 	// MemoryBytes is the memory that the process may use; 0 sets no limit.
 	MemoryBytes int64
+	// TableActivation is the time within which a new configuration has to be in force;
+	// 0 is unknown.
+	TableActivation time.Duration
 	// StopTimeout is how long the process may run after the stop signal; 0 is the
 	// default.
 	StopTimeout time.Duration
--- a/relay/source.go
+++ b/relay/source.go
@@ -14,7 +14,6 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/internal/backoff"
-	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
@@ -27,16 +26,9 @@
 	// storeBackoff is how long other instances are asked before the store after
 	// a read of the store has failed.
 	storeBackoff = 1500 * time.Millisecond
-	// maxLeadersAsked is the number of instances of the own failure domain that one
-	// read tries in the order of leaders. A silent one takes 0.8 s.
+	// maxLeadersAsked is the number of instances that one read tries as its parent in
+	// the tree of readers. A silent one takes up to 0.8 s.
 	maxLeadersAsked = 3
-	// maxMembersWait is how long the first read waits until this instance knows other
-	// instances. An exchange with a seed in another region takes 35 ms with its new
-	// connection.
-	maxMembersWait = 250 * time.Millisecond
-	// maxFirstReadWait is how long after its own start an instance waits for a leader
-	// that has not read the store yet.
-	maxFirstReadWait = 1500 * time.Millisecond
 	// maxPeersAsked is the number of other instances that one read tries while
 	// the store is unreachable.
 	maxPeersAsked = 2
@@ -60,16 +52,23 @@
 	// instances, which is the case until this instance has a configuration and
 	// a list of registrations.
 	AcceptStale func() bool
-	Clock       bootclock.Func
-	Log         *slog.Logger
-	Scope       tally.Scope
+	// RegionReaders lets one instance of a large region read for all its failure
+	// domains, if a configuration may take effect some seconds after it was written.
+	RegionReaders bool
+	// FirstStart says that the whole fleet starts for the first time, so that no caller
+	// waits yet.
+	FirstStart bool
+	Clock      bootclock.Func
+	Log        *slog.Logger
+	Scope      tally.Scope
 }
 
 // Source reads the store along the cheapest path that works: through the
-// instance that reads for the failure domain, directly, or through any other
-// instance.
+// instance that its place in the tree of readers says, directly, or through any
+// other instance.
 type Source struct {
 	o             SourceOptions
+	tree          readerTree
 	backoff       *backoff.Set // of other instances, by address
 	startOnce     sync.Once
 	startedAt     time.Duration // first read
@@ -82,61 +81,73 @@
 
 // NewSource returns a source without failures.
 func NewSource(o SourceOptions) *Source {
-	return &Source{o: o, backoff: backoff.NewSet(o.Clock)}
+	return &Source{o: o, tree: readerTree{regionReaders: o.RegionReaders}, backoff: backoff.NewSet(o.Clock)}
 }
 
 // ReadTable returns the newest configuration.
 func (s *Source) ReadTable(ctx context.Context) (storesync.TableRead, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.TableRead, error) { return store.ReadTable(ctx) })
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
+		return store.ReadTable(ctx)
+	})
 }
 
 // WatchTable waits for a newer configuration.
 func (s *Source) WatchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.TableRead, error) { return store.WatchTable(ctx, after, wait) })
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
+		return store.WatchTable(ctx, after, wait)
+	})
 }
 
 // ListEndpoints returns all registrations.
 func (s *Source) ListEndpoints(ctx context.Context) (storesync.EndpointList, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.EndpointList, error) { return store.ListEndpoints(ctx) })
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.EndpointList, error) {
+		return store.ListEndpoints(ctx)
+	})
 }
 
 // WatchEndpoints waits for changes of registrations.
 func (s *Source) WatchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.EndpointChanges, error) {
-	return readStore(ctx, s, func(store storesync.Store) (storesync.EndpointChanges, error) {
+	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.EndpointChanges, error) {
 		return store.WatchEndpoints(ctx, after, wait)
 	})
 }
 
+// readFunc reads a store.
+type readFunc[T any] func(ctx context.Context, store storesync.Store) (T, error)
+
 // readStore tries the leader, the store and other instances in this order until
 // one responds. While the store is in backoff, other instances are tried before
 // it.
-func readStore[T any](ctx context.Context, s *Source, call func(storesync.Store) (T, error)) (T, error) {
+func readStore[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
 	s.awaitMembers(ctx)
-	if response, err := readThroughLeaders(s, call); err == nil || isAnswer(err) {
+	if response, err := readThroughLeaders(ctx, s, call); err == nil || isAnswer(err) {
 		return response, err
 	}
 	if s.storeInBackoff() {
-		if response, err := readThroughPeers(s, call); err == nil {
+		if response, err := readThroughPeers(ctx, s, call); err == nil {
 			return response, nil
 		}
 	}
 	s.o.Scope.Counter("read_directly").Inc(1)
-	response, err := call(s.o.DirectStore)
+	response, err := readDirectly(ctx, s, call)
+	if errors.Is(err, errLeaderFound) {
+		return readStore(ctx, s, call)
+	}
 	if err == nil || isAnswer(err) {
 		s.setStoreFailedAt(0)
 		return response, err
 	}
 	s.setStoreFailedAt(s.o.Clock())
-	if response, peerErr := readThroughPeers(s, call); peerErr == nil {
+	if response, peerErr := readThroughPeers(ctx, s, call); peerErr == nil {
 		return response, nil
 	}
 	return response, err
 }
 
-// readThroughLeaders reads the store through the leader of the failure domain. An
-// instance that does not respond loses the lead to the next one, which reads the
-// store for the others in its place.
-func readThroughLeaders[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
+// readThroughLeaders reads the store through the parent in the tree of readers. An
+// instance that does not respond loses its place to the next one, which reads for the
+// others instead.
+func readThroughLeaders[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
 	var response T
 	err := errNoPeer
 	for asked := 0; asked < maxLeadersAsked; {
@@ -144,12 +155,12 @@
 		if leader == "" {
 			return response, errNoPeer
 		}
-		response, err = call(s.storeAt(leader, false))
+		response, err = call(ctx, s.storeAt(leader, false))
 		if err == nil || isAnswer(err) {
 			s.o.Scope.Counter("read_through_leader").Inc(1)
 			return response, err
 		}
-		if isNotRead(err) && s.o.Clock()-s.startedAt < maxFirstReadWait {
+		if isNotRead(err) && s.firstReadMayCome() {
 			s.o.Scope.Counter("waits_for_first_read").Inc(1)
 			continue
 		}
@@ -159,30 +170,13 @@
 	return response, err
 }
 
-// awaitMembers delays the first reads until this instance knows others. A fleet that
-// starts at once would otherwise read the store once for each instance.
-func (s *Source) awaitMembers(ctx context.Context) {
-	s.startOnce.Do(func() { s.startedAt = s.o.Clock() })
-	left := maxMembersWait - (s.o.Clock() - s.startedAt)
-	if s.o.MembersKnown == nil || left <= 0 {
-		return
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-s.o.MembersKnown:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // readThroughPeers reads the store through other instances, up to
 // maxPeersAsked.
-func readThroughPeers[T any](s *Source, call func(storesync.Store) (T, error)) (T, error) {
+func readThroughPeers[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
 	var response T
 	err := errNoPeer
 	for _, address := range s.selectPeers() {
-		response, err = call(s.storeAt(address, s.o.AcceptStale()))
+		response, err = call(ctx, s.storeAt(address, s.o.AcceptStale()))
 		if err == nil {
 			s.o.Scope.Counter("read_through_helper").Inc(1)
 			return response, nil
@@ -206,44 +200,35 @@
 var errNoPeer = errors.New("no other instance to read the store through")
 
 func (s *Source) storeAt(address string, acceptStale bool) storesync.Store {
-	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale, scope: s.o.Scope}
-}
-
-// linkMbps returns the bandwidth of this instance's link by its own member entry, which
-// follows the settings, or by the options before there is one.
-func (s *Source) linkMbps(members []api.Member) uint32 {
-	for _, m := range members {
-		if m.ID == s.o.Self.ID {
-			return m.LinkMbps
-		}
+	wait := peerWatchWait
+	if s.position().serves {
+		wait = servingWatchWait
 	}
-	return s.o.Self.LinkMbps
+	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale, maxWait: wait, scope: s.o.Scope}
 }
 
-// leader returns the address of the instance that reads for this failure
-// domain, or "" if this instance does. It is the highest-ranked of those with the
-// fastest link: a large configuration would delay callers' requests on a slow one.
+// leader returns the address of the instance that this one reads through, or "" if it
+// reads the store itself.
 func (s *Source) leader() string {
-	addresses := make(map[api.InstanceID]string)
-	ids := []api.InstanceID{s.o.Self.ID}
+	p := s.position()
+	s.recordLeader(p.parent)
+	return p.parent
+}
+
+func (s *Source) position() position {
 	members := s.o.Members()
-	fastest := s.linkMbps(members)
+	return s.tree.find(s.self(members), members, func(m api.Member) bool { return s.backoff.Contains(m.Address) })
+}
+
+// self returns this instance's own entry of the member table, which follows the
+// settings, or that of the options before there is one.
+func (s *Source) self(members []api.Member) api.Member {
 	for _, m := range members {
-		if m.ID == s.o.Self.ID || m.FailureDomain != s.o.Self.FailureDomain || m.State != api.MemberAlive {
-			continue
-		}
-		if s.backoff.Contains(m.Address) || m.LinkMbps < fastest {
-			continue
-		}
-		if m.LinkMbps > fastest {
-			fastest, ids = m.LinkMbps, ids[:0]
+		if m.ID == s.o.Self.ID {
+			return m
 		}
-		addresses[m.ID] = m.Address
-		ids = append(ids, m.ID)
 	}
-	leader := addresses[peer.Rank("read", ids)[0]]
-	s.recordLeader(leader)
-	return leader
+	return s.o.Self
 }
 
 // recordLeader records the leader's address and logs a change; "" is this
