Ask further engines for their load only if the first is busy

Change: the best candidate is asked first; if it prefills nothing and runs at most three generations it is taken, else the two others are asked too.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -74,6 +74,14 @@
 	return b.core.HasCapacity(b.options.Clock(), request)
 }
 
+// IsNearlyIdle reports whether the reported load of an endpoint is so low that no other
+// endpoint would serve the request noticeably better.
+func (b *Balancer) IsNearlyIdle(request Request, endpoint registry.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.IsNearlyIdle(b.options.Clock(), request, endpoint)
+}
+
 // SetLimited records whether an endpoint limits the requests of all instances.
 func (b *Balancer) SetLimited(id api.EndpointID, incarnation int64, limited bool) {
 	b.mu.Lock()
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -34,3 +34,18 @@
 	}
 	return endpoints
 }
+
+// maxRunningOfNearlyIdle is the number of generations with which an engine that prefills
+// no prompt counts as nearly idle. They slow a further one less than one prefill does.
+const maxRunningOfNearlyIdle = 3
+
+// IsNearlyIdle reports whether the reported load of an endpoint is so low that no other
+// endpoint would serve the request noticeably better.
+func (c *Core) IsNearlyIdle(now time.Duration, request Request, endpoint registry.Endpoint) bool {
+	e, ok := c.endpoints[endpoint.ID]
+	if !ok || e.Incarnation != endpoint.Incarnation || c.exceedsCapacity(now, e, request) {
+		return false
+	}
+	load, reported := e.load(now)
+	return reported && load.Prefilling == 0 && load.Running <= maxRunningOfNearlyIdle
+}
--- a/balance/overload_test.go
+++ b/balance/overload_test.go
@@ -109,6 +109,9 @@
 	generations []*simGeneration
 	// maxFirstEventDelay is the MaxFirstEventDelay of all requests.
 	maxFirstEventDelay time.Duration
+	// askAll asks all candidates for their load, also if the first one is nearly idle.
+	askAll  bool
+	queries int // load queries
 }
 
 func newFleetSim(instances, engines int) *fleetSim {
@@ -135,9 +138,13 @@
 	request.MaxFirstEventDelay = s.maxFirstEventDelay
 	for range 3 {
 		request.Probed = nil
-		for _, candidate := range core.Candidates(now, request, 3) {
+		for i, candidate := range core.Candidates(now, request, 3) {
+			s.queries++
 			core.UpdateLoad(now, candidate, s.engineOf(candidate).report())
 			request.Probed = append(request.Probed, candidate.ID)
+			if i == 0 && !s.askAll && core.IsNearlyIdle(now, request, candidate) {
+				break
+			}
 		}
 		if core.HasCapacity(now, request) {
 			break
@@ -231,6 +238,38 @@
 	})
 })
 
+// Load: 4 to 12 generations a second at 24 engines, which can start 18 on time.
+var _ = Describe("Asking engines for their load", func() {
+	// Guards against three queries, each with a new connection, for a generation that
+	// the first engine serves as well, and against late first events because of fewer
+	// queries.
+	It("stops at a nearly idle engine, and serves as many generations on time", func() {
+		for _, rate := range []float64{4, 6, 9, 12} {
+			onTime, queries := map[bool]int{}, map[bool]int{}
+			generations := 0
+			for _, askAll := range []bool{true, false} {
+				for seed := range uint64(5) {
+					s := newFleetSim(8, 24)
+					s.askAll = askAll
+					s.simulate(rate, 20*time.Second, seed)
+					onTime[askAll] += s.countOnTime()
+					queries[askAll] += s.queries
+					if !askAll {
+						generations += len(s.generations)
+					}
+				}
+			}
+			AddReportEntry(fmt.Sprintf("%v a second: %d of %d on time with %d queries, %d with %d", rate,
+				onTime[false], generations, queries[false], onTime[true], queries[true]))
+			Expect(onTime[false]).To(BeNumerically(">=", onTime[true]*99/100), "%v a second", rate)
+			Expect(queries[false]).To(BeNumerically("<", queries[true]), "%v a second", rate)
+			if rate <= 6 {
+				Expect(queries[false]).To(BeNumerically("<=", 2*generations), "%v a second", rate)
+			}
+		}
+	})
+})
+
 // Load: four times the generations whose first event the engines can send on
 // time. Requests allow 0.6 of the target for the prefill.
 var _ = Describe("Limiting the expected delay of the first event", func() {
--- a/forward/place.go
+++ b/forward/place.go
@@ -102,16 +102,24 @@
 	return retryAfter(s.req.info.Timeout)
 }
 
-// refreshLoads queries the load of the best candidates for the request and
-// returns them. If an engine does not respond, its load is estimated from this
-// instance's own requests. Engines that hold the prompt's KV cache are not
-// queried, since the query would only delay the next event.
+// refreshLoads queries the load of the best candidate for the request, and of the
+// next ones unless it is nearly idle. It returns those that were queried. If an
+// engine does not respond, its load is estimated from this instance's own requests.
+// Engines that hold the prompt's KV cache are not queried, since the query would
+// only delay the next event.
 func (s *stream) refreshLoads(request balance.Request) []api.EndpointID {
 	if s.h.o.LoadProber == nil || request.Tokens == 0 || len(request.Prefer) > 0 {
 		return nil
 	}
 	engines := s.h.o.Balance.Candidates(request, maxCandidates)
-	s.h.o.LoadProber.Refresh(s.ctx, engines)
+	if len(engines) == 0 {
+		return nil
+	}
+	s.h.o.LoadProber.Refresh(s.ctx, engines[:1])
+	if s.h.o.Balance.IsNearlyIdle(request, engines[0]) {
+		engines = engines[:1]
+	}
+	s.h.o.LoadProber.Refresh(s.ctx, engines[1:])
 	var ids []api.EndpointID
 	for _, engine := range engines {
 		ids = append(ids, engine.ID)
