--- a/standins/platform/deployment/config.go
+++ b/standins/platform/deployment/config.go
@@ -34,6 +34,7 @@
 memory-mb = 284
 [bounds]
 grace-s = 8
+config-apply-ms = 3500
 retry-budget-ratio = 0.8
 budget-window-s = 10
 budget-slack = %d
