--- a/relay/cache.go
+++ b/relay/cache.go
@@ -1,6 +1,7 @@
-// Package relay shares what instances read from the store. One instance of a
-// failure domain reads for all of them, and an instance that cannot reach the
-// store still gets the configuration and registrations from others.
+// Package relay shares what instances read from the store. They read through each
+// other along a tree, so that one of a failure domain or region reads for all of them,
+// and an instance that cannot reach the store still gets the configuration and
+// registrations from others.
 package relay
 
 import (
