Serve with settings that name no window for retries

Cause: found while reading the reload. The retry budget divides its window by ten, so with settings without bounds.budget-window-s each request panicked in a division by zero and its connection was closed. An installation without the contract on retries may leave it out, and a reload can take it away now.

Change: a budget without a window has one of 10 s; settings without any limit of retries get 0.5 a request and 100 in addition.

Measured: the new spec panics before and passes now.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// budgetBuckets is the number of buckets that the window is divided into.
-const budgetBuckets = 10
+const (
+	// budgetBuckets is the number of buckets that the window is divided into.
+	budgetBuckets = 10
+	// defaultBudgetWindow applies if no window is set.
+	defaultBudgetWindow = 10 * time.Second
+)
 
 // RetryBudgetOptions configures a RetryBudget.
 type RetryBudgetOptions struct {
@@ -15,7 +19,7 @@
 	// Baseline is the number of retries per window that are allowed in
 	// addition, for all instances together.
 	Baseline float64
-	Window   time.Duration
+	Window   time.Duration // 0: defaultBudgetWindow
 	// InstanceCount returns the number of instances that share the baseline;
 	// nil is one.
 	InstanceCount func() int
@@ -39,14 +43,23 @@
 
 // NewRetryBudget returns a budget without usage.
 func NewRetryBudget(o RetryBudgetOptions) *RetryBudget {
+	o.Window = budgetWindow(o.Window)
 	return &RetryBudget{o: o, services: make(map[string]*serviceUsage)}
 }
 
+func budgetWindow(window time.Duration) time.Duration {
+	if window <= 0 {
+		return defaultBudgetWindow
+	}
+	return window
+}
+
 // SetLimits replaces the limits of the budget. The usage is kept unless the window
 // changes.
 func (b *RetryBudget) SetLimits(ratio, baseline float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	window = budgetWindow(window)
 	if window != b.o.Window {
 		clear(b.services)
 	}
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -49,6 +49,27 @@
 })
 
 var _ = Describe("A retry budget", func() {
+	// Guards against a division by zero in each request of an instance whose settings
+	// name no window, from the start or after a reload.
+	It("has a window if none is set", func() {
+		budget := forward.NewRetryBudget(forward.RetryBudgetOptions{Baseline: 1})
+		budget.AddRequest(time.Second, "s")
+		Expect(budget.TryRetry(time.Second, "s")).To(BeTrue())
+		Expect(budget.TryRetry(time.Second, "s")).To(BeFalse())
+		budget.SetLimits(0, 2, 0)
+		Expect(budget.TryRetry(time.Second, "s")).To(BeTrue())
+	})
+
+	// Guards against limits that take effect only after a restart.
+	It("follows changed limits and keeps its usage", func() {
+		budget := forward.NewRetryBudget(forward.RetryBudgetOptions{Baseline: 1, Window: 10 * time.Second})
+		Expect(budget.TryRetry(time.Second, "s")).To(BeTrue())
+		Expect(budget.CanRetry(time.Second, "s")).To(BeFalse())
+		budget.SetLimits(0, 2, 10*time.Second)
+		Expect(budget.TryRetry(time.Second, "s")).To(BeTrue())
+		Expect(budget.CanRetry(time.Second, "s")).To(BeFalse())
+	})
+
 	// Guards against a check that uses up a retry which is then not made.
 	It("is not used by asking whether a retry is allowed", func() {
 		budget := forward.NewRetryBudget(forward.RetryBudgetOptions{Baseline: 1, Window: 10 * time.Second})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,10 @@
 	// rest is a reserve: counts of live instances may be out of date, and callers'
 	// requests move between instances.
 	retryBudgetFraction = 0.8
+	// defaultRetryRatio and defaultRetryBaseline apply if the settings limit no retries.
+	// They keep failures from multiplying the load.
+	defaultRetryRatio    = 0.5
+	defaultRetryBaseline = 100
 )
 
 // Options configures a Gateway.
@@ -152,9 +156,9 @@
 	promptIndex := prefixcache.New(prefixcache.Options{
 		Lister: o.PartLister, Engines: g.balancer.PreferredEndpoints, Clock: clock, Log: o.Log, Scope: scope.SubScope("prefixcache"),
 	})
+	ratio, baseline := s.retryLimits()
 	g.retryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{
-		Ratio: s.RetryRatio * retryBudgetFraction, Baseline: s.RetryBaseline * retryBudgetFraction, Window: s.RetryWindow,
-		InstanceCount: g.liveInstanceCount,
+		Ratio: ratio, Baseline: baseline, Window: s.RetryWindow, InstanceCount: g.liveInstanceCount,
 	})
 	g.forwarder = forward.New(forward.Options{
 		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, Quarantine: g.quarantine,
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -105,7 +105,8 @@
 // them. Settings that a component reads at each use are not passed.
 func (g *Gateway) activateSettings(s Settings) {
 	g.o.Store.SetAddress(s.Store)
-	g.retryBudget.SetLimits(s.RetryRatio*retryBudgetFraction, s.RetryBaseline*retryBudgetFraction, s.RetryWindow)
+	ratio, baseline := s.retryLimits()
+	g.retryBudget.SetLimits(ratio, baseline, s.RetryWindow)
 	g.balancer.SetRegions(s.Regions)
 	if g.fleet != nil {
 		g.fleet.ApplySettings(g.seedAddresses(), s.LinkMbps)
@@ -113,6 +114,15 @@
 	setMemoryLimit(s.MemoryBytes)
 }
 
+// retryLimits returns the retries of all instances together: for each request, and in
+// addition within the window.
+func (s Settings) retryLimits() (ratio, baseline float64) {
+	if s.RetryRatio == 0 && s.RetryBaseline == 0 && s.RetryWindow == 0 {
+		return defaultRetryRatio, defaultRetryBaseline
+	}
+	return s.RetryRatio * retryBudgetFraction, s.RetryBaseline * retryBudgetFraction
+}
+
 // setMemoryLimit sets the memory limit of the Go runtime for a process that may use
 // the given number of bytes; 0 sets none.
 func setMemoryLimit(bytes int64) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -45,7 +45,7 @@
 
 	// RetryRatio and RetryBaseline limit the retries that all instances together
 	// send to a service within RetryWindow: RetryRatio retries per request, and
-	// RetryBaseline in addition.
+	// RetryBaseline in addition. If all are 0, there is a default.
 	RetryRatio    float64
 	RetryBaseline float64
 	RetryWindow   time.Duration
