Continue elsewhere when an engine hangs with a request

The answer was meant for an engine that is busy with other prompts; one that hangs with the request gives it too, and the stream waited until its caller's deadline (six of eight lost streams that were read line by line, 10 to 14 s each).

Change: the wait goes on only while the engine's report shows other prompts.

Measured: the new spec of an engine without other prompts waits for ever before and continues at the other engine within 2.5 s now; that of a busy engine passes on both.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -82,6 +82,14 @@
 	return b.core.IsNearlyIdle(b.options.Clock(), request, endpoint)
 }
 
+// HasOtherPrompts reports whether the endpoint of a lease prefills other prompts than the
+// lease's, or prompts wait there. It returns true if the endpoint's load is unknown.
+func (b *Balancer) HasOtherPrompts(l *Lease) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.HasOtherPrompts(b.options.Clock(), l)
+}
+
 // SetLimited records whether an endpoint limits the requests of all instances.
 func (b *Balancer) SetLimited(id api.EndpointID, incarnation int64, limited bool) {
 	b.mu.Lock()
--- a/balance/load.go
+++ b/balance/load.go
@@ -44,3 +44,13 @@
 		Tokens:     max(0, load.Tokens-e.tokens),
 	}
 }
+
+// HasOtherPrompts reports whether the endpoint of a lease prefills other prompts than the
+// lease's, or prompts wait there. It returns true if the endpoint's load is unknown.
+func (c *Core) HasOtherPrompts(now time.Duration, l *Lease) bool {
+	load, reported := l.endpoint.load(now)
+	if l.prefilling {
+		load.Prefilling--
+	}
+	return !reported || load.Prefilling > 0
+}
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 )
 
@@ -70,11 +71,18 @@
 // extendPrefillWait reports whether an engine that has not sent its first event
 // still has the request because it is busy with other prompts, and if so
 // restarts the wait for the first event. A failover would repeat the prefill at
-// an engine that is just as busy.
+// an engine that is just as busy. An engine that has the request and no other
+// prompt hangs.
 func (s *stream) extendPrefillWait(r *streamAttempt, now time.Duration) bool {
 	if r.stall.prefilled || s.h.o.LoadProber == nil || !s.h.o.LoadProber.HasRequest(s.ctx, r.lease.Endpoint, s.req.info.ID) {
 		return false
 	}
+	s.h.o.LoadProber.Refresh(s.ctx, []registry.Endpoint{r.lease.Endpoint})
+	if !s.h.o.Balance.HasOtherPrompts(r.lease) {
+		s.req.log.Info("engine hangs with the request", "endpoint", r.lease.Endpoint.ID,
+			"age_ms", (now - s.req.received).Milliseconds())
+		return false
+	}
 	r.stall.silentSince = now
 	s.req.log.Info("engine still has the request; waiting for its first event", "endpoint", r.lease.Endpoint.ID,
 		"age_ms", (now - s.req.received).Milliseconds())
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -34,6 +34,66 @@
 	return false, nil
 }
 
+// listedRequest is an engine client of engines that list each request and report a
+// number of prompts.
+type listedRequest struct{ prompts int }
+
+func (c listedRequest) FetchLoad(context.Context, string) (balance.Load, error) {
+	return balance.Load{Running: c.prompts, Prefilling: c.prompts}, nil
+}
+
+func (listedRequest) HasRequest(context.Context, string, string) (bool, error) { return true, nil }
+
+var _ = Describe("A stream whose engine lists it and sends no first event", func() {
+	// start starts two engines, of which the first to receive a request sends its first
+	// event after the delay. The target for it is 1 s.
+	start := func(prompts int, delay time.Duration) *fixture {
+		synced := make(chan struct{})
+		close(synced)
+		f := newFixtureWithOptions(synced, func(f *fixture, o *forward.Options) {
+			o.RetryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{Baseline: 100, Window: 10 * time.Second})
+			o.LoadProber = loadprobe.New(loadprobe.Options{
+				Client: listedRequest{prompts}, Balance: f.balance, Clock: bootclock.Now,
+				Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			})
+		})
+		f.applyTable(nil)
+		var asked atomic.Bool
+		for _, name := range []string{"a", "b"} {
+			f.startEndpoint(name, func(rw http.ResponseWriter, r *http.Request) {
+				if asked.CompareAndSwap(false, true) {
+					select {
+					case <-time.After(delay):
+					case <-r.Context().Done():
+						return
+					}
+				}
+				streamEvents(3, endStream)(rw, r)
+			})
+		}
+		return f
+	}
+
+	// Guards against a request that hangs in an engine and is waited for until the
+	// caller's deadline.
+	It("continues elsewhere if the engine has no other prompt", func() {
+		f := start(1, time.Hour)
+		began := time.Now()
+		_, body, _ := f.get("/stream/x")
+		Expect(body).To(Equal(streamText(3)))
+		Expect(f.received()).To(HaveLen(2))
+		Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+	})
+
+	// Guards against a second prefill because of an engine that is only busy.
+	It("waits while the engine has other prompts", func() {
+		f := start(3, 2*time.Second)
+		_, body, _ := f.get("/stream/x")
+		Expect(body).To(Equal(streamText(3)))
+		Expect(f.received()).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("A stream whose engine pauses", func() {
 	const (
 		length = 30
