--- a/standins/cutproxy/proxy.go
+++ b/standins/cutproxy/proxy.go
@@ -139,7 +139,7 @@
 // handleConn forwards an accepted connection until it ends. It resets the
 // connection if a rule refuses it or the target can't be reached.
 func (p *Proxy) handleConn(client net.Conn) {
-	conn := &proxiedConn{proxy: p, client: client, source: p.sources.NameOf(client.RemoteAddr())}
+	conn := &proxiedConn{proxy: p, client: client, source: p.sources.NameOf(client)}
 	conn.gates = [2]*gate{newGate(), newGate()}
 	conn.ctx, conn.cancel = context.WithCancel(context.Background())
 	if !p.admit(conn) {
