Log why a request is sent although engines crashed with its content

The logs named the contents at each crash but not why one with several crashes was sent on, so ties, an earlier response and missing evidence could not be told apart. Core.Refused becomes Core.Assess, which gives the state and the number of crashes besides the decision; the line "attempt started" has both and quarantine_assessments counts the states. No decision changes: the specs of quarantine and forward pass with the calls renamed.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -107,9 +107,11 @@
 	path         string // escaped path, byte for byte
 	body         []byte
 	identity     quarantine.Request
-	log          *slog.Logger
-	attempts     int
-	tried        []api.EndpointID
+	// assessment is what crashes said about the identity when it was last checked.
+	assessment quarantine.Assessment
+	log        *slog.Logger
+	attempts   int
+	tried      []api.EndpointID
 	// holders are, for a stream that the caller resumes, the engines that hold
 	// the KV cache of its prompt.
 	holders []api.EndpointID
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -196,7 +196,8 @@
 	p.inFlight++
 	number := p.req.attempts
 	p.req.log.Info("attempt started", "attempt", number, "endpoint", lease.Endpoint.ID,
-		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "in_flight", p.inFlight,
+		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected,
+		"content_state", p.req.assessment.State, "content_crashes", p.req.assessment.Crashes, "in_flight", p.inFlight,
 		"age_ms", (p.h.o.Clock() - p.req.received).Milliseconds(), "configuration", p.req.tableVersion)
 	go func() {
 		r := p.h.sendPlain(p.ctx, p.req, lease, tracked)
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -16,8 +16,8 @@
 // Quarantine knows the contents and the prompt parts that crash engines. The records of
 // all instances are merged, because a caller may send the same content to any of them.
 type Quarantine interface {
-	// Refused returns the parts for which a request is refused; nil if it is not.
-	Refused(request quarantine.Request) []quarantine.Part
+	// Assess returns what the crashes say about a request.
+	Assess(request quarantine.Request) quarantine.Assessment
 	// ReportCrash records the crash of an engine and the requests that it ran.
 	ReportCrash(crash quarantine.EngineCrashed)
 	// ReportServed records that an engine generated events with the parts of a prompt.
@@ -56,11 +56,11 @@
 	if h.o.Quarantine == nil {
 		return nil
 	}
-	causes := h.o.Quarantine.Refused(req.identity)
-	if causes == nil {
+	req.assessment = h.o.Quarantine.Assess(req.identity)
+	if !req.assessment.Refused() {
 		return nil
 	}
-	return reason.New(reason.CrashSuspect, "endpoints crashed on the parts %x", causes)
+	return reason.New(reason.CrashSuspect, "endpoints crashed on the parts %x", req.assessment.Causes)
 }
 
 // refusedWhileWaiting returns a refusal if the engine of an attempt has generated
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -135,7 +135,8 @@
 		stall: stallDetector{targetEventGap: s.req.route.TargetEventGap, targetLatency: s.req.route.TargetLatency, silentSince: now, prefilled: fromBackup, hasBackup: attempt.BackupTargetAddress != ""},
 	}
 	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
-		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected, "copied", fromBackup,
+		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected,
+		"content_state", s.req.assessment.State, "content_crashes", s.req.assessment.Crashes, "copied", fromBackup,
 		"engine_runs", lease.Load.Running, "engine_prompts", lease.Load.Prefilling, "engine_tokens", lease.Load.Tokens,
 		"reported", lease.LoadReported, "report_age_ms", lease.ReportAge.Milliseconds(),
 		"backup", attempt.BackupTargetAddress, "after_event", s.lastEventID, "age_ms", (now - s.req.received).Milliseconds())
--- /dev/null
+++ b/quarantine/assess.go
@@ -0,0 +1,95 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// State is what the crashes of engines say about content or a part of a prompt.
+type State string
+
+// States, from the least to the most suspect.
+const (
+	// StateUnsuspected means fewer than minCrashes crashes since it was served.
+	StateUnsuspected State = "unsuspected"
+	// StateServed means that engines served it shortly before the crashes.
+	StateServed State = "served"
+	// StateCoincident means that the crashes count as fewer, since they happened at
+	// once in one failure domain.
+	StateCoincident State = "coincident"
+	// StateExplained means that other requests explain the crashes.
+	StateExplained State = "explained"
+	// StateIncomplete means that the request has only some of the parts that were in
+	// all the crashes.
+	StateIncomplete State = "incomplete"
+	// StateRefused means that requests with it are refused.
+	StateRefused State = "refused"
+)
+
+// states are all states, from the least to the most suspect.
+var states = []State{StateUnsuspected, StateServed, StateCoincident, StateExplained, StateIncomplete, StateRefused}
+
+// Assessment is what the crashes say about a request.
+type Assessment struct {
+	// State is that of the most suspect among the content and the parts.
+	State State
+	// Crashes is the number of engines that crashed with it since it was served.
+	Crashes int
+	// Causes are the parts for which the request is refused; nil if it is not. Besides
+	// one that crashed engines, they are those that were in all the requests with it and
+	// were never served: any of them may be the cause.
+	Causes []Part
+}
+
+// Refused reports whether the request is refused.
+func (a Assessment) Refused() bool { return a.State == StateRefused }
+
+// Suspect reports whether the content or a part was in enough crashes to be refused
+// if nothing else speaks for it.
+func (a Assessment) Suspect() bool { return a.State != StateUnsuspected }
+
+func (a Assessment) moreSuspect(other Assessment) bool {
+	return slices.Index(states, a.State) > slices.Index(states, other.State)
+}
+
+// Assess returns what the crashes say about a request.
+func (c *Core) Assess(now time.Duration, r Request) Assessment {
+	worst := c.assessPart(now, r, r.Content, rerunWindow)
+	for _, part := range r.Shared {
+		if worst.Refused() {
+			break
+		}
+		if a := c.assessPart(now, r, part, domainFailureWindow); a.moreSuspect(worst) {
+			worst = a
+		}
+	}
+	return worst
+}
+
+// assessPart returns what the crashes with one part say about a request. Crashes of
+// one failure domain within the window count once.
+func (c *Core) assessPart(now time.Duration, r Request, part Part, window time.Duration) Assessment {
+	if len(c.byPart[part]) < minCrashes {
+		return Assessment{State: StateUnsuspected}
+	}
+	since := c.crashesSinceServed(now, part)
+	crashes := countCrashes(since)
+	if crashes < minCrashes {
+		return Assessment{State: StateUnsuspected, Crashes: crashes}
+	}
+	if countIncidents(since, window) < minCrashes {
+		return Assessment{State: StateCoincident, Crashes: crashes}
+	}
+	if c.isHarmless(now, part) {
+		return Assessment{State: StateServed, Crashes: crashes}
+	}
+	unexplained := c.unexplainedCrashes(now, part)
+	if countIncidents(unexplained, window) < minCrashes {
+		return Assessment{State: StateExplained, Crashes: crashes}
+	}
+	causes := c.commonParts(now, unexplained)
+	if !containsAll(r.parts(), causes) {
+		return Assessment{State: StateIncomplete, Crashes: crashes}
+	}
+	return Assessment{State: StateRefused, Crashes: crashes, Causes: causes}
+}
--- a/quarantine/coincidence_test.go
+++ b/quarantine/coincidence_test.go
@@ -30,8 +30,8 @@
 		for engine := range 2 * minCrashes {
 			crash(10+engine, []Part{house, deadly})
 		}
-		Expect(c.Refused(now, Request{Shared: []Part{season}})).To(BeEmpty())
-		Expect(c.Refused(now, Request{Shared: []Part{house, deadly}})).NotTo(BeEmpty())
+		Expect(c.Assess(now, Request{Shared: []Part{season}}).Causes).To(BeEmpty())
+		Expect(c.Assess(now, Request{Shared: []Part{house, deadly}}).Causes).NotTo(BeEmpty())
 	})
 
 	// Guards against refusing a sound part because one crash was reported late by several instances.
@@ -39,7 +39,7 @@
 		for i := range minCrashes {
 			crash(1, []Part{house, PartOf(fmt.Sprint("session", i))})
 		}
-		Expect(c.Refused(now, Request{Shared: []Part{house}})).To(BeEmpty())
+		Expect(c.Assess(now, Request{Shared: []Part{house}}).Causes).To(BeEmpty())
 	})
 
 	// Guards against a record beyond the size of a message that keeps all others from being sent.
--- a/quarantine/content_test.go
+++ b/quarantine/content_test.go
@@ -27,7 +27,7 @@
 		}
 		return ev
 	}
-	refusedBy := func(c *Core, content Part) bool { return c.Refused(now, Request{Content: content}) != nil }
+	refusedBy := func(c *Core, content Part) bool { return c.Assess(now, Request{Content: content}).Refused() }
 
 	// Guards against content whose crashes in one failure domain cancel each other.
 	It("counts engines of one failure domain that ran the content one after the other", func() {
--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -142,42 +142,6 @@
 	return false
 }
 
-// Refused returns the parts for which a request is refused; nil if it is not. Besides
-// one that crashed engines, they are those that were in all the requests with it and
-// were never served: any of them may be the cause.
-func (c *Core) Refused(now time.Duration, r Request) []Part {
-	if causes := c.causes(now, r, r.Content, rerunWindow); causes != nil {
-		return causes
-	}
-	for _, part := range r.Shared {
-		if causes := c.causes(now, r, part, domainFailureWindow); causes != nil {
-			return causes
-		}
-	}
-	return nil
-}
-
-// causes returns the possible causes of the crashes with the part if the request has
-// all of them; nil if there were not enough crashes. Crashes of one failure domain
-// within the window count once.
-func (c *Core) causes(now time.Duration, r Request, part Part, window time.Duration) []Part {
-	if len(c.byPart[part]) < minCrashes || c.isHarmless(now, part) {
-		return nil
-	}
-	if countIncidents(c.crashesSinceServed(now, part), window) < minCrashes {
-		return nil
-	}
-	crashes := c.unexplainedCrashes(now, part)
-	if countIncidents(crashes, window) < minCrashes {
-		return nil
-	}
-	causes := c.commonParts(now, crashes)
-	if !containsAll(r.parts(), causes) {
-		return nil
-	}
-	return causes
-}
-
 func (c *Core) engineCrashed(now time.Duration, ev EngineCrashed) (urgent bool) {
 	for _, request := range ev.Running {
 		parts := request.parts()
--- a/quarantine/core_test.go
+++ b/quarantine/core_test.go
@@ -44,7 +44,7 @@
 		now += 2 * time.Second
 		c.Step(now, EngineCrashed{Endpoint: api.EndpointID(fmt.Sprint("e", crashes)), Domain: api.FailureDomain(domain), Running: waitingFor(waiting...)})
 	}
-	refused := func(parts ...Part) bool { return c.Refused(now, Request{Shared: parts}) != nil }
+	refused := func(parts ...Part) bool { return c.Assess(now, Request{Shared: parts}).Refused() }
 
 	// Guards against requests with one part that crash engine after engine because no two are alike.
 	It("refuses a part after three crashes, whatever else the requests contain", func() {
--- a/quarantine/delta_test.go
+++ b/quarantine/delta_test.go
@@ -59,9 +59,9 @@
 		for part := Part(1); part <= 4; part++ {
 			for other := Part(1); other <= 4; other++ {
 				request := Request{Content: drawnContent(part), Shared: []Part{part, other}}
-				want := cores[0].Refused(now, request) != nil
+				want := cores[0].Assess(now, request).Refused()
 				for i, c := range cores {
-					if got := c.Refused(now, request) != nil; got != want {
+					if got := c.Assess(now, request).Refused(); got != want {
 						rt.Fatalf("core %d refuses %v: %v, core 0: %v", i, request, got, want)
 					}
 				}
@@ -102,7 +102,7 @@
 	}
 	c.Step(now, PartsServed{Parts: []Part{1}})
 	started.Step(now, recordsFromProto(c.Snapshot(now)))
-	if started.Refused(now, Request{Shared: []Part{2, 3}}) == nil || started.Refused(now, Request{Shared: []Part{1, 3}}) != nil {
+	if !started.Assess(now, Request{Shared: []Part{2, 3}}).Refused() || started.Assess(now, Request{Shared: []Part{1, 3}}).Refused() {
 		t.Fatal("the new instance does not refuse what the others refuse")
 	}
 }
--- a/quarantine/runner.go
+++ b/quarantine/runner.go
@@ -33,21 +33,31 @@
 	core    *Core
 	records tally.Gauge
 	crashes tally.Counter
+	// assessments counts the results of Assess by state.
+	assessments map[State]tally.Counter
 }
 
 // New returns a runner without records.
 func New(o Options) *Runner {
-	return &Runner{
+	r := &Runner{
 		o: o, core: NewCore(),
 		records: o.Scope.Gauge("crash_records"), crashes: o.Scope.Counter("crashes"),
+		assessments: make(map[State]tally.Counter),
 	}
+	for _, state := range states {
+		r.assessments[state] = o.Scope.Tagged(map[string]string{"state": string(state)}).Counter("assessments")
+		r.assessments[state].Inc(0)
+	}
+	return r
 }
 
-// Refused returns the parts for which a request is refused; nil if it is not.
-func (r *Runner) Refused(request Request) []Part {
+// Assess returns what the crashes say about a request.
+func (r *Runner) Assess(request Request) Assessment {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Refused(r.o.Clock(), request)
+	assessment := r.core.Assess(r.o.Clock(), request)
+	r.assessments[assessment.State].Inc(1)
+	return assessment
 }
 
 // ReportCrash records the crash of an engine and the requests that it ran.
