Add failing tests of content that crashes engines beside sound content

One spec reports three crashes with two contents to the core: neither is refused. The stand-in's desks can be delayed, and poison content can be told by its target.

--- a/quarantine/content_test.go
+++ b/quarantine/content_test.go
@@ -108,6 +108,15 @@
 		Expect(refusedBy(c, sound)).To(BeTrue())
 	})
 
+	// Guards against content that goes on crashing engines since sound content ran at all its crashes too.
+	It("refuses content that crashes engines although other content ran at each of the crashes", func() {
+		for i := range minCrashes {
+			c.Step(now, crashed(fmt.Sprint("d", i), content, sound))
+			now += time.Second
+		}
+		Expect(refusedBy(c, content)).To(BeTrue())
+	})
+
 	It("does not refuse content that engines run to its end between the crashes", func() {
 		for i := range 4 * minCrashes {
 			c.Step(now, crashed(fmt.Sprint("d", i), content))
--- a/standins/platform/world/desk.go
+++ b/standins/platform/world/desk.go
@@ -14,13 +14,15 @@
 const deskProcessingTime = 8 * time.Millisecond
 
 // DeskFaults gives the percentage of desk requests that fail in each way; their sum
-// is at most 100. The desk has run the request in all of them.
+// is at most 100. The desk has run the request in all of them. All responses can be
+// delayed too.
 type DeskFaults struct {
 	FailPercent     atomic.Int32 // status 500
 	LosePercent     atomic.Int32 // connection closed without a response
 	HangPercent     atomic.Int32 // no response while the connection is open
 	TruncatePercent atomic.Int32 // connection closed in the middle of the response
 	ForeignPercent  atomic.Int32 // response carries the attempt ID of another request
+	DelayMS         atomic.Int32 // of each response, in addition to deskProcessingTime
 }
 
 // NewDesk returns an endpoint of a plain HTTP service, the desk, which serves orders
@@ -33,12 +35,12 @@
 
 func serveDesk(e *Endpoint, faults *DeskFaults, incarnationID string, w http.ResponseWriter, r *http.Request) {
 	body := e.recordRequest(incarnationID, r)
-	if poison := e.poisonContent(body); poison != nil {
+	if poison := e.poisonContent(r.RequestURI, body); poison != nil {
 		go poison.End(e)
 		<-r.Context().Done()
 		return
 	}
-	if !wait.For(r.Context(), deskProcessingTime) {
+	if !wait.For(r.Context(), deskProcessingTime+time.Duration(faults.DelayMS.Load())*time.Millisecond) {
 		return
 	}
 	attempt := r.Header.Get("Hibiscusstair-Attempt-Id")
--- a/standins/platform/world/engine.go
+++ b/standins/platform/world/engine.go
@@ -66,7 +66,7 @@
 	body := e.recordRequest(incarnationID, r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Hibiscusstair-Server-Signature", "s."+incarnationID)
-	poison := e.poisonContent(body)
+	poison := e.poisonContent(r.RequestURI, body)
 	if poison == nil {
 		writeEvents(w, r, g, Hash(body), EventCount(g.maxOutputTokens))
 		return
--- a/standins/platform/world/faults.go
+++ b/standins/platform/world/faults.go
@@ -11,6 +11,8 @@
 // PoisonContent is content that ends the endpoints which run it.
 type PoisonContent struct {
 	Body []byte
+	// Target is the target of the requests; "" is any.
+	Target string
 	// AfterEvents is the number of events that an engine sends before it ends. Desks
 	// send nothing.
 	AfterEvents int
@@ -25,16 +27,20 @@
 	e.poison = content
 }
 
-// poisonContent returns the poison content if the body is its body, otherwise nil.
-func (e *Endpoint) poisonContent(body []byte) *PoisonContent {
+// poisonContent returns the poison content if the request has it, otherwise nil.
+func (e *Endpoint) poisonContent(target string, body []byte) *PoisonContent {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.poison == nil || !bytes.Equal(e.poison.Body, body) {
+	if e.poison == nil || !e.poison.matches(target, body) {
 		return nil
 	}
 	return e.poison
 }
 
+func (p *PoisonContent) matches(target string, body []byte) bool {
+	return bytes.Equal(p.Body, body) && (p.Target == "" || p.Target == target)
+}
+
 // SetLeaving makes all responses say that the endpoint leaves. Its registration does
 // not change.
 func (e *Endpoint) SetLeaving() {
