Refuse tied contents that crash engines, and release the sound ones by trials

Callers saw all requests of a service of three engines refused or failed for seconds, again and again: engines that had just started crashed on content that had crashed three before.

Cause: a crash was exempted for a content if another request there had been in as many crashes, and so in both directions: with a tie nobody was refused. An engine runs several requests; those that are sent again after a crash meet the cause again where there are few other engines.

Change: only a request that was in more crashes explains a crash. Tied contents are all refused, with a Retry-After. From 3 s after the last crash on, one request with one of them at a time in the fleet is sent to one engine: content that is served is harmless from then on, and content that crashes the engine is ahead of the others, which are released. A trial is sent to the other instances at once, and instances begin 200 ms after one another.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -109,9 +109,12 @@
 	identity     quarantine.Request
 	// assessment is what crashes said about the identity when it was last checked.
 	assessment quarantine.Assessment
-	log        *slog.Logger
-	attempts   int
-	tried      []api.EndpointID
+	// trial is true for a request that may be sent to one endpoint although requests
+	// with its content are refused.
+	trial    bool
+	log      *slog.Logger
+	attempts int
+	tried    []api.EndpointID
 	// holders are, for a stream that the caller resumes, the engines that hold
 	// the KV cache of its prompt.
 	holders []api.EndpointID
@@ -190,10 +193,10 @@
 	}
 	req.body = body
 	req.identity = newIdentity(contentDigest(req.account, r.RequestURI, body), info.SharedPartIDs)
-	if refusal := h.crashRefusal(req); refusal != nil {
+	req.log = h.o.Log.With("request", info.ID, "route", route.Name)
+	if refusal := h.admissionRefusal(req); refusal != nil {
 		return nil, refusal
 	}
-	req.log = h.o.Log.With("request", info.ID, "route", route.Name)
 	return req, nil
 }
 
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -18,6 +18,8 @@
 type Quarantine interface {
 	// Assess returns what the crashes say about a request.
 	Assess(request quarantine.Request) quarantine.Assessment
+	// StartTrial reports whether a request that is refused may be sent to one endpoint.
+	StartTrial(assessment quarantine.Assessment) bool
 	// ReportCrash records the crash of an engine and the requests that it ran.
 	ReportCrash(crash quarantine.EngineCrashed)
 	// ReportServed records that an engine generated events with the parts of a prompt.
@@ -60,9 +62,39 @@
 	if !req.assessment.Refused() {
 		return nil
 	}
-	return reason.New(reason.CrashSuspect, "endpoints crashed on the parts %x", req.assessment.Causes)
+	refusal := reason.New(reason.CrashSuspect, "endpoints crashed on the parts %x", req.assessment.Causes)
+	if req.assessment.Tied {
+		// Trials may show that the content is harmless.
+		return refusal.WithRetryAfter(maxRetryAfter)
+	}
+	return refusal
 }
 
+// admissionRefusal returns a refusal for a request that has arrived, as crashRefusal. It
+// lets a tied request through as a trial, see quarantine.Core.
+func (h *Handler) admissionRefusal(req *request) *reason.Error {
+	refusal := h.crashRefusal(req)
+	if refusal == nil || !h.o.Quarantine.StartTrial(req.assessment) {
+		return refusal
+	}
+	req.trial = true
+	req.log.Info("trial of a request that may crash endpoints", "content_crashes", req.assessment.Crashes)
+	return nil
+}
+
+// attemptRefusal returns a refusal for an attempt that is about to start, as
+// crashRefusal. The first attempt of a trial is not refused.
+func (h *Handler) attemptRefusal(req *request) *reason.Error {
+	refusal := h.crashRefusal(req)
+	if req.isTrial() && req.attempts == 0 {
+		return nil
+	}
+	return refusal
+}
+
+// isTrial reports whether the request is a trial and its content still tied.
+func (req *request) isTrial() bool { return req.trial && req.assessment.Tied }
+
 // refusedWhileWaiting returns a refusal if the engine of an attempt has generated
 // nothing and would probably crash on the request.
 func (s *stream) refusedWhileWaiting(r *streamAttempt) *reason.Error {
@@ -70,7 +102,7 @@
 		return nil
 	}
 	refusal := s.h.crashRefusal(s.req)
-	if refusal == nil {
+	if refusal == nil || s.req.isTrial() {
 		return nil
 	}
 	return refusal.WithRun(reason.RunUnknown)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	h, now := s.h, s.h.o.Clock()
-	if refusal := h.crashRefusal(s.req); refusal != nil {
+	if refusal := h.attemptRefusal(s.req); refusal != nil {
 		h.o.Balance.Release(lease, balance.Cancelled)
 		if s.mayHaveRun {
 			refusal = refusal.WithRun(reason.RunUnknown)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,6 +140,7 @@
 	})
 	g.relayCache.SetContacts(g.follower.TableContact(), g.follower.EndpointContact())
 	g.quarantine = quarantine.New(quarantine.Options{
+		Self: o.Settings.Instance, Members: g.knownMembers,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
 	})
 	g.limiter = g.newLimiter()
--- a/quarantine/assess.go
+++ b/quarantine/assess.go
@@ -17,7 +17,8 @@
 	// StateCoincident means that the crashes count as fewer, since they happened at
 	// once in one failure domain.
 	StateCoincident State = "coincident"
-	// StateExplained means that other requests explain the crashes.
+	// StateExplained means that other requests, which were in more crashes, explain
+	// them.
 	StateExplained State = "explained"
 	// StateIncomplete means that the request has only some of the parts that were in
 	// all the crashes.
@@ -39,6 +40,10 @@
 	// one that crashed engines, they are those that were in all the requests with it and
 	// were never served: any of them may be the cause.
 	Causes []Part
+	// Tied is true if the request is refused and others were in as many of its crashes.
+	// Only one of them may be the cause, see Core.StartTrial.
+	Tied bool
+	part Part // that the state is about
 }
 
 // Refused reports whether the request is refused.
@@ -83,7 +88,7 @@
 	if c.isHarmless(now, part) {
 		return Assessment{State: StateServed, Crashes: crashes}
 	}
-	unexplained := c.unexplainedCrashes(now, part)
+	unexplained := c.unexplainedCrashes(now, part, crashes+1)
 	if countIncidents(unexplained, window) < minCrashes {
 		return Assessment{State: StateExplained, Crashes: crashes}
 	}
@@ -91,5 +96,6 @@
 	if !containsAll(r.parts(), causes) {
 		return Assessment{State: StateIncomplete, Crashes: crashes}
 	}
-	return Assessment{State: StateRefused, Crashes: crashes, Causes: causes}
+	tied := countIncidents(c.unexplainedCrashes(now, part, crashes), window) < minCrashes
+	return Assessment{State: StateRefused, Crashes: crashes, Causes: causes, Tied: tied, part: part}
 }
--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -83,6 +83,7 @@
 type RecordsReceived struct {
 	Crashes []CrashRecord
 	Served  []ServedRecord
+	Tried   []TriedRecord
 }
 
 // Tick removes old records.
@@ -103,13 +104,15 @@
 	records map[recordKey]*crashRecord
 	byPart  map[Part][]*crashRecord // by time
 	byCrash map[uint64][]*crashRecord
-	served  map[Part]*served
+	served  map[Part]*partRecord
+	tried   map[Part]*partRecord // see StartTrial
 	// unconfirmedCount is the number of unconfirmed records.
 	unconfirmedCount int
-	// unsentRecords and unsentServed are what other instances have not been sent
-	// often enough.
+	// unsentRecords, unsentServed and unsentTried are what other instances have not
+	// been sent often enough.
 	unsentRecords map[recordKey]*crashRecord
-	unsentServed  map[Part]*served
+	unsentServed  map[Part]*partRecord
+	unsentTried   map[Part]*partRecord
 }
 
 // NewCore returns a core without records.
@@ -118,9 +121,11 @@
 		records:       make(map[recordKey]*crashRecord),
 		byPart:        make(map[Part][]*crashRecord),
 		byCrash:       make(map[uint64][]*crashRecord),
-		served:        make(map[Part]*served),
+		served:        make(map[Part]*partRecord),
+		tried:         make(map[Part]*partRecord),
 		unsentRecords: make(map[recordKey]*crashRecord),
-		unsentServed:  make(map[Part]*served),
+		unsentServed:  make(map[Part]*partRecord),
+		unsentTried:   make(map[Part]*partRecord),
 	}
 }
 
@@ -183,6 +188,9 @@
 	for _, record := range ev.Crashes {
 		urgent = c.addRecord(now, record) || urgent
 	}
+	for _, record := range ev.Tried {
+		urgent = c.recordTried(now-record.Age, record.Part) || urgent
+	}
 	return urgent
 }
 
--- a/quarantine/delta.go
+++ b/quarantine/delta.go
@@ -19,10 +19,17 @@
 const maxCandidates = 32
 
 // Collect returns new records for another instance, at most maxBytes, and counts them
-// as sent: first those of parts that were in several crashes, then the least often
-// sent.
+// as sent: first the trials, then the crashes with parts that were in several, then the
+// least often sent.
 func (c *Core) Collect(now time.Duration, maxBytes int) *peerpb.Deltas {
 	deltas := &peerpb.Deltas{}
+	for part, tried := range c.unsentTried {
+		message := triedToProto(now, part, tried)
+		if takeBytes(&maxBytes, message) {
+			countSent(c.unsentTried, part, tried)
+			deltas.TriedParts = append(deltas.TriedParts, message)
+		}
+	}
 	for _, u := range c.firstUnsent(now) {
 		if u.record != nil {
 			message := crashToProto(now, u.record)
@@ -34,7 +41,7 @@
 		}
 		message := servedToProto(now, u.part, u.served)
 		if takeBytes(&maxBytes, message) {
-			c.countServedSent(u.part, u.served)
+			countSent(c.unsentServed, u.part, u.served)
 			deltas.ServedParts = append(deltas.ServedParts, message)
 		}
 	}
@@ -56,7 +63,7 @@
 type unsent struct {
 	record    *crashRecord // nil: the served part
 	part      Part
-	served    *served
+	served    *partRecord
 	recurs    int // 1 if the crash has a part that was in another crash too
 	sendsLeft int
 }
@@ -105,14 +112,14 @@
 	}
 }
 
-func (c *Core) countServedSent(part Part, s *served) {
-	if s.sendsLeft--; s.sendsLeft <= 0 {
-		delete(c.unsentServed, part)
+func countSent(unsent map[Part]*partRecord, part Part, sent *partRecord) {
+	if sent.sendsLeft--; sent.sendsLeft <= 0 {
+		delete(unsent, part)
 	}
 }
 
 // Snapshot returns the crashes of parts that were in several, and which of their parts
-// were served, for an instance that has just started.
+// were served, for an instance that has just started, and the trials.
 func (c *Core) Snapshot(now time.Duration) *peerpb.Deltas {
 	deltas := &peerpb.Deltas{}
 	sent := make(map[Part]bool)
@@ -128,6 +135,9 @@
 			}
 		}
 	}
+	for part, tried := range c.tried {
+		deltas.TriedParts = append(deltas.TriedParts, triedToProto(now, part, tried))
+	}
 	return deltas
 }
 
@@ -139,10 +149,14 @@
 	return message
 }
 
-func servedToProto(now time.Duration, part Part, s *served) *peerpb.ServedPart {
+func servedToProto(now time.Duration, part Part, s *partRecord) *peerpb.ServedPart {
 	return &peerpb.ServedPart{Part: uint64(part), AgeMs: ageMS(now, s.at)}
 }
 
+func triedToProto(now time.Duration, part Part, tried *partRecord) *peerpb.TriedPart {
+	return &peerpb.TriedPart{Part: uint64(part), AgeMs: ageMS(now, tried.at)}
+}
+
 func ageMS(now, at time.Duration) uint64 { return uint64(max(now-at, 0).Milliseconds()) }
 
 // recordsFromProto decodes what another instance sent. It drops records with too
@@ -168,6 +182,11 @@
 			received.Served = append(received.Served, ServedRecord{Part: Part(message.GetPart()), Age: milliseconds(message.GetAgeMs())})
 		}
 	}
+	for _, message := range deltas.GetTriedParts() {
+		if message.GetAgeMs() < uint64(repeatedTrialInterval.Milliseconds()) {
+			received.Tried = append(received.Tried, TriedRecord{Part: Part(message.GetPart()), Age: milliseconds(message.GetAgeMs())})
+		}
+	}
 	return received
 }
 
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -38,15 +38,15 @@
 }
 
 // unexplainedCrashes returns the crashes with the part since it was served, without
-// those at which another request ran that has a part with as many crashes or more.
-func (c *Core) unexplainedCrashes(now time.Duration, part Part) []*crashRecord {
+// those at which another request ran that has a part with at least the given number of
+// crashes.
+func (c *Core) unexplainedCrashes(now time.Duration, part Part, crashes int) []*crashRecord {
 	all := c.crashesSinceServed(now, part)
-	own := countCrashes(all)
 	explained := make(map[uint64]bool)
 	var unexplained []*crashRecord
 	for _, r := range all {
 		if _, known := explained[r.crash]; !known {
-			explained[r.crash] = c.explained(now, r.crash, part, own)
+			explained[r.crash] = c.explained(now, r.crash, part, crashes)
 		}
 		if !explained[r.crash] {
 			unexplained = append(unexplained, r)
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -41,6 +41,12 @@
 	Age  time.Duration
 }
 
+// TriedRecord is a part with which an instance began a trial.
+type TriedRecord struct {
+	Part Part
+	Age  time.Duration
+}
+
 // crashRecord is a CrashRecord with the local time of the crash.
 type crashRecord struct {
 	key         recordKey
@@ -70,8 +76,8 @@
 	return cmp.Or(cmp.Compare(k.crash, other.crash), cmp.Compare(k.parts, other.parts))
 }
 
-// served is when a part was last served.
-type served struct {
+// partRecord is when a part was last served or tried.
+type partRecord struct {
 	at        time.Duration
 	sendsLeft int
 }
@@ -146,7 +152,7 @@
 		if len(c.served) >= maxServedParts {
 			c.removeOldestServed()
 		}
-		last = &served{}
+		last = &partRecord{}
 		c.served[part] = last
 	}
 	last.at = at
@@ -157,7 +163,7 @@
 }
 
 // sendServed makes the next messages tell other instances that a part was served.
-func (c *Core) sendServed(part Part, s *served) {
+func (c *Core) sendServed(part Part, s *partRecord) {
 	s.sendsLeft = gossipSends
 	c.unsentServed[part] = s
 }
@@ -173,6 +179,12 @@
 			c.removeServed(part)
 		}
 	}
+	for part, tried := range c.tried {
+		if now-tried.at >= repeatedTrialInterval {
+			delete(c.tried, part)
+			delete(c.unsentTried, part)
+		}
+	}
 }
 
 func (c *Core) removeRecord(key recordKey) {
@@ -226,7 +238,7 @@
 // removeOldestServed forgets the part that was not served for the longest time.
 func (c *Core) removeOldestServed() {
 	var oldest Part
-	var found *served
+	var found *partRecord
 	for part, s := range c.served {
 		if found == nil || s.at < found.at || s.at == found.at && part < oldest {
 			oldest, found = part, s
--- a/quarantine/runner.go
+++ b/quarantine/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
@@ -17,9 +18,12 @@
 
 // Options configures a Runner.
 type Options struct {
-	Clock bootclock.Func
-	Log   *slog.Logger
-	Scope tally.Scope
+	Self api.InstanceID
+	// Members returns the known instances; nil is none.
+	Members func() []api.Member
+	Clock   bootclock.Func
+	Log     *slog.Logger
+	Scope   tally.Scope
 	// OnUrgent is called when other instances should learn of a change at once. It
 	// must not block; nil is none.
 	OnUrgent func()
@@ -33,6 +37,7 @@
 	core    *Core
 	records tally.Gauge
 	crashes tally.Counter
+	trials  tally.Counter
 	// assessments counts the results of Assess by state.
 	assessments map[State]tally.Counter
 }
@@ -41,7 +46,7 @@
 func New(o Options) *Runner {
 	r := &Runner{
 		o: o, core: NewCore(),
-		records: o.Scope.Gauge("crash_records"), crashes: o.Scope.Counter("crashes"),
+		records: o.Scope.Gauge("crash_records"), crashes: o.Scope.Counter("crashes"), trials: o.Scope.Counter("trials"),
 		assessments: make(map[State]tally.Counter),
 	}
 	for _, state := range states {
@@ -60,6 +65,28 @@
 	return assessment
 }
 
+// StartTrial reports whether a request that is refused may be sent to one engine.
+func (r *Runner) StartTrial(a Assessment) bool {
+	if !a.Tied {
+		return false
+	}
+	var members []api.Member
+	if r.o.Members != nil {
+		members = r.o.Members()
+	}
+	r.mu.Lock()
+	started := r.core.StartTrial(r.o.Clock(), a, trialRank(a.part, r.o.Self, members))
+	r.mu.Unlock()
+	if !started {
+		return false
+	}
+	r.trials.Inc(1)
+	if r.o.OnUrgent != nil {
+		r.o.OnUrgent()
+	}
+	return true
+}
+
 // ReportCrash records the crash of an engine and the requests that it ran.
 func (r *Runner) ReportCrash(crash EngineCrashed) {
 	if len(crash.Running) == 0 {
@@ -93,7 +120,7 @@
 
 // Merge adds the records of another instance.
 func (r *Runner) Merge(deltas *peerpb.Deltas) {
-	if len(deltas.GetPromptCrashes()) == 0 && len(deltas.GetServedParts()) == 0 {
+	if len(deltas.GetPromptCrashes()) == 0 && len(deltas.GetServedParts()) == 0 && len(deltas.GetTriedParts()) == 0 {
 		return
 	}
 	r.step(recordsFromProto(deltas))
--- /dev/null
+++ b/quarantine/trial.go
@@ -0,0 +1,81 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer"
+)
+
+const (
+	// trialDelay is the time from the last crash with content to its first trial.
+	// Crashed engines are back then.
+	trialDelay = 3 * time.Second
+	// trialStagger is the time by which each instance waits longer than the one before
+	// it, so that they do not all begin a trial at once. A record reaches the others
+	// within this time.
+	trialStagger = 200 * time.Millisecond
+	// trialInterval is the time between two trials, so that tied requests do not meet
+	// again at an engine.
+	trialInterval = 2 * time.Second
+	// repeatedTrialInterval is the time between two trials of the same part.
+	repeatedTrialInterval = 10 * time.Second
+)
+
+// StartTrial reports whether a request that is refused may be sent to one engine, and
+// records that it is. Only tied requests may: the first that an engine serves is
+// harmless, and one that crashes an engine has been in more crashes than the others.
+// There is one trial at a time in the fleet. rank is the number of instances that may
+// begin a trial before this one.
+func (c *Core) StartTrial(now time.Duration, a Assessment, rank int) bool {
+	if !a.Tied || !c.trialDue(now, a.part, rank) {
+		return false
+	}
+	c.recordTried(now, a.part)
+	return true
+}
+
+func (c *Core) trialDue(now time.Duration, part Part, rank int) bool {
+	crashes := c.byPart[part]
+	if len(crashes) == 0 {
+		return false
+	}
+	last := crashes[len(crashes)-1].at
+	if now-last < trialDelay+time.Duration(rank)*trialStagger {
+		return false
+	}
+	if tried := c.tried[part]; tried != nil && now-tried.at < repeatedTrialInterval {
+		return false
+	}
+	for _, tried := range c.tried {
+		if now-tried.at < trialInterval {
+			return false
+		}
+	}
+	return true
+}
+
+// recordTried records a trial. It reports whether the trial was not known.
+func (c *Core) recordTried(at time.Duration, part Part) (added bool) {
+	if known := c.tried[part]; known != nil && at <= known.at+sameCrashTolerance {
+		return false
+	}
+	tried := &partRecord{at: at, sendsLeft: gossipSends}
+	c.tried[part] = tried
+	c.unsentTried[part] = tried
+	return true
+}
+
+// trialRank returns the number of live instances that may begin a trial before this
+// one. Instances that know the same members agree on the order.
+func trialRank(part Part, self api.InstanceID, members []api.Member) int {
+	key := fmt.Sprintf("trial/%x", uint64(part))
+	own, rank := peer.Score(key, self), 0
+	for _, m := range members {
+		if m.ID != self && m.State == api.MemberAlive && peer.Score(key, m.ID) < own {
+			rank++
+		}
+	}
+	return rank
+}
