Blame no request for a crash before it was sent

Cause: what an instance sends to a registered endpoint counts as running there until the registration ends, also if the endpoint refused connections before. Change: the tracker of attempts remembers that an endpoint was found to have crashed, until one of its attempts completes or its registration ends; later attempts are not blamed.

Evidence: the spec (three engines that end, with another one at their address before the registration ends) was refused with crash_suspect before and is served now.

--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -16,6 +16,9 @@
 	// endpoint is removed from the registry after three heartbeat intervals, 3.6 s,
 	// and the watch that reports it may be late.
 	attributionWindow = 8 * time.Second
+	// crashMemory is how long an endpoint that was found to have crashed is remembered
+	// if its registration does not end.
+	crashMemory = 10 * time.Minute
 	// maxEndedAttempts bounds the ended attempts that are remembered for an endpoint.
 	maxEndedAttempts = 256
 )
@@ -27,6 +30,8 @@
 	// served is true once the engine has generated servedAfterEvents events.
 	served  bool
 	endedAt time.Duration // 0 while it runs
+	// afterCrash is true if its endpoint was found to have crashed before.
+	afterCrash bool
 	// reported is true once its endpoint was reported as crashed.
 	reported bool
 }
@@ -55,13 +60,21 @@
 type attemptTracker struct {
 	mu       sync.Mutex
 	attempts map[incarnation][]*trackedAttempt
+	// crashedAt is when endpoints were last found to have crashed. Another endpoint may
+	// be at their address.
+	crashedAt map[incarnation]time.Duration
+}
+
+func newAttemptTracker() attemptTracker {
+	return attemptTracker{attempts: make(map[incarnation][]*trackedAttempt), crashedAt: make(map[incarnation]time.Duration)}
 }
 
 func (t *attemptTracker) add(endpoint registry.Endpoint, request quarantine.Request) *trackedAttempt {
-	added := &trackedAttempt{request: request}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := incarnationOf(endpoint)
+	_, crashed := t.crashedAt[key]
+	added := &trackedAttempt{request: request, afterCrash: crashed}
 	t.attempts[key] = append(t.attempts[key], added)
 	return added
 }
@@ -86,6 +99,15 @@
 	t.removeWhere(incarnationOf(endpoint), func(a *trackedAttempt) bool { return a == removed })
 }
 
+// complete removes an attempt that its endpoint has completed, which shows that the
+// endpoint has not crashed.
+func (t *attemptTracker) complete(endpoint registry.Endpoint, completed *trackedAttempt) {
+	t.remove(endpoint, completed)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.crashedAt, incarnationOf(endpoint))
+}
+
 // end keeps an attempt without a good end for attributionWindow, if it was sent.
 func (t *attemptTracker) end(now time.Duration, endpoint registry.Endpoint, ended *trackedAttempt) {
 	t.mu.Lock()
@@ -121,14 +143,16 @@
 	}
 }
 
-// takeUnreported returns the requests that the endpoint may have crashed with and that
-// were not returned before.
+// takeUnreported records that the endpoint has crashed. It returns the requests that it
+// may have crashed with and that were not returned before.
 func (t *attemptTracker) takeUnreported(now time.Duration, endpoint registry.Endpoint) []quarantine.Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	key := incarnationOf(endpoint)
+	t.recordCrash(now, key)
 	var requests []quarantine.Request
-	for _, a := range t.attempts[incarnationOf(endpoint)] {
-		if !a.sent || a.reported || a.endedAt != 0 && now-a.endedAt > attributionWindow {
+	for _, a := range t.attempts[key] {
+		if !a.sent || a.afterCrash || a.reported || a.endedAt != 0 && now-a.endedAt > attributionWindow {
 			continue
 		}
 		a.reported = true
@@ -137,9 +161,19 @@
 	return requests
 }
 
+func (t *attemptTracker) recordCrash(now time.Duration, crashed incarnation) {
+	t.crashedAt[crashed] = now
+	for key, at := range t.crashedAt {
+		if now-at > crashMemory {
+			delete(t.crashedAt, key)
+		}
+	}
+}
+
 // forget drops what is known of an endpoint.
 func (t *attemptTracker) forget(endpoint registry.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.attempts, incarnationOf(endpoint))
+	delete(t.crashedAt, incarnationOf(endpoint))
 }
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -45,7 +45,7 @@
 		h.attempts.end(h.o.Clock(), lease.Endpoint, attempt)
 	case balance.Completed:
 		h.recordCompletion(req)
-		h.attempts.remove(lease.Endpoint, attempt)
+		h.attempts.complete(lease.Endpoint, attempt)
 	default:
 		h.attempts.remove(lease.Endpoint, attempt)
 	}
--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -64,3 +64,36 @@
 		Expect(send(context.Background(), f)).To(BeEmpty())
 	})
 })
+
+var _ = Describe("Content sent at the address of an engine that has ended", func() {
+	// Guards against blaming content for a crash before it was sent, which only the end of the registration shows.
+	It("is served afterwards", func() {
+		f := newFixture()
+		f.applyTable(func(r *routing.Route) { r.MaxAttempts = 1 })
+		send := func() (reason string) {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			response, err := f.call(ctx, http.MethodPost, "/stream/x", strings.NewReader("sound"), nil)
+			if err != nil {
+				return ""
+			}
+			_ = response.Body.Close()
+			return response.Header.Get("Test-Reason")
+		}
+		for i := range 3 {
+			name := fmt.Sprint("e", i)
+			endpoint := f.startEndpoint(name, hang)
+			f.refuseConnections(name)
+			Expect(send()).To(Equal("connect_failed"))
+			f.startAt(endpoint.Address, hang)
+			time.Sleep(1100 * time.Millisecond) // the endpoint is suspect for a time
+			_ = send()
+			f.balance.Apply(registry.Change{Kind: registry.Gone, Endpoint: endpoint})
+			time.Sleep(50 * time.Millisecond) // the attempt is concluded after its caller has left
+			f.handler.EndpointGone(endpoint)
+		}
+		Expect(f.received()).To(HaveLen(3))
+		f.startEndpoint("sound", streamEvents(5, endStream))
+		Expect(send()).To(BeEmpty())
+	})
+})
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -224,6 +224,23 @@
 	return e
 }
 
+// startAt serves another endpoint at the address of one that has ended.
+func (f *fixture) startAt(address string, serve http.HandlerFunc) {
+	listener, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		f.mu.Lock()
+		f.requests = append(f.requests, receivedRequest{"at " + address, r.Method, r.RequestURI, r.Header.Clone(), string(body)})
+		f.mu.Unlock()
+		serve(w, r)
+	}))
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
+}
+
 // reportCrash records a crash while a prompt with the shared part waited.
 func (f *fixture) reportCrash(endpoint, part string) {
 	f.quarantine.ReportCrash(quarantine.EngineCrashed{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -79,7 +79,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return &Handler{
 		o:               o,
-		attempts:        attemptTracker{attempts: make(map[incarnation][]*trackedAttempt)},
+		attempts:        newAttemptTracker(),
 		refusals:        telemetry.NewReasonCounters(o.Scope, "refused"),
 		retries:         telemetry.NewReasonCounters(o.Scope, "retried"),
 		postponed:       telemetry.NewReasonCounters(o.Scope, "failover_postponed"),
