Tell the contents of hosts with equal paths apart

The content of a request was account, target and body, without the host. Requests of two hosts with the same path were one content: one that was served cleared the other, and one that crashed engines refused the other.

--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -56,6 +56,28 @@
 		Entry("after events", streamEvents(5, cutConnection(""))),
 	)
 
+	// Guards against refusing, or taking for served, the requests of another host with the same path.
+	It("is served for another host", func() {
+		f := newFixture()
+		const other = "other.example"
+		var routes []routing.Route
+		for _, host := range []string{"service.example", other} {
+			routes = append(routes, routing.Route{
+				Name: host, Host: host, Prefix: "/stream/", Stream: true, MaxAttempts: 1, TargetLatency: time.Second,
+				Services: []routing.WeightedService{{Service: "s", Weight: 1}},
+			})
+		}
+		accounts := []routing.Account{{ID: "acme", Keys: []string{"key"}}}
+		f.table.Apply(routing.New(1, routes, []routing.Service{{Name: "s"}}, accounts, routing.Limits{}))
+		endThree(f, hang, false)
+		f.startEndpoint("sound", streamEvents(5, endStream))
+		Expect(send(context.Background(), f)).To(Equal("crash_suspect"))
+		response, err := f.call(context.Background(), http.MethodPost, "/stream/x", strings.NewReader(body), http.Header{"Host": {other}})
+		Expect(err).NotTo(HaveOccurred())
+		_ = response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("is served if the engines drained before", func() {
 		f := newFixture()
 		f.applyTable(func(r *routing.Route) { r.MaxAttempts = 1 })
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -274,6 +274,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "service.example"
 	request.Header = http.Header{headerID: {"attempt-1"}, headerKey: {"key"}, headerTimeout: {"3000"}}
+	if host := header.Get("Host"); host != "" {
+		request.Host = host
+	}
 	for name, values := range header {
 		request.Header[name] = values
 	}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -28,11 +28,11 @@
 	ReportCompleted(request quarantine.Request)
 }
 
-// contentDigest identifies the content of a request: account, request URI and
+// contentDigest identifies the content of a request: account, host, request URI and
 // body, but not the request ID, which differs between retries of the caller.
-func contentDigest(account api.AccountID, requestURI string, body []byte) api.Digest {
+func contentDigest(account api.AccountID, host, requestURI string, body []byte) api.Digest {
 	h := sha256.New()
-	for _, part := range []string{string(account), requestURI} {
+	for _, part := range []string{string(account), host, requestURI} {
 		_, _ = h.Write([]byte(part))
 		_, _ = h.Write([]byte{0})
 	}
