Refuse contents that crash different engines at the same moments

A mark now has a hash of the endpoint of its last crash, which instances exchange; marks of different endpoints do not exempt each other, an unknown one does as before.

Evidence: the new spec gets isolation level 2 instead of 3 before and passes now, at the instance and at one that learns the marks; the property test that shared crashes refuse no content passes unchanged.

--- a/suspect/core.go
+++ b/suspect/core.go
@@ -9,6 +9,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
@@ -113,7 +115,9 @@
 	// crash as the content of another request. The content is refused only above
 	// it, since the other request may be the cause.
 	sharedCrashes uint32
-	persisted     bool // the store has the mark or is about to get it
+	// lastEndpoint is a hash of the endpoint of the last crash; 0 is unknown.
+	lastEndpoint uint64
+	persisted    bool // the store has the mark or is about to get it
 }
 
 // crash is an endpoint crash. It is kept for domainFailureWindow, so that it can
@@ -209,7 +213,7 @@
 	}
 	c.recentCrashes = append(c.recentCrashes, cr)
 	if len(sameDomain) == 0 || c.options.mutation == ignoreDomainRule {
-		c.addCrashes(now, cr.running)
+		c.addCrashes(now, cr.endpoint, cr.running)
 		return
 	}
 	c.onDomainFailure(now, sameDomain, cr)
@@ -224,7 +228,7 @@
 		}
 	}
 	if !cr.retracted {
-		c.addCrashes(now, added)
+		c.addCrashes(now, cr.endpoint, added)
 	}
 }
 
@@ -244,7 +248,7 @@
 	cr.retracted = true
 	for _, digest := range sortedDigests(cr.running) {
 		if ranBefore(earlier, digest) && c.probablyReran(now, cr, digest) {
-			c.addCrash(now, digest)
+			c.addCrash(now, cr.endpoint, digest)
 		}
 	}
 }
@@ -287,15 +291,16 @@
 	c.recentCrashes = kept
 }
 
-func (c *Core) addCrashes(now time.Duration, running map[api.Digest]bool) {
+func (c *Core) addCrashes(now time.Duration, endpoint api.EndpointID, running map[api.Digest]bool) {
 	for _, digest := range sortedDigests(running) {
-		c.addCrash(now, digest)
+		c.addCrash(now, endpoint, digest)
 	}
 }
 
 // addCrash adds one crash to the content's mark.
-func (c *Core) addCrash(now time.Duration, digest api.Digest) {
+func (c *Core) addCrash(now time.Duration, endpoint api.EndpointID, digest api.Digest) {
 	m := c.getOrCreateMark(digest)
+	m.lastEndpoint = xxhash.Sum64String(string(endpoint))
 	crashes := m.currentCrashes(now) + 1
 	c.updateMark(now, digest, m, crashes, false)
 }
@@ -340,13 +345,16 @@
 		return
 	}
 	for other, o := range c.marks {
-		if other != digest && o.crashes >= crashesForRefusal && (o.changedAt-m.changedAt).Abs() <= sameCrashWindow {
+		if other != digest && o.crashes >= crashesForRefusal && mayBeEqual(o.lastEndpoint, m.lastEndpoint) && (o.changedAt-m.changedAt).Abs() <= sameCrashWindow {
 			o.sharedCrashes = max(o.sharedCrashes, o.crashes)
 			m.sharedCrashes = max(m.sharedCrashes, m.crashes)
 		}
 	}
 }
 
+// mayBeEqual reports whether two hashes of endpoints are equal or one is unknown.
+func mayBeEqual(a, b uint64) bool { return a == b || a == 0 || b == 0 }
+
 // set changes the count of a mark at a time.
 func (m *mark) set(at time.Duration, crashes uint32, cleared bool) {
 	if m.cleared || m.crashes < crashesForRefusal {
--- a/suspect/delta.go
+++ b/suspect/delta.go
@@ -36,7 +36,7 @@
 		m := c.marks[digest]
 		message := &peerpb.CrashMark{
 			ContentDigest: bytes.Clone(digest[:]), Deaths: m.crashes, Version: m.version,
-			Cleared: m.cleared, AgeMs: uint64((now - m.changedAt).Milliseconds()),
+			Cleared: m.cleared, AgeMs: uint64((now - m.changedAt).Milliseconds()), LastEndpoint: m.lastEndpoint,
 		}
 		if maxBytes -= proto.Size(message) + markOverheadBytes; maxBytes < 0 {
 			break
@@ -65,7 +65,7 @@
 	}
 	m = c.getOrCreateMark(digest)
 	m.set(now-age, remote.Deaths, remote.Cleared)
-	m.version = remote.Version
+	m.version, m.lastEndpoint = remote.Version, remote.LastEndpoint
 	m.sendsLeft = gossipSends
 	c.detectSharedCrash(digest, m)
 	// The instance that made the change writes it to the store.
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -75,6 +75,23 @@
 		Expect(other.IsolationLevel(at, content(1))).To(Equal(api.IsolationRefused))
 	})
 
+	// Guards against two poison requests that are never refused since both crash an engine at the same moments.
+	It("refuse two contents that crash different engines at the same moments, at all instances", func() {
+		other := NewCore(CoreOptions{})
+		at := time.Duration(0)
+		for i := range crashesForRefusal {
+			at = time.Duration(i) * 5 * time.Second
+			crash(at, fmt.Sprint("a", i), fmt.Sprint("da", i), 1)
+			crash(at, fmt.Sprint("b", i), fmt.Sprint("db", i), 2)
+			other.Step(at, MarksReceived{Marks: c.Collect(at, 1000)})
+		}
+		at += refusalDelay
+		for _, core := range []*Core{c, other} {
+			Expect(core.IsolationLevel(at, content(1))).To(Equal(api.IsolationRefused))
+			Expect(core.IsolationLevel(at, content(2))).To(Equal(api.IsolationRefused))
+		}
+	})
+
 	// Guards against a poison request that crashes engines of one domain in quick
 	// succession and is mistaken for a failure of the domain.
 	It("refuse only the content that crashes engines of one domain one after the other", func() {
