Release no content before the records of a crash have met

Trace: instance 0 had only the sound content at a crash that instance 1 saw with the other one. For the 26 ms until the records met, the sound content was ahead there, explained the other, and a request with it was sent; the same 10 s later. And two trials ran at once, since each content had another first instance.

Change: a crash of the last second does not count for explaining another content's crashes, only for the content's own. Instances begin trials in one order for all parts.

--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -28,6 +28,9 @@
 	// considered harmless while crashes with it are reported. Reports of other
 	// instances that served it arrive within this time.
 	servedConfirmation = 3 * time.Second
+	// explanationDelay is the time from a crash until all instances have exchanged what
+	// they ran on the engine.
+	explanationDelay = time.Second
 	// recordLifetime is how long a crash or a served part is remembered. After it,
 	// a request with a refused part is tried again.
 	recordLifetime = 30 * time.Minute
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -56,7 +56,8 @@
 }
 
 // explained reports whether another request at the crash, without the part, has a part
-// with at least the given number of crashes.
+// with at least the given number of crashes. Those within explanationDelay do not count:
+// other instances may know that the part was in them too.
 func (c *Core) explained(now time.Duration, crash uint64, part Part, crashes int) bool {
 	for _, other := range c.byCrash[crash] {
 		if slices.Contains(other.parts, part) {
@@ -67,7 +68,9 @@
 			if len(c.byPart[candidate]) < crashes || c.isHarmless(now, candidate) {
 				continue
 			}
-			if countCrashes(c.crashesSinceServed(now, candidate)) >= crashes {
+			since := c.crashesSinceServed(now, candidate)
+			settled, _ := slices.BinarySearchFunc(since, now-explanationDelay, afterTime)
+			if countCrashes(since[:settled]) >= crashes {
 				return true
 			}
 		}
--- a/quarantine/runner.go
+++ b/quarantine/runner.go
@@ -75,7 +75,7 @@
 		members = r.o.Members()
 	}
 	r.mu.Lock()
-	started := r.core.StartTrial(r.o.Clock(), a, trialRank(a.part, r.o.Self, members))
+	started := r.core.StartTrial(r.o.Clock(), a, trialRank(r.o.Self, members))
 	r.mu.Unlock()
 	if !started {
 		return false
--- a/quarantine/small_service_test.go
+++ b/quarantine/small_service_test.go
@@ -96,8 +96,7 @@
 	r := &modelRequest{instance: s.random.IntN(len(s.cores)), content: content}
 	core := s.cores[r.instance]
 	if a := core.Assess(s.now, Request{Content: content}); a.Refused() {
-		rank := (r.instance + int(content)) % len(s.cores)
-		if r.trial = core.StartTrial(s.now, a, rank); !r.trial {
+		if r.trial = core.StartTrial(s.now, a, r.instance); !r.trial {
 			return
 		}
 		s.gossip(r.instance)
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
@@ -67,13 +66,16 @@
 	return true
 }
 
+// trialKey is the key of the order in which instances begin trials. It is the same for
+// all parts, so that tied ones are not tried at the same time.
+const trialKey = "trial"
+
 // trialRank returns the number of live instances that may begin a trial before this
 // one. Instances that know the same members agree on the order.
-func trialRank(part Part, self api.InstanceID, members []api.Member) int {
-	key := fmt.Sprintf("trial/%x", uint64(part))
-	own, rank := peer.Score(key, self), 0
+func trialRank(self api.InstanceID, members []api.Member) int {
+	own, rank := peer.Score(trialKey, self), 0
 	for _, m := range members {
-		if m.ID != self && m.State == api.MemberAlive && peer.Score(key, m.ID) < own {
+		if m.ID != self && m.State == api.MemberAlive && peer.Score(trialKey, m.ID) < own {
 			rank++
 		}
 	}
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -50,6 +50,8 @@
 		now += trialDelay
 		Expect(try(c, poison)).To(BeTrue())
 		crash(poison)
+		Expect(assess(c, sound).Refused()).To(BeTrue())
+		now += explanationDelay
 		Expect(assess(c, sound).State).To(Equal(StateExplained))
 		Expect(assess(c, other).State).To(Equal(StateExplained))
 		for range 100 {
@@ -87,6 +89,19 @@
 		Expect(try(started, sound)).To(BeFalse())
 	})
 
+	// Guards against releasing content since the record of its newest crash has not arrived yet.
+	It("leaves content refused until the other instances have reported what they ran", func() {
+		second := NewCore()
+		second.Step(now, recordsFromProto(c.Collect(now, 4096)))
+		engine := api.EndpointID("seen by both")
+		second.Step(now, EngineCrashed{Endpoint: engine, Domain: "d", Running: []Request{{Content: sound}}})
+		Expect(assess(second, poison).Refused()).To(BeTrue())
+		c.Step(now, EngineCrashed{Endpoint: engine, Domain: "d", Running: []Request{{Content: poison}}})
+		second.Step(now, recordsFromProto(c.Collect(now, 4096)))
+		now += explanationDelay
+		Expect(assess(second, poison).Refused()).To(BeTrue())
+	})
+
 	// Guards against trials of content that is known to crash engines.
 	It("is not begun for content that was in more crashes than any other", func() {
 		crash(poison)
@@ -113,7 +128,7 @@
 		}
 		var ranks []int
 		for _, m := range members[:3] {
-			ranks = append(ranks, trialRank(poison, m.ID, members))
+			ranks = append(ranks, trialRank(m.ID, members))
 		}
 		Expect(ranks).To(ConsistOf(0, 1, 2))
 	})
