Keep usage and loads to the size of a message

limits and placement took the bytes of a message for a number of entries, as suspect did until: with five or more entries due the message was too large, the fleet dropped it, and the entries counted as sent.

The count of bytes stood in four packages; peer.ByteBudget replaces it in limits, placement, quarantine, ratelimit and suspect. Core.Collect of limits asks for each entry whether it fits. Two tests passed 10 as a number of entries where bytes were meant, and pass the size of a message now.

--- a/internal/servingmodel/shares.go
+++ b/internal/servingmodel/shares.go
@@ -126,7 +126,8 @@
 }
 
 func (r *rateShareSimulation) sendUsage(from, to int) {
-	usage := r.cores[from].Collect(r.scheduler.now, r.options.EntriesPerExchange)
+	left := r.options.EntriesPerExchange
+	usage := r.cores[from].Collect(r.scheduler.now, func(limits.PeerUsage) bool { left--; return left >= 0 })
 	r.sentEntries += len(usage)
 	r.scheduler.after(exchangeDelay, func() { r.cores[to].Step(r.scheduler.now, limits.PeerUsageReceived{Usage: usage}) })
 }
--- a/limits/bench_test.go
+++ b/limits/bench_test.go
@@ -57,7 +57,7 @@
 	now := time.Second
 	for range b.N {
 		now += 250 * time.Millisecond
-		core.Collect(now, 64)
+		core.Collect(now, atMost(64))
 	}
 }
 
--- a/limits/property_test.go
+++ b/limits/property_test.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		core.Step(sc.now, FleetResized{Instances: 6})
-		deltas := core.Collect(sc.now, 100)
+		deltas := core.Collect(sc.now, atMost(100))
 		for j, other := range sc.cores {
 			if i != j && !s.isolated[j] {
 				other.Step(sc.now, PeerUsageReceived{Usage: deltas})
--- a/limits/publish.go
+++ b/limits/publish.go
@@ -17,24 +17,33 @@
 // oldest are dropped; their instances publish them again at the next refresh.
 const maxForwardEntries = 4096
 
-// Collect returns up to limit entries for a peer and counts them as sent: first
-// the demand of this instance, accounts close to their rate limit before others,
-// then the newest entries of peers.
-func (c *Core) Collect(now time.Duration, limit int) []PeerUsage {
+// Collect returns entries for a peer as long as take accepts them, and counts them as
+// sent: first the demand of this instance, accounts close to their rate limit before
+// others, then the newest entries of peers. An entry that is not accepted is skipped if
+// it would be the first.
+func (c *Core) Collect(now time.Duration, take func(PeerUsage) bool) []PeerUsage {
 	c.publishAccounts(now)
-	usage := make([]PeerUsage, 0, min(limit, len(c.toPublish)+len(c.toForward)))
+	var usage []PeerUsage
 	for _, a := range c.toPublish {
-		if a.sendsLeft == 0 || len(usage) == limit {
+		if a.sendsLeft == 0 {
 			continue
 		}
-		usage = append(usage, a.published)
-		a.recordSend(c.fleet.inContact(now))
+		if take(a.published) {
+			usage = append(usage, a.published)
+			a.recordSend(c.fleet.inContact(now))
+		} else if len(usage) > 0 {
+			return usage
+		}
 	}
-	for i := len(c.toForward) - 1; i >= 0 && len(usage) < limit; i-- {
-		entry := c.toForward[i]
-		if entry.sendsLeft > 0 && !entry.expired {
+	for _, entry := range slices.Backward(c.toForward) {
+		if entry.sendsLeft == 0 || entry.expired {
+			continue
+		}
+		if take(entry.usage) {
 			usage = append(usage, entry.usage)
 			entry.sendsLeft--
+		} else if len(usage) > 0 {
+			return usage
 		}
 	}
 	return usage
--- a/limits/runner.go
+++ b/limits/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/ring"
@@ -218,11 +219,11 @@
 	return allowed
 }
 
-// Collect returns up to limit usage entries for a peer and counts them as sent.
-func (r *Runner) Collect(limit int) *peerpb.Deltas {
+// Collect returns usage entries for a peer, at most maxBytes, and counts them as sent.
+func (r *Runner) Collect(maxBytes int) *peerpb.Deltas {
 	result := make(chan []PeerUsage, 1)
 	deltas := &peerpb.Deltas{}
-	if !r.messages.TryPut(message{query: func(core *Core, now time.Duration) { result <- core.Collect(now, limit) }}) {
+	if !r.messages.TryPut(message{query: func(core *Core, now time.Duration) { result <- core.Collect(now, usageBudget(maxBytes)) }}) {
 		return deltas
 	}
 	timer := time.NewTimer(replyTimeout)
@@ -238,6 +239,13 @@
 	return deltas
 }
 
+// usageBudget returns a function that reports whether an entry fits into the rest of a
+// message of at most maxBytes, and takes its bytes if so.
+func usageBudget(maxBytes int) func(PeerUsage) bool {
+	left := peer.ByteBudget(maxBytes)
+	return func(u PeerUsage) bool { return left.Take(encodeUsage(u)) }
+}
+
 func encodeUsage(u PeerUsage) *peerpb.Usage {
 	return &peerpb.Usage{
 		Account:           string(u.Account),
--- a/limits/runner_test.go
+++ b/limits/runner_test.go
@@ -119,10 +119,10 @@
 		}
 		admitted()
 		first.Merge(nil)
-		deltas := first.Collect(10)
+		deltas := first.Collect(200)
 		Expect(deltas.Usage).To(HaveLen(1))
 		second.Merge(deltas)
-		Eventually(func() int { return len(second.Collect(10).Usage) }).Should(Equal(1))
+		Eventually(func() int { return len(second.Collect(200).Usage) }).Should(Equal(1))
 	})
 
 	// Guards against shedding lookups under overload, and against queueing a
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -144,27 +144,31 @@
 	return <-result
 }
 
-// Collect returns up to limit changed endpoint loads to send to a peer, or none if
+// Collect returns changed endpoint loads to send to a peer, at most maxBytes, or none if
 // Run doesn't respond in time.
-func (r *Runner) Collect(limit int) *peerpb.Deltas {
+func (r *Runner) Collect(maxBytes int) *peerpb.Deltas {
 	result := make(chan []PeerLoad, 1)
-	if !r.queryCore(func(core *Core, _ time.Duration) { result <- core.CollectLoads(limit) }) {
+	if !r.queryCore(func(core *Core, _ time.Duration) { result <- core.CollectLoads(maxBytes) }) {
 		return &peerpb.Deltas{}
 	}
 	deltas := &peerpb.Deltas{}
 	for _, load := range <-result {
-		deltas.Loads = append(deltas.Loads, &peerpb.Load{
-			Endpoint:          string(load.Endpoint),
-			Instance:          string(load.Instance),
-			OutstandingTokens: uint64(load.OutstandingTokens),
-			Running:           uint32(load.Running),
-			Version:           load.Version,
-			Dead:              load.Dead,
-		})
+		deltas.Loads = append(deltas.Loads, encodeLoad(load))
 	}
 	return deltas
 }
 
+func encodeLoad(load PeerLoad) *peerpb.Load {
+	return &peerpb.Load{
+		Endpoint:          string(load.Endpoint),
+		Instance:          string(load.Instance),
+		OutstandingTokens: uint64(load.OutstandingTokens),
+		Running:           uint32(load.Running),
+		Version:           load.Version,
+		Dead:              load.Dead,
+	}
+}
+
 // maxReportedTokens limits the tokens in a peer's report, so that a faulty peer
 // cannot make sums overflow.
 const maxReportedTokens = 1 << 40
--- a/placement/load.go
+++ b/placement/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer"
 )
 
 const (
@@ -260,9 +261,9 @@
 	}
 }
 
-// CollectLoads returns up to limit changed loads to send to a peer, dead
+// CollectLoads returns changed loads to send to a peer, at most maxBytes, dead
 // endpoints first.
-func (c *Core) CollectLoads(limit int) []PeerLoad {
+func (c *Core) CollectLoads(maxBytes int) []PeerLoad {
 	var due []*endpoint
 	for _, e := range c.sortedEndpoints {
 		if e.publishedLoad.remainingSends > 0 {
@@ -281,9 +282,12 @@
 		}
 		return cmp.Compare(b.publishedLoad.load.Version, a.publishedLoad.load.Version)
 	})
-	due = due[:min(limit, len(due))]
-	loads := make([]PeerLoad, 0, len(due))
+	var loads []PeerLoad
+	left := peer.ByteBudget(maxBytes)
 	for _, e := range due {
+		if !left.Take(encodeLoad(e.publishedLoad.load)) {
+			continue
+		}
 		e.publishedLoad.remainingSends--
 		loads = append(loads, e.publishedLoad.load)
 	}
--- a/placement/runner_test.go
+++ b/placement/runner_test.go
@@ -253,7 +253,7 @@
 		engines[0].healthy.Store(false)
 		first.MarkSuspect("e1")
 		Eventually(stateOf(first, "e1")).Should(Equal("dead"))
-		deltas := first.Collect(10)
+		deltas := first.Collect(200)
 		Expect(deltas.Loads).NotTo(BeEmpty())
 		Expect(deltas.Loads[0].Dead).To(BeTrue())
 		second.Merge(deltas)
--- a/quarantine/delta.go
+++ b/quarantine/delta.go
@@ -5,15 +5,10 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
+	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
 
-// fieldOverheadBytes is what a record takes in a message in addition to its own
-// size: a tag and a length of up to two bytes.
-const fieldOverheadBytes = 3
-
 // maxCandidates is the number of records from which Collect fills a message. It is far
 // more than fit, since some may be too large for what is left of the message.
 const maxCandidates = 32
@@ -23,9 +18,10 @@
 // least often sent.
 func (c *Core) Collect(now time.Duration, maxBytes int) *peerpb.Deltas {
 	deltas := &peerpb.Deltas{}
+	left := peer.ByteBudget(maxBytes)
 	for part, tried := range c.unsentTried {
 		message := triedToProto(now, part, tried)
-		if takeBytes(&maxBytes, message) {
+		if left.Take(message) {
 			countSent(c.unsentTried, part, tried)
 			deltas.TriedParts = append(deltas.TriedParts, message)
 		}
@@ -33,14 +29,14 @@
 	for _, u := range c.firstUnsent(now) {
 		if u.record != nil {
 			message := crashToProto(now, u.record)
-			if takeBytes(&maxBytes, message) {
+			if left.Take(message) {
 				c.countRecordSent(u.record)
 				deltas.PromptCrashes = append(deltas.PromptCrashes, message)
 			}
 			continue
 		}
 		message := servedToProto(now, u.part, u.served)
-		if takeBytes(&maxBytes, message) {
+		if left.Take(message) {
 			countSent(c.unsentServed, u.part, u.served)
 			deltas.ServedParts = append(deltas.ServedParts, message)
 		}
@@ -48,17 +44,6 @@
 	return deltas
 }
 
-// takeBytes reports whether the record fits into the bytes that are left, and takes
-// them if so.
-func takeBytes(left *int, message proto.Message) bool {
-	size := proto.Size(message) + fieldOverheadBytes
-	if size > *left {
-		return false
-	}
-	*left -= size
-	return true
-}
-
 // unsent is a crash or a served part that other instances have to be sent.
 type unsent struct {
 	record    *crashRecord // nil: the served part
--- a/ratelimit/delta.go
+++ b/ratelimit/delta.go
@@ -6,9 +6,8 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
 
@@ -16,9 +15,6 @@
 	// sendCount is the number of messages that carry a change of a limit. With 330
 	// instances a change reaches all in about five rounds.
 	sendCount = 12
-	// fieldOverheadBytes is what a limit takes in a message in addition to its own
-	// size: a tag and a length.
-	fieldOverheadBytes = 3
 	// maxAge is the age in milliseconds beyond which a received limit is ignored.
 	maxAge = uint64(time.Hour / time.Millisecond)
 )
@@ -27,13 +23,12 @@
 // often sent first, and counts them as sent.
 func (c *Core) Collect(now time.Duration, maxBytes int) *peerpb.Deltas {
 	deltas := &peerpb.Deltas{}
+	left := peer.ByteBudget(maxBytes)
 	for _, known := range c.unsent() {
 		message := toProto(now, known.Limit)
-		size := proto.Size(message) + fieldOverheadBytes
-		if size > maxBytes {
+		if !left.Take(message) {
 			break
 		}
-		maxBytes -= size
 		known.sendsLeft--
 		deltas.Limits = append(deltas.Limits, message)
 	}
--- a/suspect/delta.go
+++ b/suspect/delta.go
@@ -5,16 +5,11 @@
 	"sort"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
 
-// markOverheadBytes is what a mark takes in a message in addition to its own size: a
-// tag and a length of one byte each.
-const markOverheadBytes = 2
-
 // Collect returns changed marks for a peer, at most maxBytes, the least often sent
 // first, and counts them as sent.
 func (c *Core) Collect(now time.Duration, maxBytes int) []*peerpb.CrashMark {
@@ -32,13 +27,14 @@
 		return bytes.Compare(due[i][:], due[j][:]) < 0
 	})
 	var list []*peerpb.CrashMark
+	left := peer.ByteBudget(maxBytes)
 	for _, digest := range due {
 		m := c.marks[digest]
 		message := &peerpb.CrashMark{
 			ContentDigest: bytes.Clone(digest[:]), Deaths: m.crashes, Version: m.version,
 			Cleared: m.cleared, AgeMs: uint64((now - m.changedAt).Milliseconds()), LastEndpoint: m.lastEndpoint,
 		}
-		if maxBytes -= proto.Size(message) + markOverheadBytes; maxBytes < 0 {
+		if !left.Take(message) {
 			break
 		}
 		m.sendsLeft--
