Begin no trial for a request with a part that is known to crash engines

A request whose content was tied was tried although a part of its prompt was refused for itself: the first refusal found decided. Now a refusal for content or a part that nothing else explains comes before a tied one. The spec fails without it (trial).

--- a/quarantine/assess.go
+++ b/quarantine/assess.go
@@ -40,8 +40,8 @@
 	// one that crashed engines, they are those that were in all the requests with it and
 	// were never served: any of them may be the cause.
 	Causes []Part
-	// Tied is true if the request is refused and others were in as many of its crashes.
-	// Only one of them may be the cause, see Core.StartTrial.
+	// Tied is true if the request is refused only for content or parts in whose crashes
+	// others were as often. Any of them may be the cause, see Core.StartTrial.
 	Tied bool
 	part Part // that the state is about
 }
@@ -49,22 +49,20 @@
 // Refused reports whether the request is refused.
 func (a Assessment) Refused() bool { return a.State == StateRefused }
 
-// Suspect reports whether the content or a part was in enough crashes to be refused
-// if nothing else speaks for it.
-func (a Assessment) Suspect() bool { return a.State != StateUnsuspected }
-
-func (a Assessment) moreSuspect(other Assessment) bool {
-	return slices.Index(states, a.State) > slices.Index(states, other.State)
+// severity orders assessments, from the least to the most suspect.
+func (a Assessment) severity() int {
+	severity := slices.Index(states, a.State)
+	if a.Refused() && !a.Tied {
+		severity++
+	}
+	return severity
 }
 
 // Assess returns what the crashes say about a request.
 func (c *Core) Assess(now time.Duration, r Request) Assessment {
 	worst := c.assessPart(now, r, r.Content, rerunWindow)
 	for _, part := range r.Shared {
-		if worst.Refused() {
-			break
-		}
-		if a := c.assessPart(now, r, part, domainFailureWindow); a.moreSuspect(worst) {
+		if a := c.assessPart(now, r, part, domainFailureWindow); a.severity() > worst.severity() {
 			worst = a
 		}
 	}
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -110,6 +110,20 @@
 		Expect(try(c, poison)).To(BeFalse())
 	})
 
+	// Guards against a trial of a prompt with tied content and a part that is known to crash engines.
+	It("is not begun for a request with a part that nothing else explains", func() {
+		const deadly = Part(9)
+		for i := range 2 * minCrashes {
+			now += time.Second
+			c.Step(now, EngineCrashed{Endpoint: api.EndpointID(fmt.Sprint("p", i)), Domain: api.FailureDomain(fmt.Sprint("p", i)), Running: []Request{{Shared: []Part{deadly}}}})
+		}
+		now += trialDelay
+		Expect(assess(c, sound).Tied).To(BeTrue())
+		a := c.Assess(now, Request{Content: sound, Shared: []Part{deadly}})
+		Expect(a.Refused()).To(BeTrue())
+		Expect(c.StartTrial(now, a, 0)).To(BeFalse())
+	})
+
 	It("is forgotten once the content may be tried again", func() {
 		now += trialDelay
 		Expect(try(c, sound)).To(BeTrue())
