--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -40,19 +40,15 @@
 	if len(crashes) == 0 {
 		return false
 	}
-	last := crashes[len(crashes)-1].at
-	if now-last < trialDelay+time.Duration(rank)*trialStagger {
-		return false
-	}
-	if tried := c.tried[part]; tried != nil && now-tried.at < repeatedTrialInterval {
-		return false
-	}
-	for _, tried := range c.tried {
-		if now-tried.at < trialInterval {
-			return false
+	due := crashes[len(crashes)-1].at + trialDelay
+	for other, tried := range c.tried {
+		interval := trialInterval
+		if other == part {
+			interval = repeatedTrialInterval
 		}
+		due = max(due, tried.at+interval)
 	}
-	return true
+	return now >= due+time.Duration(rank)*trialStagger
 }
 
 // recordTried records a trial. It reports whether the trial was not known.
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -89,6 +89,17 @@
 		Expect(try(started, sound)).To(BeFalse())
 	})
 
+	// Guards against instances that each send content that crashes engines once the trial before it is over.
+	It("is begun by one instance after the other after each trial", func() {
+		now += trialDelay
+		Expect(try(c, sound)).To(BeTrue())
+		now += trialInterval
+		Expect(c.StartTrial(now, assess(c, poison), 1)).To(BeFalse())
+		now += trialStagger
+		Expect(c.StartTrial(now, assess(c, poison), 2)).To(BeFalse())
+		Expect(c.StartTrial(now, assess(c, poison), 1)).To(BeTrue())
+	})
+
 	// Guards against releasing content since the record of its newest crash has not arrived yet.
 	It("leaves content refused until the other instances have reported what they ran", func() {
 		second := NewCore()
