Show that engines crash again when several requests crash them together

Cause: quarantine.Core.StartTrial decides by the records of its own instance, so requests that come at the same moment begin trials at several instances at once, and remain tied.

Nothing is fixed.

--- a/review/lab/case_poison.go
+++ b/review/lab/case_poison.go
@@ -54,20 +54,7 @@
 		l.sendPoison(&number)
 	}
 	sound.stop()
-	var third time.Time
-	crashes, late := 0, 0
-	for _, a := range l.allArrivals() {
-		if a.path != poisonPath || !a.run {
-			continue
-		}
-		crashes++
-		if crashes == 3 {
-			third = a.at
-		}
-		if crashes > 3 && a.at.Sub(third) > contact {
-			late++
-		}
-	}
+	crashes, late := l.lateRetries(poisonPath)
 	l.record.add("the lookup reached engines %d times, %d of them over %s after it had crashed the third", crashes, late, contact)
 	l.record.add("%d of %d sound orders that an engine had begun to run got no 200", sound.lost.Load(), sound.sent.Load())
 	if late > 3 {
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -210,6 +210,13 @@
 	w.Header().Set(name("signature"), "s."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
+	if e.crashOn != nil {
+		if crashes, after := e.crashOn(r.URL.Path); crashes {
+			time.AfterFunc(after, func() { e.crashAndReturn(r.URL.Path) })
+			<-r.Context().Done()
+			return
+		}
+	}
 	if from == "" && !pause(r.Context(), 300*time.Millisecond) {
 		return
 	}
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -105,6 +105,25 @@
 	return false
 }
 
+// lateRetries returns how often a request that crashes engines reached engines, and how
+// often of these later than contact-ms after it had reached, and so crashed, the third.
+func (l *lab) lateRetries(path string) (reached, late int) {
+	var third time.Time
+	for _, a := range l.allArrivals() {
+		if a.path != path || !a.run {
+			continue
+		}
+		reached++
+		if reached == 3 {
+			third = a.at
+		}
+		if reached > 3 && a.at.Sub(third) > contact {
+			late++
+		}
+	}
+	return reached, late
+}
+
 func (l *lab) closed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
