Count late retries from the moment of the third crash

Cause: the check of cases 3 to 5 counted from the arrival of the request at the third engine and counted a lifetime of an engine twice if it had the request twice. The rule counts from the crash of the third engine.

Change: lateRetries uses the times at which engine lifetimes ended; both modes of the cases use the same check.

--- a/review/lab/case_several.go
+++ b/review/lab/case_several.go
@@ -53,10 +53,6 @@
 	}
 	group.Wait()
 	sound.stop()
-	if !l.trouble {
-		l.record.add("%d of %d sound orders that an engine had begun to run got no 200", sound.lost.Load(), sound.sent.Load())
-		return "", nil
-	}
 	worst, broken := 0, 0
 	for content := range severalContents {
 		reached, late := l.lateRetries(fmt.Sprint(severalPrefix, content))
--- a/review/lab/case_zone.go
+++ b/review/lab/case_zone.go
@@ -56,10 +56,6 @@
 	}
 	group.Wait()
 	runs, late := l.lateRetries(poisonStream)
-	if !l.trouble {
-		l.record.add("engines ran the request %d times and none crashed", runs)
-		return "", nil
-	}
 	l.record.add("the request reached engines %d times, %d of them over %s after it had crashed the third", runs, late, contact)
 	if late > 3 {
 		return fmt.Sprintf("BUDGET: a request that crashes engines reached engines in %d retries later than contact-ms after it had crashed the third", late), nil
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -110,6 +110,9 @@
 	if server == nil {
 		return
 	}
+	e.l.mu.Lock()
+	e.l.crashes[id] = time.Now()
+	e.l.mu.Unlock()
 	_ = server.Close()
 	e.l.record.add("engine %s crashes: %s", id, why)
 	time.AfterFunc(3600*time.Millisecond, func() { e.l.store.remove("servers", id) })
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +28,7 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	crashes  map[string]time.Time // of engines, by the identifier of the lifetime
 	ended    bool
 }
 
@@ -55,6 +57,7 @@
 		return err
 	}
 	l.folder = folder
+	l.crashes = make(map[string]time.Time)
 	l.store = newStore()
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -106,18 +109,26 @@
 }
 
 // lateRetries returns how often a request that crashes engines reached engines, and how
-// often of these later than contact-ms after it had reached, and so crashed, the third.
+// often of these later than contact-ms after it had crashed the third. An engine that had
+// begun to run it counts once for each of its lifetimes, at the moment at which it ended.
 func (l *lab) lateRetries(path string) (reached, late int) {
-	var third time.Time
-	for _, a := range l.allArrivals() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := make(map[string]bool)
+	var crashes []time.Time
+	for _, a := range l.arrivals {
+		if at, crashed := l.crashes[a.engine]; a.path == path && a.run && crashed && !seen[a.engine] {
+			seen[a.engine] = true
+			crashes = append(crashes, at)
+		}
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	for _, a := range l.arrivals {
 		if a.path != path || !a.run {
 			continue
 		}
 		reached++
-		if reached == 3 {
-			third = a.at
-		}
-		if reached > 3 && a.at.Sub(third) > contact {
+		if len(crashes) >= 3 && a.at.Sub(crashes[2]) > contact {
 			late++
 		}
 	}
