Log when reads of the store take another path

Reads through another instance because the store does not respond were only counted, and a failed read of the store was not logged if another instance answered in its place.

No decision depends on it.

Measured: TestPathToTheStoreIsLoggedWhenItChanges, one line for a change and none for a repeated read.

--- a/relay/source.go
+++ b/relay/source.go
@@ -72,6 +72,8 @@
 	backoff       *backoff.Set // of other instances, by address
 	startOnce     sync.Once
 	startedAt     time.Duration // first read
+	tablePath     pathRecord
+	endpointPath  pathRecord
 	mu            sync.Mutex
 	storeFailedAt time.Duration // last failure of the store; 0 is none since its last response
 	leaderAddress string
@@ -81,33 +83,36 @@
 
 // NewSource returns a source without failures.
 func NewSource(o SourceOptions) *Source {
-	return &Source{o: o, tree: readerTree{regionReaders: o.RegionReaders}, backoff: backoff.NewSet(o.Clock)}
+	return &Source{
+		o: o, tree: readerTree{regionReaders: o.RegionReaders}, backoff: backoff.NewSet(o.Clock),
+		tablePath: pathRecord{kind: "configuration"}, endpointPath: pathRecord{kind: "registrations"},
+	}
 }
 
 // ReadTable returns the newest configuration.
 func (s *Source) ReadTable(ctx context.Context) (storesync.TableRead, error) {
-	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
+	return readStore(ctx, s, &s.tablePath, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
 		return store.ReadTable(ctx)
 	})
 }
 
 // WatchTable waits for a newer configuration.
 func (s *Source) WatchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
-	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
+	return readStore(ctx, s, &s.tablePath, func(ctx context.Context, store storesync.Store) (storesync.TableRead, error) {
 		return store.WatchTable(ctx, after, wait)
 	})
 }
 
 // ListEndpoints returns all registrations.
 func (s *Source) ListEndpoints(ctx context.Context) (storesync.EndpointList, error) {
-	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.EndpointList, error) {
+	return readStore(ctx, s, &s.endpointPath, func(ctx context.Context, store storesync.Store) (storesync.EndpointList, error) {
 		return store.ListEndpoints(ctx)
 	})
 }
 
 // WatchEndpoints waits for changes of registrations.
 func (s *Source) WatchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.EndpointChanges, error) {
-	return readStore(ctx, s, func(ctx context.Context, store storesync.Store) (storesync.EndpointChanges, error) {
+	return readStore(ctx, s, &s.endpointPath, func(ctx context.Context, store storesync.Store) (storesync.EndpointChanges, error) {
 		return store.WatchEndpoints(ctx, after, wait)
 	})
 }
@@ -118,29 +123,34 @@
 // readStore tries the leader, the store and other instances in this order until
 // one responds. While the store is in backoff, other instances are tried before
 // it.
-func readStore[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
+func readStore[T any](ctx context.Context, s *Source, path *pathRecord, call readFunc[T]) (T, error) {
 	s.awaitMembers(ctx)
 	if response, err := readThroughLeaders(ctx, s, call); err == nil || isAnswer(err) {
+		path.record(s.o.Log, pathLeader, nil)
 		return response, err
 	}
 	if s.storeInBackoff() {
 		if response, err := readThroughPeers(ctx, s, call); err == nil {
+			path.record(s.o.Log, pathHelper, nil)
 			return response, nil
 		}
 	}
 	s.o.Scope.Counter("read_directly").Inc(1)
 	response, err := readDirectly(ctx, s, call)
 	if errors.Is(err, errLeaderFound) {
-		return readStore(ctx, s, call)
+		return readStore(ctx, s, path, call)
 	}
 	if err == nil || isAnswer(err) {
+		path.record(s.o.Log, pathStore, nil)
 		s.setStoreFailedAt(0)
 		return response, err
 	}
 	s.setStoreFailedAt(s.o.Clock())
 	if response, peerErr := readThroughPeers(ctx, s, call); peerErr == nil {
+		path.record(s.o.Log, pathHelper, err)
 		return response, nil
 	}
+	path.record(s.o.Log, pathNone, err)
 	return response, err
 }
 
