Add a failing test of a configuration that is late when its readers lose the store

The model of 36 instances in three failure domains of a region, of which one reads for all: it loses the store by resets, or by silence, and a version is written 80 ms later. Also with the next readers cut, 2 and 4 in all.

--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -157,6 +157,7 @@
 	link   *link
 	cache  *relay.Cache
 	table  *routing.CurrentTable
+	cut    *storeCut
 	silent atomic.Bool  // calls to it get no response
 	calls  atomic.Int32 // received from other instances
 	// joined is closed when the instance knows the others; nil is from its start.
@@ -196,7 +197,10 @@
 			ids = append(ids, api.InstanceID(fmt.Sprintf("front-%d-%d", d, i)))
 		}
 		for rank, id := range peer.Rank("read", ids) {
-			n := &growingNode{link: &link{bytesPerSec: slowLink}, cache: relay.NewCache(tally.NoopScope), table: &routing.CurrentTable{}}
+			n := &growingNode{
+				link: &link{bytesPerSec: slowLink}, cut: &storeCut{began: make(chan struct{})},
+				cache: relay.NewCache(tally.NoopScope), table: &routing.CurrentTable{},
+			}
 			if rank >= slow {
 				n.link.bytesPerSec = fastLink
 			}
@@ -237,7 +241,7 @@
 	var followers []*storesync.Follower
 	for _, n := range f.nodes {
 		source := relay.NewSource(relay.SourceOptions{
-			Self: n.member, DirectStore: storeReader{store: f.store, own: n.link},
+			Self: n.member, DirectStore: cuttableStore{storeReader{store: f.store, own: n.link}, n.cut},
 			Members: func() []api.Member { return n.knownMembers(f.members) }, MembersKnown: n.joined, FirstStart: f.firstStart, RegionReaders: f.activation > 0,
 			RelayClient: f.client(n), DecodeTable: decode, AcceptStale: func() bool { return n.table.Load() == nil },
 			Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
