Give responses between instances the age that they have when they are sent

Cause: the response to a watch without news had the age of the contact at the last check, up to 0.2 s before the end of the wait, with a wait of 0.2 or 0.5 s. An instance that lost the store asked others, which had their data from it, so that each round took the wait off the age, and contact with the store was not lost. Class: an age that leaves out time, so that it does not add up along a path.

Change: a watch checks once more at the end of its wait, and ages are rounded up.

Measured: TestResponseIsAsOldAtTheEndOfItsWaitAsItSays fails before (700 ms said after 1,200) and passes now.

--- a/relay/cache.go
+++ b/relay/cache.go
@@ -223,7 +223,11 @@
 	return list
 }
 
-func ageMS(contact StoreContact) uint32 { return uint32(max(0, contact.Age().Milliseconds())) }
+// ageMS returns the age of a contact, rounded up: a response must not be taken for younger
+// than it is.
+func ageMS(contact StoreContact) uint32 {
+	return uint32(max(0, (contact.Age()+time.Millisecond-1).Milliseconds()))
+}
 
 // wait calls poll with the lock held until it reports a newer revision or the
 // caller's wait is over; both give nil. It returns errContactLost if store contact
@@ -242,32 +246,31 @@
 	if contact.Lost() {
 		checksLeft = maxContactChecks
 	}
+	expired := false
 	for {
 		c.mu.Lock()
 		ready, found, changed := hasData(), poll(), c.changed
 		c.mu.Unlock()
 		lost := ready && contact.Lost() && !r.GetAnyAge()
 		switch {
-		case lost && checksLeft == 0:
+		case lost && (checksLeft == 0 || expired):
 			return errContactLost
+		case found && !lost:
+			return nil
+		case expired && !ready && !r.GetAnyAge():
+			return errNotRead
+		case expired:
+			return nil
 		case !lost:
 			checksLeft = 0
 		}
-		if found && !lost {
-			return nil
-		}
 		select {
 		case <-changed:
 		case <-check.C:
 			checksLeft = max(0, checksLeft-1)
 		case <-until.C:
-			switch {
-			case lost:
-				return errContactLost
-			case !ready && !r.GetAnyAge():
-				return errNotRead
-			}
-			return nil
+			// The response has the age at the end of the wait.
+			expired = true
 		case <-ctx.Done():
 			return ctx.Err()
 		}
