--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -15,8 +15,9 @@
 // silentSince is the contact with a store that last responded at a moment.
 type silentSince time.Time
 
-func (c silentSince) Age() time.Duration { return time.Since(time.Time(c)) }
-func (c silentSince) Lost() bool         { return false }
+func (c silentSince) Age() time.Duration  { return time.Since(time.Time(c)) }
+func (c silentSince) Lost() bool          { return false }
+func (c silentSince) ThroughHelper() bool { return false }
 
 // Guards against instances that keep each other's data fresh although none reads the store.
 func TestResponseIsAsOldAtTheEndOfItsWaitAsItSays(t *testing.T) {
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -74,6 +74,9 @@
 type StoreContact interface {
 	Age() time.Duration
 	Lost() bool
+	// ThroughHelper reports whether the last response came through an instance that may
+	// itself read through this one. It is not passed on.
+	ThroughHelper() bool
 }
 
 // SetContacts sets the store contacts that give the age of the configuration
@@ -226,17 +229,17 @@
 // ageMS returns the age of a contact, rounded up: a response must not be taken for younger
 // than it is.
 func ageMS(contact StoreContact) uint32 {
-	return uint32(max(0, (contact.Age()+time.Millisecond-1).Milliseconds()))
+	return uint32(max(0, (contact.Age() + time.Millisecond - 1).Milliseconds()))
 }
 
 // wait calls poll with the lock held until it reports a newer revision or the
 // caller's wait is over; both give nil. It returns errContactLost if store contact
 // is lost meanwhile, or if it was lost before and is not restored within
-// maxContactChecks, and errNotRead if there is still nothing to return, unless the
-// caller accepts any age. hasData, called with the
-// lock held too, reports whether this instance has read from the store. Until
-// then its callers wait for its first read, so that a whole failure domain that
-// starts at once does not read the store individually.
+// maxContactChecks, errThroughHelper if this instance reads through a helper, and
+// errNotRead if there is still nothing to return, unless the caller accepts any age.
+// hasData, called with the lock held too, reports whether this instance has read from
+// the store. Until then its callers wait for its first read, so that a whole failure
+// domain that starts at once does not read the store individually.
 func (c *Cache) wait(ctx context.Context, r *peerpb.WatchRequest, contact StoreContact, hasData, poll func() bool) error {
 	until := time.NewTimer(min(maxWatchWait, time.Duration(r.GetWaitMs())*time.Millisecond))
 	defer until.Stop()
@@ -253,6 +256,8 @@
 		c.mu.Unlock()
 		lost := ready && contact.Lost() && !r.GetAnyAge()
 		switch {
+		case ready && contact.ThroughHelper() && !r.GetAnyAge():
+			return errThroughHelper
 		case lost && (checksLeft == 0 || expired):
 			return errContactLost
 		case found && !lost:
@@ -280,6 +285,10 @@
 // errNotRead means that this instance has not read from the store since its start.
 var errNotRead = twirp.NewError(twirp.FailedPrecondition, "the instance has not read the store yet")
 
+// errThroughHelper means that this instance does not reach the store, and reads through an
+// instance that may have its data from the caller.
+var errThroughHelper = twirp.NewError(twirp.Unavailable, "the instance reads the store through a helper")
+
 var errContactLost = twirp.NewError(twirp.Unavailable, "the store does not answer this instance")
 
 func encodeEvent(event registry.Event) *peerpb.EndpointChange {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -49,8 +49,11 @@
 	// acceptStale accepts the instance's data even if the instance has lost
 	// contact with the store.
 	acceptStale bool
-	maxWait     time.Duration // of a watch
-	scope       tally.Scope
+	// helper says that the instance is not the parent in the tree of readers, so that it
+	// may itself read through this one.
+	helper  bool
+	maxWait time.Duration // of a watch
+	scope   tally.Scope
 }
 
 var _ storesync.Store = (*peerStore)(nil)
@@ -70,7 +73,7 @@
 	if err != nil {
 		return storesync.TableRead{}, err
 	}
-	read := storesync.TableRead{Revision: storesync.Revision{Era: response.GetEra(), Number: response.GetRevision()}, Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale}
+	read := storesync.TableRead{Revision: storesync.Revision{Era: response.GetEra(), Number: response.GetRevision()}, Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale, ThroughHelper: p.helper}
 	p.scope.Counter("document_bytes_received").Inc(int64(len(response.GetDocument()) + len(response.GetGzipDocument())))
 	document := response.GetDocument()
 	if len(response.GetGzipDocument()) > 0 {
@@ -91,7 +94,7 @@
 	}
 	return storesync.EndpointList{
 		Endpoints: decodeEndpoints(response.GetChanges()), Revision: endpointsRevision(response),
-		Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale,
+		Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale, ThroughHelper: p.helper,
 	}, nil
 }
 
@@ -100,7 +103,7 @@
 	if err != nil {
 		return storesync.EndpointChanges{}, err
 	}
-	read := storesync.EndpointChanges{Revision: endpointsRevision(response), Age: milliseconds(response.GetAgeMs())}
+	read := storesync.EndpointChanges{Revision: endpointsRevision(response), Age: milliseconds(response.GetAgeMs()), ThroughHelper: p.helper}
 	if response.GetComplete() {
 		read.Events = []registry.Event{registry.EndpointsListed{Endpoints: decodeEndpoints(response.GetChanges())}}
 		return read, nil
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -122,6 +122,7 @@
 	member           api.Member
 
 	endpointContactLost atomic.Bool
+	throughHelper       atomic.Bool
 }
 
 // fakeContact is the store contact of a node about one kind of object.
@@ -130,8 +131,9 @@
 	lost *atomic.Bool
 }
 
-func (c fakeContact) Age() time.Duration { return c.n.age }
-func (c fakeContact) Lost() bool         { return c.lost.Load() }
+func (c fakeContact) Age() time.Duration  { return c.n.age }
+func (c fakeContact) Lost() bool          { return c.lost.Load() }
+func (c fakeContact) ThroughHelper() bool { return c.n.throughHelper.Load() }
 
 func newNode(name, domain string) *peerNode {
 	n := &peerNode{cache: relay.NewCache(tally.NoopScope)}
@@ -218,6 +220,19 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against instances that pass each other's data on in a circle.
+	It("is not read through while it reads through a helper", func() {
+		n.throughHelper.Store(true)
+		began := time.Now()
+		_, err := n.cache.WatchTable(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 1000})
+		Expect(err).To(HaveOccurred())
+		_, err = n.cache.WatchEndpoints(ctx, &peerpb.WatchRequest{After: 10, WaitMs: 1000})
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		_, err = n.cache.WatchTable(ctx, &peerpb.WatchRequest{AnyAge: true})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against a caller that waits for an instance which cannot read.
 	It("ends a wait when store contact is lost", func() {
 		time.AfterFunc(50*time.Millisecond, func() { n.tableContactLost.Store(true) })
@@ -388,6 +403,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read.Table.Version).To(BeEquivalentTo(4))
 		Expect(read.Age).To(Equal(n.age))
+		Expect(read.ThroughHelper).To(BeFalse())
 		list, err := source.ListEndpoints(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(list.Endpoints).To(Equal([]registry.Endpoint{endpoint("relayed")}))
@@ -458,13 +474,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read.Table.Version).To(BeEquivalentTo(5))
 		Expect(read.MayBeStale).To(BeFalse())
+		Expect(read.ThroughHelper).To(BeTrue())
 		// The store is in backoff and not asked again.
 		_, err = source.ReadTable(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(direct.calls.Load()).To(BeEquivalentTo(1))
 	})
 
-	// Guards against asking instances that only know what this one told them.
+	// Guards against asking instances that may have lost the store together with this one.
 	It("asks instances of other failure domains before those of its own", func() {
 		own, far := newNode("zz", "d"), newNode("far", "other")
 		far.cache.RecordTable(table(5), at(30))
--- a/relay/source.go
+++ b/relay/source.go
@@ -165,7 +165,7 @@
 		if leader == "" {
 			return response, errNoPeer
 		}
-		response, err = call(ctx, s.storeAt(leader, false))
+		response, err = call(ctx, s.storeAt(leader))
 		if err == nil || isAnswer(err) {
 			s.o.Scope.Counter("read_through_leader").Inc(1)
 			return response, err
@@ -186,7 +186,9 @@
 	var response T
 	err := errNoPeer
 	for _, address := range s.selectPeers() {
-		response, err = call(ctx, s.storeAt(address, s.o.AcceptStale()))
+		helper := s.storeAt(address)
+		helper.helper, helper.acceptStale = true, s.o.AcceptStale()
+		response, err = call(ctx, helper)
 		if err == nil {
 			s.o.Scope.Counter("read_through_helper").Inc(1)
 			return response, nil
@@ -209,12 +211,12 @@
 
 var errNoPeer = errors.New("no other instance to read the store through")
 
-func (s *Source) storeAt(address string, acceptStale bool) storesync.Store {
+func (s *Source) storeAt(address string) *peerStore {
 	wait := peerWatchWait
 	if s.position().serves {
 		wait = servingWatchWait
 	}
-	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, acceptStale: acceptStale, maxWait: wait, scope: s.o.Scope}
+	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, maxWait: wait, scope: s.o.Scope}
 }
 
 // leader returns the address of the instance that this one reads through, or "" if it
@@ -253,8 +255,8 @@
 }
 
 // selectPeers returns the addresses of up to maxPeersAsked other instances in
-// random order. Instances of the same failure domain only know what this one
-// has told them, so they are chosen only if there are no others.
+// random order. Instances of the same failure domain are chosen only if there are no
+// others: they may have lost the store together.
 func (s *Source) selectPeers() []string {
 	var addresses, own []string
 	for _, m := range s.o.Members() {
--- a/storesync/contact.go
+++ b/storesync/contact.go
@@ -16,6 +16,9 @@
 	timeout      time.Duration
 	lastResponse atomic.Int64 // boot clock time of the last response, in nanoseconds
 	lossLogged   atomic.Bool  // the loss of contact was logged
+	// throughHelper says that the last response came through an instance that may
+	// itself read through this one.
+	throughHelper atomic.Bool
 }
 
 // newContact returns a contact that counts as lost until the first response.
@@ -34,6 +37,10 @@
 // Lost reports whether the last response is older than the timeout.
 func (c *StoreContact) Lost() bool { return c.Age() > c.timeout }
 
+// ThroughHelper reports whether the last response came through an instance that may itself
+// read through this one.
+func (c *StoreContact) ThroughHelper() bool { return c.throughHelper.Load() }
+
 // recordResponse records a response that the store sent age ago.
 func (c *StoreContact) recordResponse(age time.Duration) {
 	at := int64(c.clock() - age)
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -75,6 +75,9 @@
 	Age time.Duration
 	// MayBeStale is true if the result may be older than the store's state.
 	MayBeStale bool
+	// ThroughHelper is true if it was read through an instance that may itself read
+	// through this one.
+	ThroughHelper bool
 }
 
 // EndpointList is the complete list of registrations. A registration is the
@@ -85,6 +88,8 @@
 	DecodeErrors []error
 	Age          time.Duration
 	MayBeStale   bool
+	// ThroughHelper is as in TableRead.
+	ThroughHelper bool
 }
 
 // EndpointChanges are the changes of registrations after a revision.
@@ -93,6 +98,8 @@
 	Revision     Revision
 	DecodeErrors []error
 	Age          time.Duration
+	// ThroughHelper is as in TableRead.
+	ThroughHelper bool
 }
 
 // Recorder stores what was read, so that other instances can read it.
@@ -198,7 +205,7 @@
 			wait.For(ctx, retryDelay)
 			continue
 		}
-		f.recordSuccess(f.tableContact, read.Age)
+		f.recordSuccess(f.tableContact, read.Age, read.ThroughHelper)
 		f.o.Recorder.RecordTable(read.Table, read.Revision)
 		f.logRestore(f.tableContact, revision, read.Revision)
 		revision = read.Revision
@@ -300,7 +307,7 @@
 			wait.For(ctx, retryDelay)
 			return revision, nil
 		}
-		f.recordSuccess(f.endpointContact, list.Age)
+		f.recordSuccess(f.endpointContact, list.Age, list.ThroughHelper)
 		f.o.Recorder.RecordList(list)
 		f.applyRestore(revision, list.Revision)
 		f.o.Registry.Apply(registry.EndpointsListed{Endpoints: list.Endpoints})
@@ -316,7 +323,7 @@
 		return revision, err
 	}
 	f.logDecodeErrors(changes.DecodeErrors)
-	f.recordSuccess(f.endpointContact, changes.Age)
+	f.recordSuccess(f.endpointContact, changes.Age, changes.ThroughHelper)
 	f.o.Recorder.RecordChanges(changes)
 	f.applyRestore(revision, changes.Revision)
 	f.o.Registry.Apply(registry.StoreResponded{})
@@ -347,8 +354,9 @@
 
 // recordSuccess records a response of the store, which another instance may
 // have relayed.
-func (f *Follower) recordSuccess(contact *StoreContact, age time.Duration) {
+func (f *Follower) recordSuccess(contact *StoreContact, age time.Duration, throughHelper bool) {
 	contact.recordResponse(age)
+	contact.throughHelper.Store(throughHelper)
 	if !contact.Lost() && contact.lossLogged.CompareAndSwap(true, false) {
 		f.o.Log.Info("store contact restored", "reading", contact.kind)
 	}
