Begin a read of the store in place of another reader with a short watch

What is left of the delay when readers lose the store by silence.

Cause: an instance that takes the place of a reader began with a watch of 1 s, or 1.2 s for registrations, and finds only 0.5 s after its wait that the store stays silent to it too. Those that read through it wait as long, once for each reader that is cut. Class: timeouts one after the other, whose sum is not held against the time that a version has.

Change: the first watch after a read that did not reach the store directly waits 50 ms.

Measured: "waits briefly in its first watch of the store after it read through another" fails before.

--- a/relay/path.go
+++ b/relay/path.go
@@ -23,6 +23,13 @@
 	path path
 }
 
+// current returns the path of the last read.
+func (r *pathRecord) current() path {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.path
+}
+
 // record logs the path of a read if it differs from that of the read before. storeErr is
 // the failure of the read of the store itself, nil if it was not tried.
 func (r *pathRecord) record(log *slog.Logger, now path, storeErr error) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -40,6 +40,7 @@
 type fakeStore struct {
 	down  atomic.Bool
 	calls atomic.Int32
+	wait  time.Duration // of the last watch
 }
 
 func (s *fakeStore) result() error {
@@ -54,7 +55,8 @@
 	return storesync.TableRead{Table: table(9), Revision: at(50)}, s.result()
 }
 
-func (s *fakeStore) WatchTable(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.TableRead, error) {
+func (s *fakeStore) WatchTable(_ context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
+	s.wait = wait
 	return storesync.TableRead{Revision: after}, s.result()
 }
 
@@ -62,7 +64,8 @@
 	return storesync.EndpointList{Endpoints: []registry.Endpoint{endpoint("direct")}, Revision: at(50)}, s.result()
 }
 
-func (s *fakeStore) WatchEndpoints(_ context.Context, after storesync.Revision, _ time.Duration) (storesync.EndpointChanges, error) {
+func (s *fakeStore) WatchEndpoints(_ context.Context, after storesync.Revision, wait time.Duration) (storesync.EndpointChanges, error) {
+	s.wait = wait
 	return storesync.EndpointChanges{Revision: after}, s.result()
 }
 
@@ -462,6 +465,28 @@
 		Expect(read.Table.Version).To(BeEquivalentTo(9))
 	})
 
+	// Guards against a silent store that is found only after a long wait, by one reader
+	// after the other.
+	It("waits briefly in its first watch of the store after it read through another", func() {
+		n := newLeader()
+		source := newSource()
+		_, err := source.WatchTable(ctx, at(20), time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = source.WatchEndpoints(ctx, at(20), time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		n.tableContactLost.Store(true)
+		n.endpointContactLost.Store(true)
+		for _, watch := range []func() error{
+			func() error { _, err := source.WatchTable(ctx, at(20), time.Second); return err },
+			func() error { _, err := source.WatchEndpoints(ctx, at(20), time.Second); return err },
+		} {
+			Expect(watch()).To(Succeed())
+			Expect(direct.wait).To(BeNumerically("<=", 100*time.Millisecond))
+			Expect(watch()).To(Succeed())
+			Expect(direct.wait).To(Equal(time.Second))
+		}
+	})
+
 	// Guards against an instance that is cut off because only it cannot reach the
 	// store.
 	It("reads through an instance of another failure domain when the store is unreachable", func() {
--- a/relay/source.go
+++ b/relay/source.go
@@ -136,7 +136,7 @@
 		}
 	}
 	s.o.Scope.Counter("read_directly").Inc(1)
-	response, err := readDirectly(ctx, s, call)
+	response, err := readDirectly(ctx, s, path.current(), call)
 	if errors.Is(err, errLeaderFound) {
 		return readStore(ctx, s, path, call)
 	}
--- a/relay/start.go
+++ b/relay/start.go
@@ -69,14 +69,18 @@
 // readDirectly reads from the store. A read that begins before this instance knows
 // others is given up once another instance reads for the failure domain. A small
 // document has arrived by then.
-func readDirectly[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
+func readDirectly[T any](ctx context.Context, s *Source, before path, call readFunc[T]) (T, error) {
+	store := s.o.DirectStore
+	if before != pathStore {
+		store = takeoverStore{store}
+	}
 	if s.membersKnown() {
-		return call(ctx, s.o.DirectStore)
+		return call(ctx, store)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go s.cancelOnceLed(ctx, cancel)
-	response, err := call(ctx, s.o.DirectStore)
+	response, err := call(ctx, store)
 	if err != nil && errors.Is(context.Cause(ctx), errLeaderFound) {
 		s.o.Scope.Counter("direct_reads_given_up").Inc(1)
 		return response, errLeaderFound
