Count the time that a response took on its way into its age

A response that arrives up to 0.3 s late, or after the process stood still, made contact with the store look younger by that time at each hop.

Change: what a call takes beyond the wait that it asked for counts into the age, by the boot clock.

--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -1,12 +1,15 @@
 package relay_test
 
 import (
+	"context"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/relay"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
@@ -49,3 +52,59 @@
 		})
 	}
 }
+
+// delayedRelay is an instance whose responses arrive late.
+type delayedRelay struct {
+	peerpb.Relay
+	delay time.Duration
+}
+
+func (r delayedRelay) WatchTable(ctx context.Context, request *peerpb.WatchRequest) (*peerpb.TableAnswer, error) {
+	response, err := r.Relay.WatchTable(ctx, request)
+	time.Sleep(r.delay)
+	return response, err
+}
+
+func (r delayedRelay) WatchEndpoints(ctx context.Context, request *peerpb.WatchRequest) (*peerpb.EndpointsAnswer, error) {
+	response, err := r.Relay.WatchEndpoints(ctx, request)
+	time.Sleep(r.delay)
+	return response, err
+}
+
+// Guards against contact with the store that looks younger after each hop.
+func TestAgeIncludesTheTimeOnTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		contact := silentSince(time.Now())
+		cache := relay.NewCache(tally.NoopScope)
+		cache.SetContacts(contact, contact)
+		cache.RecordTable(table(3), at(10))
+		cache.RecordList(storesync.EndpointList{Revision: at(10)})
+		began := time.Now()
+		direct := &fakeStore{}
+		direct.down.Store(true)
+		source := relay.NewSource(relay.SourceOptions{
+			Self: api.Member{ID: "self", Address: "self"}, DirectStore: direct,
+			Members: func() []api.Member {
+				return []api.Member{{ID: "other", Address: "other", State: api.MemberAlive, LinkMbps: 1}}
+			},
+			RelayClient: func(string) peerpb.Relay { return delayedRelay{cache, 250 * time.Millisecond} },
+			DecodeTable: decode, AcceptStale: func() bool { return false },
+			Clock: func() time.Duration { return time.Hour + time.Since(began) },
+			Log:   slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+		configuration, err := source.WatchTable(t.Context(), at(10), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if configuration.Age < contact.Age() {
+			t.Errorf("the configuration has age %v after %v", configuration.Age, contact.Age())
+		}
+		registrations, err := source.WatchEndpoints(t.Context(), at(10), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if registrations.Age < contact.Age() {
+			t.Errorf("the registrations have age %v after %v", registrations.Age, contact.Age())
+		}
+	})
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 	"github.com/hibiscusstair/hibiscusstair/registry"
@@ -53,6 +54,7 @@
 	// may itself read through this one.
 	helper  bool
 	maxWait time.Duration // of a watch
+	clock   bootclock.Func
 	scope   tally.Scope
 }
 
@@ -69,11 +71,15 @@
 func (p *peerStore) watchTable(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.TableRead, error) {
 	ctx, cancel := p.peerCall(ctx)
 	defer cancel()
-	response, err := p.relay.WatchTable(ctx, p.watchRequest(after, wait))
+	request, sentAt := p.watchRequest(after, wait), p.clock()
+	response, err := p.relay.WatchTable(ctx, request)
 	if err != nil {
 		return storesync.TableRead{}, err
 	}
-	read := storesync.TableRead{Revision: storesync.Revision{Era: response.GetEra(), Number: response.GetRevision()}, Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale, ThroughHelper: p.helper}
+	read := storesync.TableRead{
+		Revision: storesync.Revision{Era: response.GetEra(), Number: response.GetRevision()},
+		Age:      p.ageOnArrival(response.GetAgeMs(), sentAt, request), MayBeStale: p.acceptStale, ThroughHelper: p.helper,
+	}
 	p.scope.Counter("document_bytes_received").Inc(int64(len(response.GetDocument()) + len(response.GetGzipDocument())))
 	document := response.GetDocument()
 	if len(response.GetGzipDocument()) > 0 {
@@ -88,22 +94,22 @@
 }
 
 func (p *peerStore) ListEndpoints(ctx context.Context) (storesync.EndpointList, error) {
-	response, err := p.watchEndpoints(ctx, storesync.Revision{}, p.maxWait)
+	response, age, err := p.watchEndpoints(ctx, storesync.Revision{}, p.maxWait)
 	if err != nil {
 		return storesync.EndpointList{}, err
 	}
 	return storesync.EndpointList{
 		Endpoints: decodeEndpoints(response.GetChanges()), Revision: endpointsRevision(response),
-		Age: milliseconds(response.GetAgeMs()), MayBeStale: p.acceptStale, ThroughHelper: p.helper,
+		Age: age, MayBeStale: p.acceptStale, ThroughHelper: p.helper,
 	}, nil
 }
 
 func (p *peerStore) WatchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (storesync.EndpointChanges, error) {
-	response, err := p.watchEndpoints(ctx, after, wait)
+	response, age, err := p.watchEndpoints(ctx, after, wait)
 	if err != nil {
 		return storesync.EndpointChanges{}, err
 	}
-	read := storesync.EndpointChanges{Revision: endpointsRevision(response), Age: milliseconds(response.GetAgeMs()), ThroughHelper: p.helper}
+	read := storesync.EndpointChanges{Revision: endpointsRevision(response), Age: age, ThroughHelper: p.helper}
 	if response.GetComplete() {
 		read.Events = []registry.Event{registry.EndpointsListed{Endpoints: decodeEndpoints(response.GetChanges())}}
 		return read, nil
@@ -118,10 +124,20 @@
 	return read, nil
 }
 
-func (p *peerStore) watchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (*peerpb.EndpointsAnswer, error) {
+// watchEndpoints returns the response of the instance with its age on arrival.
+func (p *peerStore) watchEndpoints(ctx context.Context, after storesync.Revision, wait time.Duration) (*peerpb.EndpointsAnswer, time.Duration, error) {
 	ctx, cancel := p.peerCall(ctx)
 	defer cancel()
-	return p.relay.WatchEndpoints(ctx, p.watchRequest(after, wait))
+	request, sentAt := p.watchRequest(after, wait), p.clock()
+	response, err := p.relay.WatchEndpoints(ctx, request)
+	return response, p.ageOnArrival(response.GetAgeMs(), sentAt, request), err
+}
+
+// ageOnArrival returns the age of a response. What a call takes beyond its wait was spent
+// on the way, or while this process stood still.
+func (p *peerStore) ageOnArrival(ageMS uint32, sentAt time.Duration, request *peerpb.WatchRequest) time.Duration {
+	onTheWay := p.clock() - sentAt - milliseconds(request.GetWaitMs())
+	return milliseconds(ageMS) + max(0, onTheWay)
 }
 
 // peerCall returns the context of a call to another instance. Its progress shows
@@ -141,7 +157,7 @@
 
 // FetchTable returns the configuration of an instance, whatever its age.
 func FetchTable(ctx context.Context, relay peerpb.Relay, decode func([]byte) (*routing.Table, error), scope tally.Scope) (*routing.Table, error) {
-	peer := &peerStore{relay: relay, decode: decode, acceptStale: true, maxWait: peerWatchWait, scope: scope}
+	peer := &peerStore{relay: relay, decode: decode, acceptStale: true, maxWait: peerWatchWait, clock: bootclock.Now, scope: scope}
 	read, err := peer.watchTable(ctx, storesync.Revision{}, 0)
 	if err == nil && read.Table == nil {
 		err = errNoTable
--- a/relay/source.go
+++ b/relay/source.go
@@ -216,7 +216,7 @@
 	if s.position().serves {
 		wait = servingWatchWait
 	}
-	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, maxWait: wait, scope: s.o.Scope}
+	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, maxWait: wait, clock: s.o.Clock, scope: s.o.Scope}
 }
 
 // leader returns the address of the instance that this one reads through, or "" if it
