Close the connection of a request that ends without a response

A caller that closed its sending side got status 200 with no body and no signature: an order that was cancelled looked like one that was accepted.

Cause: net/http ends the request's context when it reads the end of the caller's data, the handler returned without a response, and net/http answered for it. Class: a path that ends a handler silently.

Change: httpapi.RequireResponse aborts the connection of a handler that returns without having begun a response. All requests of forward.Handler end there, and those of the product's own interfaces (order.Runner and generation's writer return silently too, read in the code).

--- a/forward/caller_test.go
+++ b/forward/caller_test.go
@@ -55,6 +55,30 @@
 		Expect(string(received)).To(ContainSubstring("id: 3\n"))
 	})
 
+	// Guards against a success without a signature for a request that may not have run.
+	DescribeTable("that closes its sending side gets no response of the instance's own", func(path string) {
+		f.applyTable(nil)
+		released := make(chan struct{})
+		DeferCleanup(func() { close(released) })
+		f.startEndpoint("a", func(_ http.ResponseWriter, r *http.Request) {
+			select {
+			case <-released:
+			case <-r.Context().Done():
+			}
+		})
+		conn := f.connect()
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: service.example\r\nTest-Id: r\r\nTest-Key: key\r\nContent-Length: 0\r\n\r\n", path)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(f.received, "5s").ShouldNot(BeEmpty())
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		received, _ := io.ReadAll(conn)
+		Expect(string(received)).To(BeEmpty())
+	},
+		Entry("an order", "/order/x"),
+		Entry("a lookup", "/lookup/x"),
+		Entry("a stream", "/stream/x"),
+	)
+
 	// Guards against requests that never end and hold memory, since a byte of their body
 	// arrives now and then.
 	It("whose body arrives too slowly is refused at its deadline", func() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
 	"github.com/hibiscusstair/hibiscusstair/loadprobe"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
@@ -72,12 +73,13 @@
 	active          atomic.Int64
 	attempts        attemptTracker
 	activity        endpointActivity
+	serveOrAbort    http.Handler // serve, which has to begin a response
 }
 
 // New returns a handler.
 func New(o Options) *Handler {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
-	return &Handler{
+	h := &Handler{
 		o:               o,
 		attempts:        newAttemptTracker(),
 		refusals:        telemetry.NewReasonCounters(o.Scope, "refused"),
@@ -86,6 +88,8 @@
 		responseLatency: o.Scope.Histogram("answer_latency", buckets),
 		resumeLatency:   o.Scope.Histogram("resume_latency", buckets),
 	}
+	h.serveOrAbort = httpapi.RequireResponse(http.HandlerFunc(h.serve))
+	return h
 }
 
 // ActiveRequests returns the number of requests without a final response.
@@ -120,8 +124,13 @@
 	holders []api.EndpointID
 }
 
-// ServeHTTP serves one request of a caller.
+// ServeHTTP serves one request of a caller. The connection is closed if the request ends
+// without a response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.serveOrAbort.ServeHTTP(w, r)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	stopping, timeLeft := h.o.Stopping()
--- a/instance/listen.go
+++ b/instance/listen.go
@@ -11,6 +11,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/hibiscusstair/hibiscusstair/httpapi"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 )
 
@@ -59,7 +60,7 @@
 
 func (i *Instance) addServer(group *run.Group, l listener) {
 	server := &http.Server{
-		Handler:           l.handler,
+		Handler:           httpapi.RequireResponse(l.handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    i.settings.MaxHeaderBytes,
