Ask a store that is down seldom, and first at the instances that read for others

An instance that has refused is asked again after 0.75 s instead of 2 s, so that the others have the store back soon.

--- a/relay/cut_test.go
+++ b/relay/cut_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,15 +22,38 @@
 
 // storeCut takes the store from one instance.
 type storeCut struct {
-	began chan struct{} // closed when the cut begins
+	began, ended chan struct{} // closed
 	// resets says that calls fail at once; otherwise they time out.
 	resets bool
 }
 
+func newStoreCut() *storeCut {
+	return &storeCut{began: make(chan struct{}), ended: make(chan struct{})}
+}
+
+// begin begins the cut.
+func (c *storeCut) begin(resets bool) {
+	c.resets = resets
+	close(c.began)
+}
+
+// inForce reports whether the cut has begun and not ended.
+func (c *storeCut) inForce() bool { return isClosed(c.began) && !isClosed(c.ended) }
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // cuttableStore is a store that one instance may lose.
 type cuttableStore struct {
 	storesync.Store
-	cut *storeCut
+	cut   *storeCut
+	calls *atomic.Int32 // of all instances
 }
 
 func (s cuttableStore) ReadTable(ctx context.Context) (storesync.TableRead, error) {
@@ -45,21 +69,24 @@
 // call makes a call to the store. One that is under way when the cut begins fails like
 // those that begin later.
 func (s cuttableStore) call(ctx context.Context, wait time.Duration, read func(context.Context) (storesync.TableRead, error)) (storesync.TableRead, error) {
+	s.calls.Add(1)
 	timeout := time.After(wait + storeTimeout)
-	reading, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-s.cut.began:
-			cancel()
-		case <-reading.Done():
+	if !s.cut.inForce() {
+		reading, cancel := context.WithCancel(ctx)
+		defer cancel()
+		if !isClosed(s.cut.began) {
+			go func() {
+				select {
+				case <-s.cut.began:
+					cancel()
+				case <-reading.Done():
+				}
+			}()
+		}
+		response, err := read(reading)
+		if !s.cut.inForce() {
+			return response, err
 		}
-	}()
-	response, err := read(reading)
-	select {
-	case <-s.cut.began:
-	default:
-		return response, err
 	}
 	if !s.cut.resets {
 		select {
@@ -102,8 +129,7 @@
 					f.follow(ctx)
 					time.Sleep(5 * time.Second)
 					for _, n := range f.readers(lost) {
-						n.cut.resets = resets
-						close(n.cut.began)
+						n.cut.begin(resets)
 					}
 					time.Sleep(80 * time.Millisecond)
 					f.store.put(growingTable(2, 100))
@@ -117,3 +143,39 @@
 		}
 	}
 }
+
+// Guards against a store that is asked by all instances again and again while it is down,
+// and against instances that notice late that it is back.
+func TestStoreThatIsDownIsAskedByItsReaders(t *testing.T) {
+	const (
+		outage = 4500 * time.Millisecond
+		// backBound is the time after which registrations that lapsed are back.
+		backBound = 2 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newGrowingFleet(3, 10, 2)
+		f.activation = growthBound
+		f.follow(ctx)
+		time.Sleep(5 * time.Second)
+		for _, n := range f.nodes {
+			n.cut.begin(true)
+		}
+		f.store.calls.Store(0)
+		time.Sleep(outage)
+		t.Logf("%d calls to the store in %v", f.store.calls.Load(), outage)
+		if calls, most := int(f.store.calls.Load()), 3*len(f.nodes); calls > most {
+			t.Errorf("%d calls to the store in %v, want at most %d", calls, outage, most)
+		}
+		for _, n := range f.nodes {
+			close(n.cut.ended)
+		}
+		f.store.put(growingTable(2, 100))
+		elapsed := f.timeUntil(2)
+		t.Logf("in force %v after the store is back", elapsed)
+		if elapsed > backBound {
+			t.Errorf("in force %v after the store is back, want at most %v", elapsed, backBound)
+		}
+	})
+}
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -76,6 +76,7 @@
 	revision uint64
 	changed  chan struct{}
 	region   *link
+	calls    atomic.Int32 // including watches
 	reads    atomic.Int32 // documents requested
 	complete atomic.Int32 // documents sent completely
 }
@@ -198,7 +199,7 @@
 		}
 		for rank, id := range peer.Rank("read", ids) {
 			n := &growingNode{
-				link: &link{bytesPerSec: slowLink}, cut: &storeCut{began: make(chan struct{})},
+				link: &link{bytesPerSec: slowLink}, cut: newStoreCut(),
 				cache: relay.NewCache(tally.NoopScope), table: &routing.CurrentTable{},
 			}
 			if rank >= slow {
@@ -241,7 +242,7 @@
 	var followers []*storesync.Follower
 	for _, n := range f.nodes {
 		source := relay.NewSource(relay.SourceOptions{
-			Self: n.member, DirectStore: cuttableStore{storeReader{store: f.store, own: n.link}, n.cut},
+			Self: n.member, DirectStore: cuttableStore{storeReader{store: f.store, own: n.link}, n.cut, &f.store.calls},
 			Members: func() []api.Member { return n.knownMembers(f.members) }, MembersKnown: n.joined, FirstStart: f.firstStart, RegionReaders: f.activation > 0,
 			RelayClient: f.client(n), DecodeTable: decode, AcceptStale: func() bool { return n.table.Load() == nil },
 			Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
--- a/relay/source.go
+++ b/relay/source.go
@@ -23,9 +23,9 @@
 	// peerBackoff is how long an instance is not asked after a failed read
 	// through it.
 	peerBackoff = 2 * time.Second
-	// storeBackoff is how long other instances are asked before the store after
-	// a read of the store has failed.
-	storeBackoff = 1500 * time.Millisecond
+	// refusalBackoff replaces it for an instance that has lost the store itself, which
+	// responds at once and may regain it.
+	refusalBackoff = 750 * time.Millisecond
 	// maxLeadersAsked is the number of instances that one read tries as its parent in
 	// the tree of readers. A silent one takes up to 0.8 s.
 	maxLeadersAsked = 3
@@ -74,8 +74,8 @@
 	startedAt     time.Duration // first read
 	tablePath     pathRecord
 	endpointPath  pathRecord
+	direct        directBackoff
 	mu            sync.Mutex
-	storeFailedAt time.Duration // last failure of the store; 0 is none since its last response
 	leaderAddress string
 }
 
@@ -122,19 +122,25 @@
 
 // readStore tries the leader, the store and other instances in this order until
 // one responds. While the store is in backoff, other instances are tried before
-// it.
+// it, and the store only if directBackoff allows it.
 func readStore[T any](ctx context.Context, s *Source, path *pathRecord, call readFunc[T]) (T, error) {
 	s.awaitMembers(ctx)
 	if response, err := readThroughLeaders(ctx, s, call); err == nil || isAnswer(err) {
 		path.record(s.o.Log, pathLeader, nil)
 		return response, err
 	}
-	if s.storeInBackoff() {
+	preferPeers := s.direct.preferPeers(s.o.Clock())
+	if preferPeers {
 		if response, err := readThroughPeers(ctx, s, call); err == nil {
 			path.record(s.o.Log, pathHelper, nil)
 			return response, nil
 		}
 	}
+	if !s.direct.allow(s.o.Clock(), s.readsForOthers() || s.o.AcceptStale()) {
+		var response T
+		path.record(s.o.Log, pathNone, errStoreBackoff)
+		return response, errStoreBackoff
+	}
 	s.o.Scope.Counter("read_directly").Inc(1)
 	response, err := readDirectly(ctx, s, path.current(), call)
 	if errors.Is(err, errLeaderFound) {
@@ -142,10 +148,10 @@
 	}
 	if err == nil || isAnswer(err) {
 		path.record(s.o.Log, pathStore, nil)
-		s.setStoreFailedAt(0)
+		s.direct.recordResponse()
 		return response, err
 	}
-	s.setStoreFailedAt(s.o.Clock())
+	s.direct.recordFailure(s.o.Clock())
 	if response, peerErr := readThroughPeers(ctx, s, call); peerErr == nil {
 		path.record(s.o.Log, pathHelper, err)
 		return response, nil
@@ -198,6 +204,12 @@
 	return response, err
 }
 
+// isRefusal reports whether an instance has responded that it does not reach the store.
+func isRefusal(err error) bool {
+	var code twirp.Error
+	return errors.As(err, &code) && code.Code() == errThroughHelper.Code()
+}
+
 // isNotRead reports whether an instance has not read the store since its start.
 func isNotRead(err error) bool {
 	var code twirp.Error
@@ -232,6 +244,13 @@
 	return s.tree.find(s.self(members), members, func(m api.Member) bool { return s.backoff.Contains(m.Address) })
 }
 
+// readsForOthers reports whether this instance reads the store itself while all others
+// respond.
+func (s *Source) readsForOthers() bool {
+	members := s.o.Members()
+	return s.tree.find(s.self(members), members, func(api.Member) bool { return false }).parent == ""
+}
+
 // self returns this instance's own entry of the member table, which follows the
 // settings, or that of the options before there is one.
 func (s *Source) self(members []api.Member) api.Member {
@@ -287,18 +306,10 @@
 // one line for each instance and peerBackoff.
 func (s *Source) recordPeerFailure(address string, err error) {
 	s.o.Log.Info("store read through another instance failed", "address", address, "error", err)
-	s.backoff.Start(address, peerBackoff)
+	backoff := peerBackoff
+	if isRefusal(err) {
+		backoff = refusalBackoff
+	}
+	s.backoff.Start(address, backoff)
 	s.o.Scope.Counter("relay_errors").Inc(1)
 }
-
-func (s *Source) setStoreFailedAt(failedAt time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.storeFailedAt = failedAt
-}
-
-func (s *Source) storeInBackoff() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.storeFailedAt != 0 && s.o.Clock()-s.storeFailedAt < storeBackoff
-}
