Decide whether a stop lets a request complete when it is passed on

Cause: the time left was read when the header had arrived and compared when the body had; a request whose header came before the signal was never compared. Class: a decision on a value that a wait has made old. The same on other paths: the wait for an endpoint, each further attempt, hedged ones, and streams before their header.

A response that has begun continues as before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -133,8 +133,7 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	stopping, timeLeft := h.o.Stopping()
-	if stopping {
+	if stopping, _ := h.o.Stopping(); stopping {
 		w.Header().Set("Connection", "close")
 	}
 	received := h.o.Clock()
@@ -151,10 +150,6 @@
 		h.refuse(w, info, h.o.Log.With("request", info.ID), refusal)
 		return
 	}
-	if stopping && timeLeft < expectedDuration(req) {
-		h.refuse(w, info, req.log, reason.New(reason.ShuttingDown, "the instance stops before the answer").WithRetryAfter(shutdownRetryAfter))
-		return
-	}
 	ctx, cancel := h.deadlineContext(r.Context(), req)
 	defer cancel()
 	if req.route.Stream {
@@ -196,6 +191,9 @@
 		return nil, reason.New(reason.NoEndpoint, "the route has no service").WithRetryAfter(retryAfter(info.Timeout))
 	}
 	req.deadline = earliestDeadline(received, info.Timeout, route.Timeout)
+	if refusal := h.stopRefusal(req); refusal != nil {
+		return nil, refusal
+	}
 	body, refusal := h.readCallerBody(w, req, table.Limits.MaxBodyBytes)
 	if refusal != nil {
 		return nil, refusal
@@ -203,32 +201,15 @@
 	req.body = body
 	req.identity = newIdentity(contentDigest(req.account, r.Host, r.RequestURI, body), info.SharedPartIDs)
 	req.log = h.o.Log.With("request", info.ID, "route", route.Name)
+	if refusal := h.stopRefusal(req); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := h.admissionRefusal(req); refusal != nil {
 		return nil, refusal
 	}
 	return req, nil
 }
 
-const (
-	// expectedStreamDuration is the estimated time to prefill a prompt and
-	// generate 130 events.
-	expectedStreamDuration = 6 * time.Second
-	// plainDurationFactor times the target latency is the estimated time of a
-	// plain request.
-	plainDurationFactor = 3
-	// shutdownRetryAfter is the Retry-After advice of an instance that shuts
-	// down; callers retry at another instance.
-	shutdownRetryAfter = 50 * time.Millisecond
-)
-
-// expectedDuration estimates how long the request takes.
-func expectedDuration(req *request) time.Duration {
-	if req.route.Stream {
-		return expectedStreamDuration
-	}
-	return plainDurationFactor * req.route.TargetLatency
-}
-
 const (
 	// minRetryAfter and maxRetryAfter bound the Retry-After advice. An instance
 	// needs one to two seconds to start.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -152,7 +152,7 @@
 		// Nothing was sent, so the endpoint does not count as an attempt.
 		p.req.attempts--
 	}
-	if p.h.attemptRefusal(p.req) != nil {
+	if p.h.startRefusal(p.req) != nil {
 		return false
 	}
 	return p.tryRetry(why) && p.startAttempt(p.req.balanceRequest()) == nil
@@ -186,7 +186,7 @@
 	case err != nil:
 		return err.WithRetryAfter(retryAfter(p.req.info.Timeout))
 	}
-	if refusal := p.h.attemptRefusal(p.req); refusal != nil {
+	if refusal := p.h.startRefusal(p.req); refusal != nil {
 		p.h.o.Balance.Release(lease, balance.Cancelled)
 		return refusal
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	h, now := s.h, s.h.o.Clock()
-	if refusal := h.attemptRefusal(s.req); refusal != nil {
+	if refusal := s.startRefusal(); refusal != nil {
 		h.o.Balance.Release(lease, balance.Cancelled)
 		if s.mayHaveRun {
 			refusal = refusal.WithRun(reason.RunUnknown)
@@ -144,6 +144,15 @@
 	return r, nil
 }
 
+// startRefusal returns a refusal for an attempt that is about to start. A response that has
+// begun continues as far as the stop of this instance lets it.
+func (s *stream) startRefusal() *reason.Error {
+	if s.headerWritten {
+		return s.h.attemptRefusal(s.req)
+	}
+	return s.h.startRefusal(s.req)
+}
+
 // recordInterruption records an attempt that ended before the response was
 // complete.
 func (s *stream) recordInterruption(r *streamAttempt, why *reason.Error) {
