Refuse bodies that the memory of the process does not hold

Cause: each body is bounded, all together are not.

Change: the bodies of requests in progress take at most a quarter of the process's memory. One of a known length is refused with status 503 before it is read, one in chunks as soon as it goes beyond.

Measured: "Bodies that take the memory together", with a length and in chunks: with the bound out of reach the third of three bodies is read, now it is refused and the memory is free again after the others.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -57,6 +57,9 @@
 	// Stopping reports whether the instance is shutting down and the time left
 	// until it exits.
 	Stopping func() (bool, time.Duration)
+	// MemoryBytes returns the memory that the process may use, of which request bodies get
+	// a part; nil or 0 sets no limit.
+	MemoryBytes func() int64
 }
 
 // Handler serves routed requests.
@@ -73,6 +76,7 @@
 	active          atomic.Int64
 	attempts        attemptTracker
 	activity        endpointActivity
+	bodies          bodyMemory
 	serveOrAbort    http.Handler // serve, which has to begin a response
 }
 
@@ -88,6 +92,10 @@
 		responseLatency: o.Scope.Histogram("answer_latency", buckets),
 		resumeLatency:   o.Scope.Histogram("resume_latency", buckets),
 	}
+	h.bodies.processBytes = o.MemoryBytes
+	if o.MemoryBytes == nil {
+		h.bodies.processBytes = func() int64 { return 0 }
+	}
 	h.serveOrAbort = httpapi.RequireResponse(http.HandlerFunc(h.serve))
 	return h
 }
@@ -110,6 +118,7 @@
 	inbound      *http.Request
 	path         string // escaped path, byte for byte
 	body         []byte
+	memory       *bodyReservation // of body
 	identity     quarantine.Request
 	// assessment is what crashes said about the identity when it was last checked.
 	assessment quarantine.Assessment
@@ -144,7 +153,10 @@
 		return
 	}
 	h.awaitSync(r.Context(), info)
-	req, refusal := h.admit(w, r, info, received)
+	memory := &bodyReservation{ReadCloser: r.Body, memory: &h.bodies}
+	defer memory.release()
+	r.Body = memory
+	req, refusal := h.admit(w, r, info, received, memory)
 	if refusal != nil {
 		limitUnreadBody(w)
 		h.refuse(w, info, h.o.Log.With("request", info.ID), refusal)
@@ -161,7 +173,7 @@
 
 // admit determines the route and the client account of a request and reads its
 // body.
-func (h *Handler) admit(w http.ResponseWriter, r *http.Request, info RequestInfo, received time.Duration) (*request, *reason.Error) {
+func (h *Handler) admit(w http.ResponseWriter, r *http.Request, info RequestInfo, received time.Duration, memory *bodyReservation) (*request, *reason.Error) {
 	table := h.o.Table.Load()
 	if table == nil {
 		return nil, reason.New(reason.NotReady, "no configuration yet").WithRetryAfter(retryAfter(info.Timeout))
@@ -176,7 +188,7 @@
 	}
 	req := &request{
 		info: info, route: route, received: received, tableVersion: table.Version,
-		inbound: r, path: path, priority: route.Priority,
+		inbound: r, path: path, priority: route.Priority, memory: memory,
 	}
 	if table.RequiresKey() {
 		account, ok := table.Account(info.APIKey)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,7 +166,8 @@
 		RetryBudget: g.retryBudget,
 		Permits:     g.limiter, OnLeaving: g.recordLeaving,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
-		Synced: g.follower.Synced(),
+		Synced:      g.follower.Synced(),
+		MemoryBytes: func() int64 { return g.settings.Load().MemoryBytes },
 	})
 	return g, nil
 }
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -108,6 +108,10 @@
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	var refusal *reason.Error
+	if errors.As(err, &refusal) {
+		return nil, refusal // by the reader of the body
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, reason.New(reason.TooLarge, "the body is larger than %d bytes", limit)
