--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -22,16 +22,22 @@
 func (c silentSince) Lost() bool          { return false }
 func (c silentSince) ThroughHelper() bool { return false }
 
+// cacheWith returns a cache with a configuration and a list of registrations.
+func cacheWith(contact relay.StoreContact) *relay.Cache {
+	cache := relay.NewCache(tally.NoopScope)
+	cache.SetContacts(contact, contact)
+	cache.RecordTable(table(3), at(10))
+	cache.RecordList(storesync.EndpointList{Revision: at(10)})
+	return cache
+}
+
 // Guards against instances that keep each other's data fresh although none reads the store.
 func TestResponseIsAsOldAtTheEndOfItsWaitAsItSays(t *testing.T) {
 	for _, wait := range []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond, 390 * time.Millisecond, 500 * time.Millisecond} {
 		t.Run(wait.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				contact := silentSince(time.Now())
-				cache := relay.NewCache(tally.NoopScope)
-				cache.SetContacts(contact, contact)
-				cache.RecordTable(table(3), at(10))
-				cache.RecordList(storesync.EndpointList{Revision: at(10)})
+				cache := cacheWith(contact)
 				time.Sleep(700*time.Millisecond + 300*time.Microsecond)
 				request := &peerpb.WatchRequest{After: 10, WaitMs: uint32(wait.Milliseconds())}
 				configuration, err := cache.WatchTable(t.Context(), request)
@@ -75,10 +81,7 @@
 func TestAgeIncludesTheTimeOnTheWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		contact := silentSince(time.Now())
-		cache := relay.NewCache(tally.NoopScope)
-		cache.SetContacts(contact, contact)
-		cache.RecordTable(table(3), at(10))
-		cache.RecordList(storesync.EndpointList{Revision: at(10)})
+		cache := cacheWith(contact)
 		began := time.Now()
 		direct := &fakeStore{}
 		direct.down.Store(true)
--- a/relay/cut_test.go
+++ b/relay/cut_test.go
@@ -126,8 +126,7 @@
 					defer cancel()
 					f := newGrowingFleet(3, 10, 2)
 					f.activation = growthBound
-					f.follow(ctx)
-					time.Sleep(5 * time.Second)
+					f.followUntilSettled(ctx)
 					for _, n := range f.readers(lost) {
 						n.cut.begin(resets)
 					}
@@ -157,8 +156,7 @@
 		defer cancel()
 		f := newGrowingFleet(3, 10, 2)
 		f.activation = growthBound
-		f.follow(ctx)
-		time.Sleep(5 * time.Second)
+		f.followUntilSettled(ctx)
 		for _, n := range f.nodes {
 			n.cut.begin(true)
 		}
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -258,6 +258,12 @@
 	}
 }
 
+// followUntilSettled runs the followers and returns when all have read the configuration.
+func (f *growingFleet) followUntilSettled(ctx context.Context) {
+	f.follow(ctx)
+	time.Sleep(5 * time.Second)
+}
+
 // timeUntil returns the time until a version is in force at all instances, at most
 // growthBound.
 func (f *growingFleet) timeUntil(version uint64) time.Duration {
@@ -289,8 +295,7 @@
 					ctx, cancel := context.WithCancel(t.Context())
 					defer cancel()
 					f := newGrowingFleet(3, 12-fast, fast)
-					f.follow(ctx)
-					time.Sleep(5 * time.Second)
+					f.followUntilSettled(ctx)
 					if late := f.late(1); late > 0 {
 						t.Fatalf("%d instances have no configuration", late)
 					}
@@ -319,8 +324,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		f := newGrowingFleet(3, 10, 2)
-		f.follow(ctx)
-		time.Sleep(5 * time.Second)
+		f.followUntilSettled(ctx)
 		f.store.put(growingTable(2, 5600))
 		elapsed := f.timeUntil(2)
 		t.Logf("in force after %v", elapsed)
@@ -339,8 +343,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				f := newGrowingFleet(3, 12, 0)
-				f.follow(ctx)
-				time.Sleep(5 * time.Second)
+				f.followUntilSettled(ctx)
 				for i, n := range f.nodes {
 					n.silent.Store(i%12 < silent)
 				}
@@ -371,8 +374,7 @@
 				defer cancel()
 				f := newGrowingFleet(3, 53, 3)
 				f.activation = growthBound
-				f.follow(ctx)
-				time.Sleep(5 * time.Second)
+				f.followUntilSettled(ctx)
 				for i, n := range f.nodes {
 					// The fast ones lead, and are the last of their failure domain here.
 					n.silent.Store(i%56 >= 53 && i%56 < 53+silent)
