--- a/relay/direct.go
+++ b/relay/direct.go
@@ -44,8 +44,8 @@
 	b.failures++
 }
 
-// preferPeers reports whether other instances are asked before the store.
-func (b *directBackoff) preferPeers(now time.Duration) bool {
+// preferHelpers reports whether other instances are asked before the store.
+func (b *directBackoff) preferHelpers(now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.failures > 0 && now-b.failedAt < storeBackoff
--- a/relay/path.go
+++ b/relay/path.go
@@ -11,7 +11,7 @@
 const (
 	pathNone   path = "none"   // nothing responds
 	pathStore  path = "store"  // read by this instance
-	pathLeader path = "leader" // through the parent in the tree of readers
+	pathParent path = "parent" // through the parent in the tree of readers
 	pathHelper path = "helper" // through any other instance, since the store does not respond
 )
 
--- a/relay/path_test.go
+++ b/relay/path_test.go
@@ -14,7 +14,7 @@
 	var out bytes.Buffer
 	log := slog.New(slog.NewJSONHandler(&out, nil))
 	record := pathRecord{kind: "configuration"}
-	for _, now := range []path{pathStore, pathStore, pathHelper, pathHelper, pathHelper, pathLeader} {
+	for _, now := range []path{pathStore, pathStore, pathHelper, pathHelper, pathHelper, pathParent} {
 		record.record(log, now, errors.New("connection reset"))
 	}
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
--- a/relay/source.go
+++ b/relay/source.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
@@ -19,21 +16,6 @@
 	"github.com/hibiscusstair/hibiscusstair/storesync"
 )
 
-const (
-	// peerBackoff is how long an instance is not asked after a failed read
-	// through it.
-	peerBackoff = 2 * time.Second
-	// refusalBackoff replaces it for an instance that has lost the store itself, which
-	// responds at once and may regain it.
-	refusalBackoff = 750 * time.Millisecond
-	// maxLeadersAsked is the number of instances that one read tries as its parent in
-	// the tree of readers. A silent one takes up to 0.8 s.
-	maxLeadersAsked = 3
-	// maxPeersAsked is the number of other instances that one read tries while
-	// the store is unreachable.
-	maxPeersAsked = 2
-)
-
 // SourceOptions configures a Source.
 type SourceOptions struct {
 	Self        api.Member
@@ -76,7 +58,7 @@
 	endpointPath  pathRecord
 	direct        directBackoff
 	mu            sync.Mutex
-	leaderAddress string
+	parentAddress string
 }
 
 var _ storesync.Store = (*Source)(nil)
@@ -117,112 +99,6 @@
 	})
 }
 
-// readFunc reads a store.
-type readFunc[T any] func(ctx context.Context, store storesync.Store) (T, error)
-
-// readStore tries the leader, the store and other instances in this order until
-// one responds. While the store is in backoff, other instances are tried before
-// it, and the store only if directBackoff allows it.
-func readStore[T any](ctx context.Context, s *Source, path *pathRecord, call readFunc[T]) (T, error) {
-	s.awaitMembers(ctx)
-	if response, err := readThroughLeaders(ctx, s, call); err == nil || isAnswer(err) {
-		path.record(s.o.Log, pathLeader, nil)
-		return response, err
-	}
-	preferPeers := s.direct.preferPeers(s.o.Clock())
-	if preferPeers {
-		if response, err := readThroughPeers(ctx, s, call); err == nil {
-			path.record(s.o.Log, pathHelper, nil)
-			return response, nil
-		}
-	}
-	if !s.direct.allow(s.o.Clock(), s.readsForOthers() || s.o.AcceptStale()) {
-		var response T
-		path.record(s.o.Log, pathNone, errStoreBackoff)
-		return response, errStoreBackoff
-	}
-	s.o.Scope.Counter("read_directly").Inc(1)
-	response, err := readDirectly(ctx, s, path.current(), call)
-	if errors.Is(err, errLeaderFound) {
-		return readStore(ctx, s, path, call)
-	}
-	if err == nil || isAnswer(err) {
-		path.record(s.o.Log, pathStore, nil)
-		s.direct.recordResponse()
-		return response, err
-	}
-	s.direct.recordFailure(s.o.Clock())
-	if response, peerErr := readThroughPeers(ctx, s, call); peerErr == nil {
-		path.record(s.o.Log, pathHelper, err)
-		return response, nil
-	}
-	path.record(s.o.Log, pathNone, err)
-	return response, err
-}
-
-// readThroughLeaders reads the store through the parent in the tree of readers. An
-// instance that does not respond loses its place to the next one, which reads for the
-// others instead.
-func readThroughLeaders[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
-	var response T
-	err := errNoPeer
-	for asked := 0; asked < maxLeadersAsked; {
-		leader := s.leader()
-		if leader == "" {
-			return response, errNoPeer
-		}
-		response, err = call(ctx, s.storeAt(leader))
-		if err == nil || isAnswer(err) {
-			s.o.Scope.Counter("read_through_leader").Inc(1)
-			return response, err
-		}
-		if isNotRead(err) && s.firstReadMayCome() {
-			s.o.Scope.Counter("waits_for_first_read").Inc(1)
-			continue
-		}
-		s.recordPeerFailure(leader, err)
-		asked++
-	}
-	return response, err
-}
-
-// readThroughPeers reads the store through other instances, up to
-// maxPeersAsked.
-func readThroughPeers[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
-	var response T
-	err := errNoPeer
-	for _, address := range s.selectPeers() {
-		helper := s.storeAt(address)
-		helper.helper, helper.acceptStale = true, s.o.AcceptStale()
-		response, err = call(ctx, helper)
-		if err == nil {
-			s.o.Scope.Counter("read_through_helper").Inc(1)
-			return response, nil
-		}
-		s.recordPeerFailure(address, err)
-	}
-	return response, err
-}
-
-// isRefusal reports whether an instance has responded that it does not reach the store.
-func isRefusal(err error) bool {
-	var code twirp.Error
-	return errors.As(err, &code) && code.Code() == errThroughHelper.Code()
-}
-
-// isNotRead reports whether an instance has not read the store since its start.
-func isNotRead(err error) bool {
-	var code twirp.Error
-	return errors.As(err, &code) && code.Code() == errNotRead.Code()
-}
-
-// isAnswer reports whether an error is what the store says of the requested revision.
-func isAnswer(err error) bool {
-	return errors.Is(err, storesync.ErrCompacted) || errors.Is(err, storesync.ErrRestored)
-}
-
-var errNoPeer = errors.New("no other instance to read the store through")
-
 func (s *Source) storeAt(address string) *peerStore {
 	wait := peerWatchWait
 	if s.position().serves {
@@ -231,11 +107,11 @@
 	return &peerStore{relay: s.o.RelayClient(address), decode: s.o.DecodeTable, maxWait: wait, clock: s.o.Clock, scope: s.o.Scope}
 }
 
-// leader returns the address of the instance that this one reads through, or "" if it
+// parent returns the address of the instance that this one reads through, or "" if it
 // reads the store itself.
-func (s *Source) leader() string {
+func (s *Source) parent() string {
 	p := s.position()
-	s.recordLeader(p.parent)
+	s.recordParent(p.parent)
 	return p.parent
 }
 
@@ -262,54 +138,12 @@
 	return s.o.Self
 }
 
-// recordLeader records the leader's address and logs a change; "" is this
-// instance.
-func (s *Source) recordLeader(leader string) {
+// recordParent records the parent's address and logs a change; "" is the store.
+func (s *Source) recordParent(parent string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if leader != s.leaderAddress {
-		s.o.Log.Info("leader for store reads changed", "address", leader, "before", s.leaderAddress)
-		s.leaderAddress = leader
-	}
-}
-
-// selectPeers returns the addresses of up to maxPeersAsked other instances in
-// random order. Instances of the same failure domain are chosen only if there are no
-// others: they may have lost the store together.
-func (s *Source) selectPeers() []string {
-	var addresses, own []string
-	for _, m := range s.o.Members() {
-		if m.ID == s.o.Self.ID || !m.State.Reachable() || s.backoff.Contains(m.Address) {
-			continue
-		}
-		if m.FailureDomain == s.o.Self.FailureDomain {
-			own = append(own, m.Address)
-			continue
-		}
-		addresses = append(addresses, m.Address)
-	}
-	if len(addresses) == 0 {
-		addresses = own
-	}
-	if len(addresses) == 0 && s.o.SeedAddresses != nil {
-		for _, seed := range s.o.SeedAddresses() {
-			if seed != s.o.Self.Address && !s.backoff.Contains(seed) {
-				addresses = append(addresses, seed)
-			}
-		}
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(maxPeersAsked, len(addresses))]
-}
-
-// recordPeerFailure starts the backoff of an instance, so that there is at most
-// one line for each instance and peerBackoff.
-func (s *Source) recordPeerFailure(address string, err error) {
-	s.o.Log.Info("store read through another instance failed", "address", address, "error", err)
-	backoff := peerBackoff
-	if isRefusal(err) {
-		backoff = refusalBackoff
+	if parent != s.parentAddress {
+		s.o.Log.Info("parent for store reads changed", "address", parent, "before", s.parentAddress)
+		s.parentAddress = parent
 	}
-	s.backoff.Start(address, backoff)
-	s.o.Scope.Counter("relay_errors").Inc(1)
 }
--- a/relay/start.go
+++ b/relay/start.go
@@ -16,17 +16,17 @@
 	// maxFirstStartWait replaces it when the fleet starts for the first time, when
 	// nobody waits. Seeds may start a little later than this instance.
 	maxFirstStartWait = time.Second
-	// maxFirstReadWait is how long after its own start an instance waits for a leader
+	// maxFirstReadWait is how long after its own start an instance waits for a parent
 	// that has not read the store yet.
 	maxFirstReadWait = 1500 * time.Millisecond
-	// leaderCheckInterval is how often a direct read that began without known members
-	// checks whether there is a leader.
-	leaderCheckInterval = 20 * time.Millisecond
+	// parentCheckInterval is how often a direct read that began without known members
+	// checks whether there is a parent.
+	parentCheckInterval = 20 * time.Millisecond
 )
 
-// errLeaderFound means that a direct read was given up because another instance reads
+// errParentFound means that a direct read was given up because another instance reads
 // for the failure domain.
-var errLeaderFound = errors.New("another instance reads the store for the failure domain")
+var errParentFound = errors.New("another instance reads the store for the failure domain")
 
 // awaitMembers delays the first reads until this instance knows others.
 func (s *Source) awaitMembers(ctx context.Context) {
@@ -62,7 +62,7 @@
 	}
 }
 
-// firstReadMayCome reports whether a leader that has not read the store yet is still
+// firstReadMayCome reports whether a parent that has not read the store yet is still
 // given time.
 func (s *Source) firstReadMayCome() bool { return s.o.Clock()-s.startedAt < maxFirstReadWait }
 
@@ -79,30 +79,30 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go s.cancelOnceLed(ctx, cancel)
+	go s.cancelOnceParentKnown(ctx, cancel)
 	response, err := call(ctx, store)
-	if err != nil && errors.Is(context.Cause(ctx), errLeaderFound) {
+	if err != nil && errors.Is(context.Cause(ctx), errParentFound) {
 		s.o.Scope.Counter("direct_reads_given_up").Inc(1)
-		return response, errLeaderFound
+		return response, errParentFound
 	}
 	return response, err
 }
 
-// cancelOnceLed cancels the context once another instance reads for the failure domain.
-func (s *Source) cancelOnceLed(ctx context.Context, cancel context.CancelCauseFunc) {
+// cancelOnceParentKnown cancels the context once another instance reads for the failure domain.
+func (s *Source) cancelOnceParentKnown(ctx context.Context, cancel context.CancelCauseFunc) {
 	select {
 	case <-s.o.MembersKnown:
 	case <-ctx.Done():
 		return
 	}
-	ticker := time.NewTicker(leaderCheckInterval)
+	ticker := time.NewTicker(parentCheckInterval)
 	defer ticker.Stop()
-	for s.leader() == "" {
+	for s.parent() == "" {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
 	}
-	cancel(errLeaderFound)
+	cancel(errParentFound)
 }
