Make some callers of the soak slow, or close their sending side

A tenth of its requests pause in the middle of their body for up to 1.2 s, a twentieth close their sending side within 0.3 s; drawn from a source of their own, so that the faults of a seed stay the same.

--- a/standins/platform/soak/callers.go
+++ b/standins/platform/soak/callers.go
@@ -16,6 +16,13 @@
 	deskTimeout   = 1500 * time.Millisecond
 	// maxCallerPause is the longest pause between two requests of a caller.
 	maxCallerPause = 60 * time.Millisecond
+	// slowBodyShare and halfCloseShare are the shares of the requests whose body pauses,
+	// and whose caller closes its sending side early.
+	slowBodyShare  = 0.1
+	halfCloseShare = 0.05
+	// maxBodyPause and maxHalfCloseDelay are the longest times of both.
+	maxBodyPause      = 1200 * time.Millisecond
+	maxHalfCloseDelay = 300 * time.Millisecond
 )
 
 // runCaller sends one request after another until the context ends. The last one is
@@ -27,7 +34,7 @@
 			time.Sleep(maxCallerPause)
 			continue
 		}
-		s.addOutcome(world.Send(context.Background(), s.newRequest(random, instance)))
+		s.addOutcome(world.Send(context.Background(), s.slowDown(s.newRequest(random, instance))))
 		time.Sleep(time.Duration(random.Int64N(int64(maxCallerPause))))
 	}
 }
@@ -65,6 +72,19 @@
 	return r
 }
 
+// slowDown makes the caller of some requests slow, or close its sending side. It draws from
+// a source of its own, so that the faults of a seed stay the same.
+func (s *soak) slowDown(r world.Request) world.Request {
+	random := rand.New(rand.NewPCG(s.options.Seed, world.Hash([]byte(r.AttemptID))))
+	switch draw := random.Float64(); {
+	case draw < slowBodyShare:
+		r.BodyPause = time.Duration(random.Int64N(int64(maxBodyPause)))
+	case draw < slowBodyShare+halfCloseShare:
+		r.CloseWriteAfter = time.Duration(1 + random.Int64N(int64(maxHalfCloseDelay)))
+	}
+	return r
+}
+
 func (s *soak) addOutcome(o world.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standins/platform/world/caller.go
+++ b/standins/platform/world/caller.go
@@ -36,6 +36,11 @@
 	OutputTokens    int
 	Timeout         time.Duration
 	LastEvent       int // last event that the caller received; 0 is none
+	// BodyPause is a pause in the middle of the body; 0 is none.
+	BodyPause time.Duration
+	// CloseWriteAfter is the time after which the caller closes its sending side and reads
+	// on; 0 is never.
+	CloseWriteAfter time.Duration
 }
 
 // Outcome is the result of an attempt as the caller saw it.
@@ -67,10 +72,7 @@
 	o := Outcome{Request: r, SentAt: time.Now(), LastEvent: r.LastEvent}
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
-	transport := &http.Transport{
-		DisableKeepAlives: true, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: r.dial}
 	response, err := transport.RoundTrip(r.httpRequest(ctx))
 	if err != nil {
 		o.Err, o.EndedAt = err, time.Now()
@@ -90,15 +92,44 @@
 	return o
 }
 
+// dial connects to the instance.
+func (r Request) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, address)
+	if tcp, ok := conn.(*net.TCPConn); ok && r.CloseWriteAfter > 0 {
+		time.AfterFunc(r.CloseWriteAfter, func() { _ = tcp.CloseWrite() })
+	}
+	return conn, err
+}
+
+// pausingReader pauses before it returns data.
+type pausingReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (r *pausingReader) Read(p []byte) (int, error) {
+	time.Sleep(r.pause)
+	r.pause = 0
+	return r.Reader.Read(p)
+}
+
+// bodyReader returns the body as it is sent.
+func (r Request) bodyReader() io.Reader {
+	half := len(r.Body) / 2
+	return io.MultiReader(bytes.NewReader(r.Body[:half]), &pausingReader{bytes.NewReader(r.Body[half:]), r.BodyPause})
+}
+
 func (r Request) httpRequest(ctx context.Context) *http.Request {
 	method := http.MethodPost
 	if r.Kind == KindLookup {
 		method = http.MethodGet
 	}
-	out, err := http.NewRequestWithContext(ctx, method, "http://"+r.InstanceAddress+r.Target, bytes.NewReader(r.Body))
+	out, err := http.NewRequestWithContext(ctx, method, "http://"+r.InstanceAddress+r.Target, r.bodyReader())
 	if err != nil {
 		panic("world: build request: " + err.Error()) // targets are chosen by the callers of this package
 	}
+	out.ContentLength = int64(len(r.Body))
 	if r.Kind == KindLookup {
 		out.Body, out.ContentLength = http.NoBody, 0
 	}
