--- a/relay/read.go
+++ b/relay/read.go
@@ -159,8 +159,8 @@
 	return addresses[:min(maxHelpersAsked, len(addresses))]
 }
 
-// recordPeerFailure starts the backoff of an instance, so that there is at most
-// one line for each instance and peerBackoff.
+// recordPeerFailure starts the backoff of an instance, so that there is at most one line
+// for each instance and peerBackoff, or refusalBackoff if it has refused.
 func (s *Source) recordPeerFailure(address string, err error) {
 	s.o.Log.Info("store read through another instance failed", "address", address, "error", err)
 	backoff := peerBackoff
