--- a/relay/read.go
+++ b/relay/read.go
@@ -50,6 +50,7 @@
 		return response, errStoreBackoff
 	}
 	s.o.Scope.Counter("read_directly").Inc(1)
+	began := s.o.Clock()
 	response, err := readDirectly(ctx, s, path.current(), call)
 	if errors.Is(err, errParentFound) {
 		return readStore(ctx, s, path, call)
@@ -60,6 +61,7 @@
 		return response, err
 	}
 	s.direct.recordFailure(s.o.Clock())
+	s.o.Log.Info("store read failed", "reading", path.kind, "after_ms", (s.o.Clock() - began).Milliseconds(), "error", err)
 	if response, peerErr := readThroughHelpers(ctx, s, call); peerErr == nil {
 		path.record(s.o.Log, pathHelper, err)
 		return response, nil
@@ -78,6 +80,7 @@
 		if parent == "" {
 			return response, errNoPeer
 		}
+		began := s.o.Clock()
 		response, err = call(ctx, s.storeAt(parent))
 		if err == nil || isAnswer(err) {
 			s.o.Scope.Counter("read_through_parent").Inc(1)
@@ -87,7 +90,7 @@
 			s.o.Scope.Counter("waits_for_first_read").Inc(1)
 			continue
 		}
-		s.recordPeerFailure(parent, err)
+		s.recordPeerFailure(parent, began, err)
 		asked++
 	}
 	return response, err
@@ -101,12 +104,13 @@
 	for _, address := range s.selectHelpers() {
 		store := s.storeAt(address)
 		store.helper, store.acceptStale = true, s.o.AcceptStale()
+		began := s.o.Clock()
 		response, err = call(ctx, store)
 		if err == nil {
 			s.o.Scope.Counter("read_through_helper").Inc(1)
 			return response, nil
 		}
-		s.recordPeerFailure(address, err)
+		s.recordPeerFailure(address, began, err)
 	}
 	return response, err
 }
@@ -160,9 +164,11 @@
 }
 
 // recordPeerFailure starts the backoff of an instance, so that there is at most one line
-// for each instance and peerBackoff, or refusalBackoff if it has refused.
-func (s *Source) recordPeerFailure(address string, err error) {
-	s.o.Log.Info("store read through another instance failed", "address", address, "error", err)
+// for each instance and peerBackoff, or refusalBackoff if it has refused. began is the
+// boot clock time at which it was asked.
+func (s *Source) recordPeerFailure(address string, began time.Duration, err error) {
+	s.o.Log.Info("store read through another instance failed", "address", address,
+		"after_ms", (s.o.Clock() - began).Milliseconds(), "error", err)
 	backoff := peerBackoff
 	if isRefusal(err) {
 		backoff = refusalBackoff
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -355,10 +355,11 @@
 // recordSuccess records a response of the store, which another instance may
 // have relayed.
 func (f *Follower) recordSuccess(contact *StoreContact, age time.Duration, throughHelper bool) {
+	before := contact.Age()
 	contact.recordResponse(age)
 	contact.throughHelper.Store(throughHelper)
 	if !contact.Lost() && contact.lossLogged.CompareAndSwap(true, false) {
-		f.o.Log.Info("store contact restored", "reading", contact.kind)
+		f.o.Log.Info("store contact restored", "reading", contact.kind, "age_ms", age.Milliseconds(), "age_before_ms", before.Milliseconds())
 	}
 }
 
