--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -195,11 +195,11 @@
 		MembersKnown:  g.fleetJoined(),
 		SeedAddresses: g.seedAddresses,
 		FirstStart:    s.FirstStart,
-		RegionReaders: s.TableActivation >= minActivationForRegionReaders,
-		RelayClient:   g.peerClients.Relay,
-		DecodeTable:   g.o.DecodeTable,
-		AcceptStale:   func() bool { return g.table.Load() == nil || !g.follower.HasCurrentList() },
-		Clock:         bootclock.Now, Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("relay"),
+		RegionReaders: s.TableActivation >= minActivationForRegionReaders, TableActivation: s.TableActivation,
+		RelayClient: g.peerClients.Relay,
+		DecodeTable: g.o.DecodeTable,
+		AcceptStale: func() bool { return g.table.Load() == nil || !g.follower.HasCurrentList() },
+		Clock:       bootclock.Now, Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("relay"),
 	})
 }
 
--- a/relay/direct.go
+++ b/relay/direct.go
@@ -13,10 +13,10 @@
 	// readerRetryInterval is the time between two reads of a store that fails, at an
 	// instance that the others read through. They have it back when that one has.
 	readerRetryInterval = 300 * time.Millisecond
-	// minRetryInterval and maxRetryInterval bound it at the other instances, where it
-	// doubles with each failure: each call to the store has its price.
-	minRetryInterval = storeBackoff
-	maxRetryInterval = 4 * storeBackoff
+	// retryShare is the part of the time to activate a configuration that passes between
+	// two such reads at the other instances, at least storeBackoff. Each call to the store
+	// has its price, but nobody else may reach the store when it is back.
+	retryShare = 0.6
 )
 
 // errStoreBackoff means that neither another instance responds nor the store did at the
@@ -26,29 +26,35 @@
 // directBackoff decides when an instance reads the store itself after that has failed. It
 // is safe for concurrent use.
 type directBackoff struct {
-	mu       sync.Mutex
-	failedAt time.Duration // last failure; 0 is none since the last response
-	failures int           // since the last response
+	retryInterval time.Duration // at an instance that the others don't read through
+	mu            sync.Mutex
+	failed        bool          // the last read failed
+	failedAt      time.Duration // boot clock time of the last failure
+}
+
+// newDirectBackoff returns the backoff for a time within which a configuration has to
+// become active; 0 is unknown.
+func newDirectBackoff(activation time.Duration) *directBackoff {
+	return &directBackoff{retryInterval: max(storeBackoff, time.Duration(float64(activation)*retryShare))}
 }
 
 func (b *directBackoff) recordResponse() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.failedAt, b.failures = 0, 0
+	b.failed = false
 }
 
 func (b *directBackoff) recordFailure(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.failedAt = now
-	b.failures++
+	b.failed, b.failedAt = true, now
 }
 
 // preferHelpers reports whether other instances are asked before the store.
 func (b *directBackoff) preferHelpers(now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.failures > 0 && now-b.failedAt < storeBackoff
+	return b.failed && now-b.failedAt < storeBackoff
 }
 
 // allow reports whether the store may be read. reader says that other instances read
@@ -56,12 +62,12 @@
 func (b *directBackoff) allow(now time.Duration, reader bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.failures == 0 {
+	if !b.failed {
 		return true
 	}
-	interval := readerRetryInterval
-	if !reader {
-		interval = min(maxRetryInterval, minRetryInterval<<min(b.failures-1, 8))
+	interval := b.retryInterval
+	if reader {
+		interval = readerRetryInterval
 	}
 	return now-b.failedAt >= interval
 }
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -243,7 +243,7 @@
 	for _, n := range f.nodes {
 		source := relay.NewSource(relay.SourceOptions{
 			Self: n.member, DirectStore: cuttableStore{storeReader{store: f.store, own: n.link}, n.cut, &f.store.calls},
-			Members: func() []api.Member { return n.knownMembers(f.members) }, MembersKnown: n.joined, FirstStart: f.firstStart, RegionReaders: f.activation > 0,
+			Members: func() []api.Member { return n.knownMembers(f.members) }, MembersKnown: n.joined, FirstStart: f.firstStart, RegionReaders: f.activation > 0, TableActivation: f.activation,
 			RelayClient: f.client(n), DecodeTable: decode, AcceptStale: func() bool { return n.table.Load() == nil },
 			Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
--- a/relay/source.go
+++ b/relay/source.go
@@ -37,6 +37,9 @@
 	// RegionReaders lets one instance of a large region read for all its failure
 	// domains, if a configuration may take effect some seconds after it was written.
 	RegionReaders bool
+	// TableActivation is the time within which a new configuration has to become active;
+	// 0 is unknown.
+	TableActivation time.Duration
 	// FirstStart says that the whole fleet starts for the first time, so that no caller
 	// waits yet.
 	FirstStart bool
@@ -56,7 +59,7 @@
 	startedAt     time.Duration // first read
 	tablePath     pathRecord
 	endpointPath  pathRecord
-	direct        directBackoff
+	direct        *directBackoff
 	mu            sync.Mutex
 	parentAddress string
 }
@@ -67,6 +70,7 @@
 func NewSource(o SourceOptions) *Source {
 	return &Source{
 		o: o, tree: readerTree{regionReaders: o.RegionReaders}, backoff: backoff.NewSet(o.Clock),
+		direct:    newDirectBackoff(o.TableActivation),
 		tablePath: pathRecord{kind: "configuration"}, endpointPath: pathRecord{kind: "registrations"},
 	}
 }
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -168,7 +168,7 @@
 		Self: n.member, DirectStore: worldStore{n: n}, Members: func() []api.Member { return n.knownMembers(i) }, MembersKnown: i.members,
 		RelayClient: func(address string) peerpb.Relay { return worldRelay{from: n, to: w.nodeAt(address)} },
 		DecodeTable: decode, AcceptStale: func() bool { return i.table.Load() == nil },
-		RegionReaders: w.deployment.regionReaders, Clock: w.clock, Log: w.log.With("instance", n.member.ID), Scope: tally.NoopScope,
+		RegionReaders: w.deployment.regionReaders, TableActivation: w.deployment.activation, Clock: w.clock, Log: w.log.With("instance", n.member.ID), Scope: tally.NoopScope,
 	})
 	follower := storesync.New(storesync.Options{
 		Store: source, Table: i.table, Recorder: i.cache, TableActivation: w.deployment.activation, Clock: w.clock,
