--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -91,7 +91,7 @@
 				return []api.Member{{ID: "other", Address: "other", State: api.MemberAlive, LinkMbps: 1}}
 			},
 			RelayClient: func(string) peerpb.Relay { return delayedRelay{cache, 250 * time.Millisecond} },
-			DecodeTable: decode, AcceptStale: func() bool { return false },
+			DecodeTable: decode, UntilTableRead: inContact, UntilEndpointsRead: inContact, AcceptStale: func() bool { return false },
 			Clock: func() time.Duration { return time.Hour + time.Since(began) },
 			Log:   slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
--- a/relay/direct.go
+++ b/relay/direct.go
@@ -57,17 +57,18 @@
 	return b.failed && now-b.failedAt < storeBackoff
 }
 
-// allow reports whether the store may be read. reader says that other instances read
-// through this one, or that it has nothing to serve requests with.
-func (b *directBackoff) allow(now time.Duration, reader bool) bool {
+// delay returns the time until the store may be read, 0 if it may be now. reader says
+// that other instances read through this one, or that it has nothing to serve requests
+// with.
+func (b *directBackoff) delay(now time.Duration, reader bool) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.failed {
-		return true
+		return 0
 	}
 	interval := b.retryInterval
 	if reader {
 		interval = readerRetryInterval
 	}
-	return now-b.failedAt >= interval
+	return max(0, interval-(now-b.failedAt))
 }
--- a/relay/growth_test.go
+++ b/relay/growth_test.go
@@ -241,13 +241,14 @@
 	clock := func() time.Duration { return time.Hour + time.Since(began) }
 	var followers []*storesync.Follower
 	for _, n := range f.nodes {
+		var follower *storesync.Follower
 		source := relay.NewSource(relay.SourceOptions{
 			Self: n.member, DirectStore: cuttableStore{storeReader{store: f.store, own: n.link}, n.cut, &f.store.calls},
 			Members: func() []api.Member { return n.knownMembers(f.members) }, MembersKnown: n.joined, FirstStart: f.firstStart, RegionReaders: f.activation > 0, TableActivation: f.activation,
-			RelayClient: f.client(n), DecodeTable: decode, AcceptStale: func() bool { return n.table.Load() == nil },
+			RelayClient: f.client(n), DecodeTable: decode, UntilTableRead: func() time.Duration { return follower.TableContact().UntilOwnRead() }, AcceptStale: func() bool { return n.table.Load() == nil },
 			Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
-		follower := storesync.New(storesync.Options{
+		follower = storesync.New(storesync.Options{
 			Store: source, Table: n.table, Recorder: n.cache, TableActivation: f.activation, Clock: clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		n.cache.SetContacts(follower.TableContact(), follower.EndpointContact())
--- a/relay/path.go
+++ b/relay/path.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"time"
 )
 
 // path is the way on which a read reaches the store.
@@ -19,8 +20,10 @@
 // concurrent use.
 type pathRecord struct {
 	kind string
-	mu   sync.Mutex
-	path path
+	// untilOwnRead returns the time after which the store is read without other instances.
+	untilOwnRead func() time.Duration
+	mu           sync.Mutex
+	path         path
 }
 
 // current returns the path of the last read.
--- a/relay/reached_test.go
+++ b/relay/reached_test.go
@@ -75,3 +75,40 @@
 		}
 	}
 }
+
+// Guards against an instance that reaches the store, but asks several others before, each
+// of which has lost it or takes its time to fail.
+func TestInstanceReadsTheStoreInTimeWhenOthersFailOneAfterTheOther(t *testing.T) {
+	for _, on := range []deployment{smallDeployment, grownDeployment} {
+		for _, lost := range []pathState{pathRefuses, pathResets, pathSilent} {
+			for delay := time.Duration(0); delay < on.activation; delay += on.activation / 4 {
+				t.Run(fmt.Sprintf("%s, store lost (%d), cut off after %v", on.name, lost, delay), func(t *testing.T) {
+					inWorld(t, on, func(w *world) {
+						order := w.readOrder()
+						last := order[len(order)-1]
+						// All have contact with the store just before they lose it.
+						w.put()
+						w.firstLate(50 * time.Millisecond)
+						w.change(func() {
+							for _, n := range w.nodes {
+								if n != last {
+									n.storePath.begin(lost)
+								}
+							}
+						})
+						w.put()
+						w.firstLate(delay)
+						w.change(func() {
+							for _, n := range order[1 : len(order)-1] {
+								n.peerPath.begin(pathSilent)
+							}
+						})
+						for _, l := range w.firstLate(on.activation + on.contactTime - delay) {
+							t.Error(l)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/relay/read.go
+++ b/relay/read.go
@@ -21,6 +21,8 @@
 	// maxParentsAsked is the number of instances that one read tries as its parent in
 	// the tree of readers. A silent one takes up to 0.8 s.
 	maxParentsAsked = 3
+	// minOthersWait is how long other instances are given although contact is lost.
+	minOthersWait = 100 * time.Millisecond
 	// maxHelpersAsked is the number of other instances that one read tries while
 	// the store is unreachable.
 	maxHelpersAsked = 2
@@ -29,90 +31,150 @@
 // readFunc reads a store.
 type readFunc[T any] func(ctx context.Context, store storesync.Store) (T, error)
 
-// readStore tries the parent, the store and other instances in this order until
-// one responds. While the store is in backoff, other instances are tried before
-// it, and the store only if directBackoff allows it.
+// response is the result of a read.
+type response[T any] struct {
+	data T
+	path path
+	err  error
+}
+
+// usable reports whether the store has responded.
+func (r response[T]) usable() bool { return r.err == nil || isAnswer(r.err) }
+
+// readStore reads the store through other instances, and itself when these have failed or
+// when its last response is too old, however many of them are still to be asked. So the
+// age of what an instance acts by does not depend on how the others fail. A store that has
+// failed is not asked again before directBackoff allows it.
 func readStore[T any](ctx context.Context, s *Source, path *pathRecord, call readFunc[T]) (T, error) {
 	s.awaitMembers(ctx)
-	if response, err := readThroughParents(ctx, s, call); err == nil || isAnswer(err) {
-		path.record(s.o.Log, pathParent, nil)
-		return response, err
+	reading, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := make(chan response[T], 1)
+	go func() { others <- readThroughOthers(reading, s, call) }()
+	r, pending := awaitOthers(s, path, others)
+	if !pending && r.usable() {
+		return finish(s, path, r, nil)
 	}
-	if s.direct.preferHelpers(s.o.Clock()) {
-		if response, err := readThroughHelpers(ctx, s, call); err == nil {
-			path.record(s.o.Log, pathHelper, nil)
-			return response, nil
-		}
+	if s.directDelay() > 0 {
+		r.path, r.err = pathNone, errStoreBackoff
+		return finish(s, path, r, r.err)
+	}
+	direct := readStoreItself(reading, s, path, call)
+	switch {
+	case errors.Is(direct.err, errParentFound):
+		cancel()
+		return readStore(ctx, s, path, call)
+	case direct.usable():
+		return finish(s, path, direct, nil)
+	case pending:
+		r = <-others
+	}
+	if !r.usable() {
+		r = readThroughHelpers(reading, s, call)
+	}
+	if r.usable() {
+		return finish(s, path, r, direct.err)
+	}
+	return finish(s, path, direct, direct.err)
+}
+
+// finish records the path of a response and returns it.
+func finish[T any](s *Source, path *pathRecord, r response[T], storeErr error) (T, error) {
+	path.record(s.o.Log, r.path, storeErr)
+	return r.data, r.err
+}
+
+// awaitOthers returns the response of other instances, or true if none has come when this
+// instance has to read the store itself.
+func awaitOthers[T any](s *Source, path *pathRecord, others <-chan response[T]) (r response[T], pending bool) {
+	due := time.NewTimer(max(minOthersWait, path.untilOwnRead(), s.directDelay(), s.firstReadWait()))
+	defer due.Stop()
+	select {
+	case r = <-others:
+		return r, false
+	case <-due.C:
+		s.o.Scope.Counter("read_while_others_are_asked").Inc(1)
+		return r, true
 	}
-	if !s.direct.allow(s.o.Clock(), s.readsForOthers() || s.o.AcceptStale()) {
-		var response T
-		path.record(s.o.Log, pathNone, errStoreBackoff)
-		return response, errStoreBackoff
+}
+
+// directDelay returns the time until this instance may read the store itself.
+func (s *Source) directDelay() time.Duration {
+	return s.direct.delay(s.o.Clock(), s.readsForOthers() || s.o.AcceptStale())
+}
+
+// readThroughOthers reads the store through the parent, or through other instances while
+// the store is in backoff.
+func readThroughOthers[T any](ctx context.Context, s *Source, call readFunc[T]) response[T] {
+	r := readThroughParents(ctx, s, call)
+	if r.usable() || !s.direct.preferHelpers(s.o.Clock()) {
+		return r
 	}
+	return readThroughHelpers(ctx, s, call)
+}
+
+// readStoreItself reads the store without other instances.
+func readStoreItself[T any](ctx context.Context, s *Source, path *pathRecord, call readFunc[T]) response[T] {
 	s.o.Scope.Counter("read_directly").Inc(1)
 	began := s.o.Clock()
-	response, err := readDirectly(ctx, s, path.current(), call)
-	if errors.Is(err, errParentFound) {
-		return readStore(ctx, s, path, call)
-	}
-	if err == nil || isAnswer(err) {
-		path.record(s.o.Log, pathStore, nil)
+	data, err := readDirectly(ctx, s, path.current(), call)
+	r := response[T]{data: data, path: pathStore, err: err}
+	switch {
+	case errors.Is(err, errParentFound):
+	case r.usable():
 		s.direct.recordResponse()
-		return response, err
+	default:
+		r.path = pathNone
+		s.direct.recordFailure(s.o.Clock())
+		s.o.Log.Info("store read failed", "reading", path.kind, "after_ms", (s.o.Clock() - began).Milliseconds(), "error", err)
 	}
-	s.direct.recordFailure(s.o.Clock())
-	s.o.Log.Info("store read failed", "reading", path.kind, "after_ms", (s.o.Clock() - began).Milliseconds(), "error", err)
-	if response, peerErr := readThroughHelpers(ctx, s, call); peerErr == nil {
-		path.record(s.o.Log, pathHelper, err)
-		return response, nil
-	}
-	path.record(s.o.Log, pathNone, err)
-	return response, err
+	return r
 }
 
 // readThroughParents reads the store through the parent in the tree of readers. An
 // instance that does not respond loses its place to the next one.
-func readThroughParents[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
-	var response T
-	err := errNoPeer
-	for asked := 0; asked < maxParentsAsked; {
+func readThroughParents[T any](ctx context.Context, s *Source, call readFunc[T]) response[T] {
+	r := response[T]{path: pathParent, err: errNoPeer}
+	for asked := 0; asked < maxParentsAsked && ctx.Err() == nil; {
 		parent := s.parent()
 		if parent == "" {
-			return response, errNoPeer
+			return response[T]{err: errNoPeer}
 		}
 		began := s.o.Clock()
-		response, err = call(ctx, s.storeAt(parent))
-		if err == nil || isAnswer(err) {
+		r.data, r.err = call(ctx, s.storeAt(parent))
+		if r.usable() {
 			s.o.Scope.Counter("read_through_parent").Inc(1)
-			return response, err
+			return r
 		}
-		if isNotRead(err) && s.firstReadMayCome() {
+		if isNotRead(r.err) && s.firstReadWait() > 0 {
 			s.o.Scope.Counter("waits_for_first_read").Inc(1)
 			continue
 		}
-		s.recordPeerFailure(parent, began, err)
+		s.recordPeerFailure(ctx, parent, began, r.err)
 		asked++
 	}
-	return response, err
+	return r
 }
 
 // readThroughHelpers reads the store through other instances, up to
 // maxHelpersAsked.
-func readThroughHelpers[T any](ctx context.Context, s *Source, call readFunc[T]) (T, error) {
-	var response T
-	err := errNoPeer
+func readThroughHelpers[T any](ctx context.Context, s *Source, call readFunc[T]) response[T] {
+	r := response[T]{path: pathHelper, err: errNoPeer}
 	for _, address := range s.selectHelpers() {
 		store := s.storeAt(address)
 		store.helper, store.acceptStale = true, s.o.AcceptStale()
 		began := s.o.Clock()
-		response, err = call(ctx, store)
-		if err == nil {
+		r.data, r.err = call(ctx, store)
+		if r.err == nil {
 			s.o.Scope.Counter("read_through_helper").Inc(1)
-			return response, nil
+			return r
+		}
+		s.recordPeerFailure(ctx, address, began, r.err)
+		if ctx.Err() != nil {
+			break
 		}
-		s.recordPeerFailure(address, began, err)
 	}
-	return response, err
+	return r
 }
 
 // isRefusal reports whether an instance has responded that it does not reach the store.
@@ -165,8 +227,12 @@
 
 // recordPeerFailure starts the backoff of an instance, so that there is at most one line
 // for each instance and peerBackoff, or refusalBackoff if it has refused. began is the
-// boot clock time at which it was asked.
-func (s *Source) recordPeerFailure(address string, began time.Duration, err error) {
+// boot clock time at which it was asked. A call that was given up says nothing of the
+// instance.
+func (s *Source) recordPeerFailure(ctx context.Context, address string, began time.Duration, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	s.o.Log.Info("store read through another instance failed", "address", address,
 		"after_ms", (s.o.Clock() - began).Milliseconds(), "error", err)
 	backoff := peerBackoff
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -150,3 +150,6 @@
 func client(address string) peerpb.Relay {
 	return peerpb.NewRelayProtobufClient("http://"+address, &http.Client{})
 }
+
+// inContact is the time until an instance has to read the store itself.
+func inContact() time.Duration { return time.Hour }
--- a/relay/source.go
+++ b/relay/source.go
@@ -30,6 +30,9 @@
 	SeedAddresses func() []string
 	RelayClient   func(address string) peerpb.Relay
 	DecodeTable   func(document []byte) (*routing.Table, error)
+	// UntilTableRead and UntilEndpointsRead return the time after which this instance reads
+	// the configuration and registrations itself if no other one has responded.
+	UntilTableRead, UntilEndpointsRead func() time.Duration
 	// AcceptStale reports whether data of any age is accepted from other
 	// instances, which is the case until this instance has a configuration and
 	// a list of registrations.
@@ -70,8 +73,9 @@
 func NewSource(o SourceOptions) *Source {
 	return &Source{
 		o: o, tree: readerTree{regionReaders: o.RegionReaders}, backoff: backoff.NewSet(o.Clock),
-		direct:    newDirectBackoff(o.TableActivation),
-		tablePath: pathRecord{kind: "configuration"}, endpointPath: pathRecord{kind: "registrations"},
+		direct:       newDirectBackoff(o.TableActivation),
+		tablePath:    pathRecord{kind: "configuration", untilOwnRead: o.UntilTableRead},
+		endpointPath: pathRecord{kind: "registrations", untilOwnRead: o.UntilEndpointsRead},
 	}
 }
 
--- a/relay/source_test.go
+++ b/relay/source_test.go
@@ -34,9 +34,10 @@
 			Self:        api.Member{ID: "self", Address: "127.0.0.1:1", Place: api.Place{FailureDomain: "d"}},
 			DirectStore: direct,
 			Members:     func() []api.Member { return members },
-			RelayClient: client, DecodeTable: decode, AcceptStale: func() bool { return acceptStale },
-			Clock: func() time.Duration { return bootclock.Now() + time.Duration(clockOffset.Load()) },
-			Log:   slog.New(slog.DiscardHandler), Scope: scope,
+			RelayClient: client, DecodeTable: decode, UntilTableRead: inContact, UntilEndpointsRead: inContact,
+			AcceptStale: func() bool { return acceptStale },
+			Clock:       func() time.Duration { return bootclock.Now() + time.Duration(clockOffset.Load()) },
+			Log:         slog.New(slog.DiscardHandler), Scope: scope,
 		})
 	}
 
--- a/relay/start.go
+++ b/relay/start.go
@@ -62,9 +62,10 @@
 	}
 }
 
-// firstReadMayCome reports whether a parent that has not read the store yet is still
-// given time.
-func (s *Source) firstReadMayCome() bool { return s.o.Clock()-s.startedAt < maxFirstReadWait }
+// firstReadWait returns how long a parent that has not read the store yet is still given.
+func (s *Source) firstReadWait() time.Duration {
+	return max(0, maxFirstReadWait-(s.o.Clock()-s.startedAt))
+}
 
 // readDirectly reads from the store. A read that begins before this instance knows
 // others is given up once another instance reads for the failure domain. A small
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -164,13 +164,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	i := &worldInstance{cancel: cancel, cache: relay.NewCache(tally.NoopScope), table: &routing.CurrentTable{}, members: make(chan struct{})}
 	w := n.world
+	var follower *storesync.Follower
 	source := relay.NewSource(relay.SourceOptions{
 		Self: n.member, DirectStore: worldStore{n: n}, Members: func() []api.Member { return n.knownMembers(i) }, MembersKnown: i.members,
 		RelayClient: func(address string) peerpb.Relay { return worldRelay{from: n, to: w.nodeAt(address)} },
 		DecodeTable: decode, AcceptStale: func() bool { return i.table.Load() == nil },
-		RegionReaders: w.deployment.regionReaders, TableActivation: w.deployment.activation, Clock: w.clock, Log: w.log.With("instance", n.member.ID), Scope: tally.NoopScope,
+		UntilTableRead: func() time.Duration { return follower.TableContact().UntilOwnRead() },
+		RegionReaders:  w.deployment.regionReaders, TableActivation: w.deployment.activation,
+		Clock: w.clock, Log: w.log.With("instance", n.member.ID), Scope: tally.NoopScope,
 	})
-	follower := storesync.New(storesync.Options{
+	follower = storesync.New(storesync.Options{
 		Store: source, Table: i.table, Recorder: i.cache, TableActivation: w.deployment.activation, Clock: w.clock,
 		Log: w.log.With("instance", n.member.ID), Scope: tally.NoopScope,
 	})
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -48,6 +48,12 @@
 	// tableContactShare is the share of a longer time to activate a version that
 	// becomes the timeout.
 	tableContactShare = 0.72
+	// ownReadShare is the part of the time to activate a version after which an instance
+	// without a response reads the store itself, however many others it has yet to ask. The
+	// rest is for that read.
+	ownReadShare = 0.82
+	// defaultActivation replaces a time to activate a version that is unknown.
+	defaultActivation = 4 * time.Second
 	// minWatchWait replaces the waits while contact is lost, so that the next response
 	// shows contact at once. An instance that takes over from another one may have lost
 	// it.
@@ -135,6 +141,16 @@
 	return max(defaultTableContactTimeout, time.Duration(float64(o.TableActivation)*tableContactShare))
 }
 
+// ownReadAge returns the age of the last response about the configuration from which on an
+// instance reads the store itself.
+func (o Options) ownReadAge() time.Duration {
+	activation := o.TableActivation
+	if activation == 0 {
+		activation = defaultActivation
+	}
+	return time.Duration(float64(activation) * ownReadShare)
+}
+
 // Follower applies the store's changes to the configuration and the registry.
 type Follower struct {
 	o               Options
@@ -152,8 +168,8 @@
 func New(o Options) *Follower {
 	return &Follower{
 		o:               o,
-		tableContact:    newContact("configuration", o.Clock, o.tableContactTimeout()),
-		endpointContact: newContact("registrations", o.Clock, endpointContactTimeout),
+		tableContact:    newContact("configuration", o.Clock, o.tableContactTimeout(), o.ownReadAge()),
+		endpointContact: newContact("registrations", o.Clock, endpointContactTimeout, max(endpointContactTimeout, o.ownReadAge())),
 		synced:          make(chan struct{}),
 	}
 }
