--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,10 +196,12 @@
 		SeedAddresses: g.seedAddresses,
 		FirstStart:    s.FirstStart,
 		RegionReaders: s.TableActivation >= minActivationForRegionReaders, TableActivation: s.TableActivation,
-		RelayClient: g.peerClients.Relay,
-		DecodeTable: g.o.DecodeTable,
-		AcceptStale: func() bool { return g.table.Load() == nil || !g.follower.HasCurrentList() },
-		Clock:       bootclock.Now, Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("relay"),
+		RelayClient:        g.peerClients.Relay,
+		DecodeTable:        g.o.DecodeTable,
+		UntilTableRead:     func() time.Duration { return g.follower.TableContact().UntilOwnRead() },
+		UntilEndpointsRead: func() time.Duration { return g.follower.EndpointContact().UntilOwnRead() },
+		AcceptStale:        func() bool { return g.table.Load() == nil || !g.follower.HasCurrentList() },
+		Clock:              bootclock.Now, Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("relay"),
 	})
 }
 
