--- a/relay/read.go
+++ b/relay/read.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -49,33 +50,43 @@
 	s.awaitMembers(ctx)
 	reading, cancel := context.WithCancel(ctx)
 	defer cancel()
-	others := make(chan response[T], 1)
-	go func() { others <- readThroughOthers(reading, s, call) }()
-	r, pending := awaitOthers(s, path, others)
-	if !pending && r.usable() {
-		return finish(s, path, r, nil)
-	}
-	if s.directDelay() > 0 {
-		r.path, r.err = pathNone, errStoreBackoff
-		return finish(s, path, r, r.err)
-	}
-	direct := readStoreItself(reading, s, path, call)
-	switch {
-	case errors.Is(direct.err, errParentFound):
-		cancel()
-		return readStore(ctx, s, path, call)
-	case direct.usable():
-		return finish(s, path, direct, nil)
-	case pending:
-		r = <-others
-	}
-	if !r.usable() {
-		r = readThroughHelpers(reading, s, call)
-	}
-	if r.usable() {
-		return finish(s, path, r, direct.err)
+	others := inBackground(func() response[T] { return readThroughOthers(reading, s, call) })
+	helpersLeft := true
+	var storeErr error
+	for {
+		r, pending := awaitOthers(s, path, others)
+		if !pending && r.usable() {
+			return finish(s, path, r, storeErr)
+		}
+		if s.directDelay() > 0 {
+			storeErr = cmp.Or(storeErr, errStoreBackoff)
+			return finish(s, path, response[T]{path: pathNone, err: storeErr}, storeErr)
+		}
+		direct := readStoreItself(reading, s, path, call)
+		if errors.Is(direct.err, errParentFound) {
+			cancel()
+			return readStore(ctx, s, path, call)
+		}
+		if direct.usable() {
+			return finish(s, path, direct, nil)
+		}
+		storeErr = direct.err
+		if pending {
+			continue
+		}
+		if !helpersLeft {
+			return finish(s, path, direct, storeErr)
+		}
+		helpersLeft = false
+		others = inBackground(func() response[T] { return readThroughHelpers(reading, s, call) })
 	}
-	return finish(s, path, direct, direct.err)
+}
+
+// inBackground returns the response of a read that goes on meanwhile.
+func inBackground[T any](read func() response[T]) <-chan response[T] {
+	responses := make(chan response[T], 1)
+	go func() { responses <- read() }()
+	return responses
 }
 
 // finish records the path of a response and returns it.
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -62,6 +62,7 @@
 	// held to that.
 	contactTime   time.Duration
 	regionReaders bool
+	brokenSeeds   []uint64 // of days that have broken the rule
 }
 
 func (d deployment) instances() int {
