--- a/forward/forward.go
+++ b/forward/forward.go
@@ -54,6 +54,9 @@
 	// Synced is closed once the instance has a configuration and endpoints.
 	// Earlier requests wait for it, up to maxSyncWait; nil disables the wait.
 	Synced <-chan struct{}
+	// TableStale reports whether a newer configuration than the active one may be in force;
+	// nil is never.
+	TableStale func() bool
 	// Stopping reports whether the instance is shutting down and the time left
 	// until it exits.
 	Stopping func() (bool, time.Duration)
@@ -184,7 +187,7 @@
 	}
 	route, ok := table.Match(r.Host, path)
 	if !ok {
-		return nil, reason.New(reason.NotFound, "no route for the host and path")
+		return nil, h.unknownRefusal(info, reason.New(reason.NotFound, "no route for the host and path"))
 	}
 	req := &request{
 		info: info, route: route, received: received, tableVersion: table.Version,
@@ -193,7 +196,7 @@
 	if table.RequiresKey() {
 		account, ok := table.Account(info.APIKey)
 		if !ok && !route.AllowAnonymous {
-			return nil, reason.New(reason.Unauthenticated, "the key belongs to no account")
+			return nil, h.unknownRefusal(info, reason.New(reason.Unauthenticated, "the key belongs to no account"))
 		}
 		req.account = account.ID
 		req.priority = account.PriorityOn(route)
@@ -238,6 +241,15 @@
 	return min(maxRetryAfter, max(minRetryAfter, time.Duration(float64(callerTimeout)*retryAfterShare)))
 }
 
+// unknownRefusal returns the refusal of a request that the active configuration does not
+// allow. If a newer one may be in force, the caller is told to come back.
+func (h *Handler) unknownRefusal(info RequestInfo, refusal *reason.Error) *reason.Error {
+	if h.o.TableStale == nil || !h.o.TableStale() {
+		return refusal
+	}
+	return reason.New(reason.StaleTable, "%s by a configuration that may be out of date", refusal.Message).WithRetryAfter(retryAfter(info.Timeout))
+}
+
 // earliestDeadline returns the earlier of the caller's and the route's
 // deadline; 0 is none.
 func earliestDeadline(received, callerTimeout, routeTimeout time.Duration) time.Duration {
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 )
 
@@ -53,6 +55,29 @@
 		Entry("with an unknown key", "/order/x", "other", http.StatusUnauthorized),
 	)
 
+	// Guards against a caller that takes a route or key that was added for one that does not
+	// exist, because the instance has lost the store.
+	DescribeTable("tells callers to come back if a newer configuration may allow their request",
+		func(path, key string) {
+			stale := newFixtureWithOptions(f.synced, func(_ *fixture, o *forward.Options) {
+				o.TableStale = func() bool { return true }
+				o.RetryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{Ratio: 1, Baseline: 100, Window: 10 * time.Second})
+			})
+			stale.applyTable(nil)
+			stale.startEndpoint("a", respond("done"))
+			response, err := stale.call(context.Background(), http.MethodGet, path, nil, http.Header{headerKey: {key}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(response.Header.Get("Test-Reason")).To(Equal(string(reason.StaleTable)))
+			Expect(response.Header.Get("Test-Retry-After")).NotTo(Equal("0s"))
+			Expect(stale.received()).To(BeEmpty())
+			code, _, _ := stale.get("/order/x")
+			Expect(code).To(Equal(http.StatusOK))
+		},
+		Entry("on another route", "/none/x", "key"),
+		Entry("with another key", "/order/x", "other"),
+	)
+
 	It("responds 503 without a configuration, not 401 or 404", func() {
 		empty := newFixture()
 		code, _, _ := empty.get("/order/x")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,6 +167,7 @@
 		Permits:     g.limiter, OnLeaving: g.recordLeaving,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced:      g.follower.Synced(),
+		TableStale:  g.tableStale,
 		MemoryBytes: func() int64 { return g.settings.Load().MemoryBytes },
 	})
 	return g, nil
@@ -253,6 +254,13 @@
 	return g.fleet.LiveCount("")
 }
 
+// tableStale reports whether a configuration that this instance does not have may be in
+// force.
+func (g *Gateway) tableStale() bool {
+	activation := g.settings.Load().TableActivation
+	return activation > 0 && g.follower.TableContact().Age() > activation
+}
+
 // seedAddresses returns the configured peer addresses except this instance's own.
 func (g *Gateway) seedAddresses() []string {
 	s := g.settings.Load()
--- a/reason/list.go
+++ b/reason/list.go
@@ -14,6 +14,7 @@
 	NotFound        Reason = "not_found"
 	Overloaded      Reason = "overloaded"
 	NotReady        Reason = "not_ready"
+	StaleTable      Reason = "stale_configuration"
 	ShuttingDown    Reason = "shutting_down"
 	Internal        Reason = "internal"
 	Fenced          Reason = "fenced"
@@ -94,6 +95,7 @@
 	NotFound:        {http.StatusNotFound, "the requested object does not exist"},
 	Overloaded:      {http.StatusServiceUnavailable, "a bounded queue is full or load is shed"},
 	NotReady:        {http.StatusServiceUnavailable, "the instance has no configuration yet"},
+	StaleTable:      {http.StatusServiceUnavailable, "the configuration does not allow the request, but a newer one may be in force"},
 	ShuttingDown:    {http.StatusServiceUnavailable, "the instance is draining"},
 	Internal:        {http.StatusInternalServerError, "an error without a more precise reason"},
 	Fenced:          {http.StatusServiceUnavailable, "the instance reaches neither the store nor a peer and starts no new requests"},
