--- a/storesync/contact.go
+++ b/storesync/contact.go
@@ -1,6 +1,7 @@
 package storesync
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,31 +10,42 @@
 
 // StoreContact records when the store last responded about one kind of object,
 // directly or through other instances. Each kind has its own contact: recent
-// registrations say nothing about the age of the configuration.
+// registrations say nothing about the age of the configuration. It is safe for concurrent
+// use.
 type StoreContact struct {
-	kind         string
-	clock        bootclock.Func
-	timeout      time.Duration
-	ownReadAge   time.Duration // age from which on this instance reads the store itself
-	lastResponse atomic.Int64  // boot clock time of the last response, in nanoseconds
-	lossLogged   atomic.Bool   // the loss of contact was logged
+	kind       string
+	clock      bootclock.Func
+	timeout    time.Duration
+	ownReadAge time.Duration // age from which on this instance reads the store itself
+	lossLogged atomic.Bool   // the loss of contact was logged
 	// throughHelper says that the last response came through an instance that may
 	// itself read through this one.
 	throughHelper atomic.Bool
+
+	mu           sync.Mutex
+	lastResponse time.Duration // boot clock time of the last whole response
+	lastPart     time.Duration // boot clock time of the last part of a response that arrives; 0 is none
+	brokeOff     bool          // the last response that began broke off
 }
 
 // newContact returns a contact that counts as lost until the first response.
 func newContact(kind string, clock bootclock.Func, timeout, ownReadAge time.Duration) *StoreContact {
-	c := &StoreContact{kind: kind, clock: clock, timeout: timeout, ownReadAge: ownReadAge}
-	c.lastResponse.Store(int64(clock() - timeout - time.Nanosecond))
-	return c
+	return &StoreContact{
+		kind: kind, clock: clock, timeout: timeout, ownReadAge: ownReadAge,
+		lastResponse: clock() - timeout - time.Nanosecond,
+	}
 }
 
 // Age returns the time since the store's last response.
 func (c *StoreContact) Age() time.Duration { return c.clock() - c.LastResponse() }
 
-// LastResponse returns the boot clock time of the last response.
-func (c *StoreContact) LastResponse() time.Duration { return time.Duration(c.lastResponse.Load()) }
+// LastResponse returns the boot clock time of the last response, or of the last part of
+// one that arrives.
+func (c *StoreContact) LastResponse() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.lastResponse, c.lastPart)
+}
 
 // Lost reports whether the last response is older than the timeout.
 func (c *StoreContact) Lost() bool { return c.Age() > c.timeout }
@@ -48,11 +60,31 @@
 
 // recordResponse records a response that the store sent age ago.
 func (c *StoreContact) recordResponse(age time.Duration) {
-	at := int64(c.clock() - age)
-	for {
-		before := c.lastResponse.Load()
-		if at <= before || c.lastResponse.CompareAndSwap(before, at) {
-			return
-		}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastResponse = max(c.lastResponse, c.clock()-age)
+}
+
+// recordPart records that a part of a response has arrived. It shows contact if the rest
+// arrives too, so it does not count after a response that broke off.
+func (c *StoreContact) recordPart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.brokeOff {
+		c.lastPart = c.clock()
+	}
+}
+
+// endCall records that a call to the store has ended. whole says that its response has
+// arrived to its end.
+func (c *StoreContact) endCall(whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case whole:
+		c.brokeOff = false
+	case c.lastPart != 0:
+		c.brokeOff = true
 	}
+	c.lastPart = 0
 }
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -249,7 +249,14 @@
 	f.count("store_calls")
 	// Contact is not lost while a document arrives from the store: other
 	// instances wait for it and do not read it themselves.
-	ctx = transfer.Observe(ctx, func() { f.tableContact.recordResponse(0) })
+	ctx = transfer.Observe(ctx, f.tableContact.recordPart)
+	read, err := f.callStore(ctx, revision)
+	whole := err == nil && !read.ThroughHelper || historyLost(err)
+	f.tableContact.endCall(whole)
+	return read, err
+}
+
+func (f *Follower) callStore(ctx context.Context, revision Revision) (TableRead, error) {
 	if revision.Number == 0 {
 		return f.o.Store.ReadTable(ctx)
 	}
