--- a/relay/random_test.go
+++ b/relay/random_test.go
@@ -79,7 +79,7 @@
 	if d.random.IntN(2) == 0 {
 		f.at += d.between(0, 1500*time.Millisecond)
 	}
-	state := []pathState{pathRefuses, pathResets, pathSilent}[d.random.IntN(3)]
+	state := d.lossState()
 	w := d.world
 	switch kind := d.random.IntN(10); {
 	case kind < 2:
@@ -96,7 +96,7 @@
 		f.begin = func(_ context.Context, n *worldNode) { w.change(func() { n.storePath.begin(state) }) }
 		f.end = func(_ context.Context, n *worldNode) { w.change(func() { n.storePath.end(state) }) }
 	case kind < 8:
-		state = max(state, pathResets)
+		state = max(state, pathResets) // nothing between instances refuses or breaks off
 		f.name = fmt.Sprintf("cut off (%d)", state)
 		f.nodes = d.someNodes()
 		f.begin = func(_ context.Context, n *worldNode) { w.change(func() { n.peerPath.begin(state) }) }
@@ -111,6 +111,15 @@
 	d.faults = append(d.faults, f)
 }
 
+// lossState draws what calls to a store that is lost get.
+func (d *day) lossState() pathState {
+	states := []pathState{pathRefuses, pathResets, pathSilent}
+	if d.world.deployment.breaksOff {
+		states = append(states, pathBreaks, pathBreaks, pathBreaks)
+	}
+	return states[d.random.IntN(len(states))]
+}
+
 // someNodes returns a random part of the instances, at least one.
 func (d *day) someNodes() []*worldNode {
 	nodes := d.world.nodes
@@ -229,6 +238,10 @@
 		// before the store; it goes on asking them after its own read has failed.
 		brokenSeeds: []uint64{97, 445, 1828, 18060},
 	}
+	// breakingDeployment is a small one whose store may break responses off.
+	breakingDeployment = deployment{
+		name: "breaking", domains: []int{3, 3, 2}, activation: 2500 * time.Millisecond, contactTime: 3 * time.Second, breaksOff: true,
+	}
 	// grownDeployment has a reader for each of its regions.
 	grownDeployment = deployment{
 		name: "grown", domains: []int{12, 12, 12, 12, 12, 12}, activation: 4 * time.Second, contactTime: 4 * time.Second, regionReaders: true,
@@ -238,7 +251,7 @@
 // Guards against an instance in touch with the store that acts by an old configuration
 // while paths, instances and the store fail in any order.
 func TestInstancesInTouchActByTheNewestConfiguration(t *testing.T) {
-	for _, on := range []deployment{smallDeployment, grownDeployment} {
+	for _, on := range []deployment{smallDeployment, breakingDeployment, grownDeployment} {
 		played := seeds(t, on)
 		for _, seed := range played {
 			t.Run(fmt.Sprintf("%s/%d", on.name, seed), func(t *testing.T) {
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -25,6 +25,7 @@
 const (
 	pathSound   pathState = iota
 	pathRefuses           // new calls get an error at once, those under way go on
+	pathBreaks            // responses of the store begin and break off
 	pathResets            // all calls fail at once
 	pathSilent            // calls get no response
 )
@@ -62,6 +63,7 @@
 	// held to that.
 	contactTime   time.Duration
 	regionReaders bool
+	breaksOff     bool     // instances that lose the store may get parts of its responses
 	brokenSeeds   []uint64 // of days that have broken the rule
 }
 
@@ -330,6 +332,11 @@
 		time.Sleep(s.n.storeLatency())
 		response, err := read(ctx)
 		time.Sleep(s.n.storeLatency())
+		if s.breaksOff() {
+			transfer.Progress(ctx)
+			<-ctx.Done()
+			return storesync.TableRead{}, ctx.Err()
+		}
 		return response, err
 	})
 }
@@ -338,6 +345,12 @@
 	return max(s.n.world.storePath.state(), s.n.storePath.state(), s.n.peerPath.state())
 }
 
+func (s worldStore) breaksOff() bool {
+	s.n.world.mu.Lock()
+	defer s.n.world.mu.Unlock()
+	return s.path() == pathBreaks
+}
+
 // storeLatency returns the latency of one way to or from the store.
 func (n *worldNode) storeLatency() time.Duration {
 	n.world.mu.Lock()
