--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -24,9 +24,17 @@
 // callKey is the context key of a *call.
 type callKey struct{}
 
-// observerKey is the context key of the function that Observe sets.
+// observerKey is the context key of the Observer that Observe sets.
 type observerKey struct{}
 
+// Observer is told of the responses of calls. Its functions must not block; nil ignores.
+type Observer struct {
+	// OnPart is called when a part of a successful response has arrived.
+	OnPart func()
+	// OnEnd is called when a response has ended. whole says that it has arrived to its end.
+	OnEnd func(whole bool)
+}
+
 // call is the progress of one call.
 type call struct {
 	mu       sync.Mutex
@@ -49,18 +57,24 @@
 	}
 }
 
-// Observe returns a context whose calls call f whenever they receive a part of a
-// successful response. f must not block; nil ends the observation.
-func Observe(ctx context.Context, f func()) context.Context {
-	return context.WithValue(ctx, observerKey{}, f)
+// Observe returns a context whose calls are observed.
+func Observe(ctx context.Context, o Observer) context.Context {
+	return context.WithValue(ctx, observerKey{}, o)
+}
+
+// End reports that the response to a call of the context has ended.
+func End(ctx context.Context, whole bool) {
+	if o, ok := ctx.Value(observerKey{}).(Observer); ok && o.OnEnd != nil {
+		o.OnEnd(whole)
+	}
 }
 
 // Progress reports that the call of the context has received a part of a
 // successful response.
 func Progress(ctx context.Context) {
 	extend(ctx)
-	if f, ok := ctx.Value(observerKey{}).(func()); ok && f != nil {
-		f()
+	if o, ok := ctx.Value(observerKey{}).(Observer); ok && o.OnPart != nil {
+		o.OnPart()
 	}
 }
 
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -29,7 +29,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				began := time.Now()
 				var observed atomic.Int32
-				ctx, cancel := transfer.WithBounds(transfer.Observe(t.Context(), func() { observed.Add(1) }), bounds)
+				ctx, cancel := transfer.WithBounds(transfer.Observe(t.Context(), transfer.Observer{OnPart: func() { observed.Add(1) }}), bounds)
 				defer cancel()
 				go func() {
 					time.Sleep(750 * time.Millisecond)
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -143,7 +143,7 @@
 // peerCall returns the context of a call to another instance. Its progress shows
 // contact with that instance and not with the store.
 func (p *peerStore) peerCall(ctx context.Context) (context.Context, context.CancelFunc) {
-	return transfer.WithBounds(transfer.Observe(ctx, nil), peerBounds(p.maxWait))
+	return transfer.WithBounds(transfer.Observe(ctx, transfer.Observer{}), peerBounds(p.maxWait))
 }
 
 func (p *peerStore) watchRequest(after storesync.Revision, wait time.Duration) *peerpb.WatchRequest {
--- a/relay/random_test.go
+++ b/relay/random_test.go
@@ -241,6 +241,8 @@
 	// breakingDeployment is a small one whose store may break responses off.
 	breakingDeployment = deployment{
 		name: "breaking", domains: []int{3, 3, 2}, activation: 2500 * time.Millisecond, contactTime: 3 * time.Second, breaksOff: true,
+		// Documents that break off count as contact, at first and when read again at once.
+		brokenSeeds: []uint64{709, 2413, 12897, 16745},
 	}
 	// grownDeployment has a reader for each of its regions.
 	grownDeployment = deployment{
--- a/relay/read.go
+++ b/relay/read.go
@@ -9,6 +9,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
 )
 
@@ -130,6 +131,7 @@
 	began := s.o.Clock()
 	data, err := readDirectly(ctx, s, path.current(), call)
 	r := response[T]{data: data, path: pathStore, err: err}
+	transfer.End(ctx, r.usable() || errors.Is(err, errParentFound))
 	switch {
 	case errors.Is(err, errParentFound):
 	case r.usable():
--- a/storesync/contact.go
+++ b/storesync/contact.go
@@ -24,8 +24,9 @@
 
 	mu           sync.Mutex
 	lastResponse time.Duration // boot clock time of the last whole response
-	lastPart     time.Duration // boot clock time of the last part of a response that arrives; 0 is none
-	brokeOff     bool          // the last response that began broke off
+	arrives      bool          // a response has begun and not ended
+	lastPart     time.Duration // boot clock time of its last part; 0 if it does not count
+	brokeOff     bool          // the response before broke off
 }
 
 // newContact returns a contact that counts as lost until the first response.
@@ -70,21 +71,20 @@
 func (c *StoreContact) recordPart() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.arrives = true
 	if !c.brokeOff {
 		c.lastPart = c.clock()
 	}
 }
 
-// endCall records that a call to the store has ended. whole says that its response has
-// arrived to its end.
-func (c *StoreContact) endCall(whole bool) {
+// recordEnd records that the response that arrived has ended, if there was one. whole says
+// that it has arrived to its end.
+func (c *StoreContact) recordEnd(whole bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case whole:
-		c.brokeOff = false
-	case c.lastPart != 0:
-		c.brokeOff = true
+	if !c.arrives {
+		return
 	}
+	c.arrives, c.brokeOff = false, !whole
 	c.lastPart = 0
 }
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -249,10 +249,9 @@
 	f.count("store_calls")
 	// Contact is not lost while a document arrives from the store: other
 	// instances wait for it and do not read it themselves.
-	ctx = transfer.Observe(ctx, f.tableContact.recordPart)
+	ctx = transfer.Observe(ctx, transfer.Observer{OnPart: f.tableContact.recordPart, OnEnd: f.tableContact.recordEnd})
 	read, err := f.callStore(ctx, revision)
-	whole := err == nil && !read.ThroughHelper || historyLost(err)
-	f.tableContact.endCall(whole)
+	transfer.End(ctx, err == nil || historyLost(err))
 	return read, err
 }
 
