--- a/standins/platform/soak/readers_test.go
+++ b/standins/platform/soak/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,3 +55,32 @@
 		Entry("by silence", func(p *cutproxy.Proxy) { p.Freeze("", true, cutproxy.Up, cutproxy.Down) }),
 	)
 })
+
+var _ = Describe("A revoked key after a store that all instances had lost", func() {
+	// Guards against an instance that does not ask a store that is back, because it has
+	// failed several times before and others would read it first.
+	It("is refused in time by the only instance that reaches the store again", func() {
+		const (
+			outage = 7 * time.Second
+			// bound is the time that the settings give a configuration.
+			bound = 3500 * time.Millisecond
+		)
+		d := startDeployment(9, 6)
+		time.Sleep(2 * time.Second)
+		for _, instance := range d.Instances {
+			instance.StoreProxy.Cut("")
+		}
+		time.Sleep(outage)
+		back := otherThan(storeReaders(d), d.Instances)
+		back.StoreProxy.Heal("")
+		revoked, _ := d.ReplaceAPIKey()
+		time.Sleep(bound)
+		Expect(lookUpStatus(d, back, revoked)).To(Equal(http.StatusUnauthorized), back.Name)
+	})
+})
+
+// otherThan returns an instance that is not among the readers.
+func otherThan(readers, instances []*deployment.Instance) *deployment.Instance {
+	i := slices.IndexFunc(instances, func(instance *deployment.Instance) bool { return !slices.Contains(readers, instance) })
+	return instances[i]
+}
