--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -39,7 +39,7 @@
 // evidence returns what the endpoint may have crashed with.
 func (a *trackedAttempt) evidence() quarantine.Request {
 	if a.served {
-		return quarantine.Request{Content: a.request.Content}
+		return quarantine.Request{Content: a.request.Content, Rerun: a.request.Rerun}
 	}
 	return a.request
 }
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -35,6 +35,7 @@
 func (h *Handler) concludeAttempt(req *request, lease *balance.Lease, attempt *trackedAttempt, outcome balance.Outcome) {
 	switch outcome {
 	case balance.Interrupted, balance.TimedOut:
+		req.identity.Rerun = true
 		h.attempts.end(h.o.Clock(), lease.Endpoint, attempt)
 		go h.checkEndpoint(lease.Endpoint, attempt)
 	case balance.Failed:
@@ -68,7 +69,7 @@
 	case h.o.Quarantine != nil && h.activity.since(began):
 		h.o.Quarantine.ReportCrash(quarantine.EngineCrashed{
 			Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Domain: endpoint.Domain, Unconfirmed: true,
-			Running: []quarantine.Request{{Content: attempt.request.Content}},
+			Running: []quarantine.Request{{Content: attempt.request.Content, Rerun: attempt.request.Rerun}},
 		})
 	}
 }
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -109,6 +109,7 @@
 
 // fixture is a handler in front of fake endpoints.
 type fixture struct {
+	domain   api.FailureDomain // of all endpoints; "" is one for each
 	table    *routing.CurrentTable
 	balance  *balance.Balancer
 	handler  *forward.Handler
@@ -219,7 +220,11 @@
 }
 
 func (f *fixture) addEndpoint(name, address string) registry.Endpoint {
-	e := registry.Endpoint{ID: api.EndpointID(name), Incarnation: 1, Service: "s", Address: address, Domain: api.FailureDomain("d" + name), Slots: 8}
+	domain := f.domain
+	if domain == "" {
+		domain = api.FailureDomain("d" + name)
+	}
+	e := registry.Endpoint{ID: api.EndpointID(name), Incarnation: 1, Service: "s", Address: address, Domain: domain, Slots: 8}
 	f.balance.Apply(registry.Change{Kind: registry.Added, Endpoint: e})
 	return e
 }
--- a/forward/plain_quarantine_test.go
+++ b/forward/plain_quarantine_test.go
@@ -46,4 +46,23 @@
 			f.reportCrash(fmt.Sprint("e", i), "house")
 		}
 	})
+
+	// Guards against a request whose attempts crash one engine after the other and count as
+	// one crash, since all engines are in one failure domain.
+	It("is refused when the attempts of one request have crashed engines of one failure domain", func() {
+		f := newFixture()
+		f.domain = "d"
+		f.applyTable(nil)
+		for i := range 6 {
+			name := fmt.Sprint("e", i)
+			f.startEndpoint(name, func(w http.ResponseWriter, r *http.Request) {
+				f.refuseConnections(name)
+				cutConnection("")(w, r)
+			})
+		}
+		_ = lookup(f, context.Background(), "session")
+		Eventually(f.received).Should(HaveLen(3))
+		Eventually(func() int { return lookup(f, context.Background(), "session") }).Should(Equal(http.StatusUnprocessableEntity))
+		Expect(f.received()).To(HaveLen(3))
+	})
 })
--- a/quarantine/assess.go
+++ b/quarantine/assess.go
@@ -60,18 +60,20 @@
 
 // Assess returns what the crashes say about a request.
 func (c *Core) Assess(now time.Duration, r Request) Assessment {
-	worst := c.assessPart(now, r, r.Content, rerunWindow)
+	worst := c.assessPart(now, r, r.Content, c.countContentIncidents)
 	for _, part := range r.Shared {
-		if a := c.assessPart(now, r, part, domainFailureWindow); a.severity() > worst.severity() {
+		if a := c.assessPart(now, r, part, countPartIncidents); a.severity() > worst.severity() {
 			worst = a
 		}
 	}
 	return worst
 }
 
-// assessPart returns what the crashes with one part say about a request. Crashes of
-// one failure domain within the window count once.
-func (c *Core) assessPart(now time.Duration, r Request, part Part, window time.Duration) Assessment {
+// countPartIncidents counts the crashes with a part of prompts.
+func countPartIncidents(crashes []*crashRecord) int { return countIncidents(crashes, domainFailureWindow) }
+
+// assessPart returns what the crashes with one part say about a request.
+func (c *Core) assessPart(now time.Duration, r Request, part Part, count func([]*crashRecord) int) Assessment {
 	if len(c.byPart[part]) < minCrashes {
 		return Assessment{State: StateUnsuspected}
 	}
@@ -80,20 +82,20 @@
 	if crashes < minCrashes {
 		return Assessment{State: StateUnsuspected, Crashes: crashes}
 	}
-	if countIncidents(since, window) < minCrashes {
+	if count(since) < minCrashes {
 		return Assessment{State: StateCoincident, Crashes: crashes}
 	}
 	if c.isHarmless(now, part) {
 		return Assessment{State: StateServed, Crashes: crashes}
 	}
 	unexplained := c.unexplainedCrashes(now, part, crashes+1)
-	if countIncidents(unexplained, window) < minCrashes {
+	if count(unexplained) < minCrashes {
 		return Assessment{State: StateExplained, Crashes: crashes}
 	}
 	causes := c.commonParts(now, unexplained)
 	if !containsAll(r.parts(), causes) {
 		return Assessment{State: StateIncomplete, Crashes: crashes}
 	}
-	tied := countIncidents(c.unexplainedCrashes(now, part, crashes), window) < minCrashes
+	tied := count(c.unexplainedCrashes(now, part, crashes)) < minCrashes
 	return Assessment{State: StateRefused, Crashes: crashes, Causes: causes, Tied: tied, part: part}
 }
--- a/quarantine/content_test.go
+++ b/quarantine/content_test.go
@@ -47,6 +47,38 @@
 		Expect(refusedBy(c, content)).To(BeFalse())
 	})
 
+	// Guards against a request whose attempts crash one engine after the other in a
+	// deployment of one failure domain, and which counts as one crash each time it comes.
+	It("counts the engines that one request crashed when it was sent again", func() {
+		for i := range minCrashes {
+			Expect(refusedBy(c, content)).To(BeFalse())
+			ev := crashed("d", content)
+			ev.Running[0].Rerun = i > 0
+			c.Step(now, ev)
+			now += rerunWindow / 10
+		}
+		Expect(refusedBy(c, content)).To(BeTrue())
+		other := NewCore()
+		other.Step(now, recordsFromProto(c.Collect(now, 4096)))
+		Expect(refusedBy(other, content)).To(BeTrue())
+	})
+
+	// Guards against refusing what was sent again to engines of a failure domain that fails.
+	It("does not refuse requests that a failing domain interrupts again and again", func() {
+		const requests, attempts = 50, 2 * minCrashes
+		for attempt := range attempts {
+			for i := range requests {
+				ev := crashed("d", Part(i+1))
+				ev.Running[0].Rerun = attempt > 0
+				c.Step(now, ev)
+			}
+			now += rerunWindow / (2 * attempts)
+		}
+		for i := range requests {
+			Expect(refusedBy(c, Part(i+1))).To(BeFalse())
+		}
+	})
+
 	// Guards against a refusal that each further crash delays.
 	It("refuses content that goes on crashing engines", func() {
 		for range 10 * minCrashes {
--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -54,6 +54,9 @@
 	Content Part
 	// Shared are the parts of the prompt that other requests may have too.
 	Shared []Part
+	// Rerun says of a request that an engine ran that it was sent there after an earlier
+	// attempt of it broke off.
+	Rerun bool
 }
 
 // parts returns all parts, the content last.
@@ -156,7 +159,7 @@
 		parts = parts[max(0, len(parts)-maxPartsPerCrash):]
 		record := CrashRecord{
 			Crash: crashHash(ev.Endpoint, ev.Incarnation), Domain: xxhash.Sum64String(string(ev.Domain)),
-			Parts: parts, Unconfirmed: ev.Unconfirmed,
+			Parts: parts, Unconfirmed: ev.Unconfirmed, Rerun: request.Rerun,
 		}
 		urgent = c.addRecord(now, record) || urgent
 	}
--- a/quarantine/delta.go
+++ b/quarantine/delta.go
@@ -127,7 +127,7 @@
 }
 
 func crashToProto(now time.Duration, r *crashRecord) *peerpb.PromptCrash {
-	message := &peerpb.PromptCrash{Crash: r.crash, FailureDomain: r.domain, AgeMs: ageMS(now, r.at), Unconfirmed: r.unconfirmed}
+	message := &peerpb.PromptCrash{Crash: r.crash, FailureDomain: r.domain, AgeMs: ageMS(now, r.at), Unconfirmed: r.unconfirmed, Rerun: r.rerun}
 	for _, part := range r.parts {
 		message.Parts = append(message.Parts, uint64(part))
 	}
@@ -155,7 +155,7 @@
 		}
 		record := CrashRecord{
 			Crash: message.GetCrash(), Domain: message.GetFailureDomain(), Age: milliseconds(message.GetAgeMs()),
-			Unconfirmed: message.GetUnconfirmed(),
+			Unconfirmed: message.GetUnconfirmed(), Rerun: message.GetRerun(),
 		}
 		for _, part := range message.GetParts() {
 			record.Parts = append(record.Parts, Part(part))
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -90,6 +90,18 @@
 // countIncidents counts crashes, each engine's once however many requests saw it, and
 // those of one failure domain within the window once. The crashes are ordered by time.
 func countIncidents(crashes []*crashRecord, window time.Duration) int {
+	return countIncidentsExcept(crashes, window, func(*crashRecord) bool { return false })
+}
+
+// countContentIncidents counts the crashes with content. One that the content caused when
+// it was sent again counts, unless the failure domain failed at that moment.
+func (c *Core) countContentIncidents(crashes []*crashRecord) int {
+	return countIncidentsExcept(crashes, rerunWindow, func(r *crashRecord) bool { return r.rerun && !c.domainFailed(r, crashes) })
+}
+
+// countIncidentsExcept is countIncidents, but counts those crashes for which alone returns
+// true by themselves.
+func countIncidentsExcept(crashes []*crashRecord, window time.Duration, alone func(*crashRecord) bool) int {
 	incidents := 0
 	seen := make(map[uint64]bool)
 	counted := make(map[uint64]time.Duration)
@@ -98,7 +110,7 @@
 			continue
 		}
 		seen[r.crash] = true
-		if at, ok := counted[r.domain]; ok && r.at-at <= window {
+		if at, ok := counted[r.domain]; ok && r.at-at <= window && !alone(r) {
 			continue
 		}
 		counted[r.domain] = r.at
@@ -107,6 +119,20 @@
 	return incidents
 }
 
+// domainFailed reports whether another engine of the failure domain, which is not among
+// the crashes, crashed at the same moment.
+func (c *Core) domainFailed(r *crashRecord, crashes []*crashRecord) bool {
+	for _, other := range c.records {
+		if other.domain != r.domain || (other.at-r.at).Abs() > rerunWindow {
+			continue
+		}
+		if !slices.ContainsFunc(crashes, func(known *crashRecord) bool { return known.crash == other.crash }) {
+			return true
+		}
+	}
+	return false
+}
+
 // commonParts returns the parts that are in all the crashes, without harmless ones.
 func (c *Core) commonParts(now time.Duration, crashes []*crashRecord) []Part {
 	var common []Part
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -33,6 +33,7 @@
 	Parts       []Part
 	Age         time.Duration
 	Unconfirmed bool // the engine only stopped responding
+	Rerun       bool // the request was sent there after an earlier attempt of it broke off
 }
 
 // ServedRecord is a part that engines served.
@@ -55,6 +56,7 @@
 	parts       []Part
 	at          time.Duration
 	unconfirmed bool
+	rerun       bool
 	sendsLeft   int
 }
 
@@ -90,7 +92,7 @@
 	key := recordKey{crash: record.Crash, parts: partsHash(record.Parts)}
 	added := &crashRecord{
 		key: key, crash: record.Crash, domain: record.Domain, parts: slices.Clone(record.Parts), at: now - record.Age,
-		unconfirmed: record.Unconfirmed, sendsLeft: gossipSends,
+		unconfirmed: record.Unconfirmed, rerun: record.Rerun, sendsLeft: gossipSends,
 	}
 	if len(record.Parts) == 0 || added.expired(now) {
 		return false
