--- a/quarantine/assess.go
+++ b/quarantine/assess.go
@@ -70,7 +70,9 @@
 }
 
 // countPartIncidents counts the crashes with a part of prompts.
-func countPartIncidents(crashes []*crashRecord) int { return countIncidents(crashes, domainFailureWindow) }
+func countPartIncidents(crashes []*crashRecord) int {
+	return countIncidents(crashes, domainFailureWindow)
+}
 
 // assessPart returns what the crashes with one part say about a request.
 func (c *Core) assessPart(now time.Duration, r Request, part Part, count func([]*crashRecord) int) Assessment {
