--- a/forward/crash.go
+++ b/forward/crash.go
@@ -35,7 +35,7 @@
 func (h *Handler) concludeAttempt(req *request, lease *balance.Lease, attempt *trackedAttempt, outcome balance.Outcome) {
 	switch outcome {
 	case balance.Interrupted, balance.TimedOut:
-		req.identity.Rerun = true
+		req.interrupted.Store(true)
 		h.attempts.end(h.o.Clock(), lease.Endpoint, attempt)
 		go h.checkEndpoint(lease.Endpoint, attempt)
 	case balance.Failed:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -123,6 +123,8 @@
 	body         []byte
 	memory       *bodyReservation // of body
 	identity     quarantine.Request
+	// interrupted is true once an attempt broke off or timed out.
+	interrupted atomic.Bool
 	// assessment is what crashes said about the identity when it was last checked.
 	assessment quarantine.Assessment
 	// trial is true for a request that may be sent to one endpoint although requests
@@ -136,6 +138,13 @@
 	holders []api.EndpointID
 }
 
+// running returns the identity for an attempt that begins now.
+func (r *request) running() quarantine.Request {
+	identity := r.identity
+	identity.Rerun = r.interrupted.Load()
+	return identity
+}
+
 // ServeHTTP serves one request of a caller. The connection is closed if the request ends
 // without a response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -190,7 +190,7 @@
 		p.h.o.Balance.Release(lease, balance.Cancelled)
 		return refusal
 	}
-	tracked := p.h.attempts.add(lease.Endpoint, p.req.identity)
+	tracked := p.h.attempts.add(lease.Endpoint, p.req.running())
 	p.req.attempts++
 	p.req.tried = append(p.req.tried, lease.Endpoint.ID)
 	p.inFlight++
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -131,7 +131,7 @@
 	s.req.attempts++
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &streamAttempt{
-		lease: lease, tracked: h.attempts.add(lease.Endpoint, s.req.identity), cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
+		lease: lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
 		stall: stallDetector{targetEventGap: s.req.route.TargetEventGap, targetLatency: s.req.route.TargetLatency, silentSince: now, prefilled: fromBackup, hasBackup: attempt.BackupTargetAddress != ""},
 	}
 	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
