Add the settings, the software version of endpoints and messages that the new parts need

Cause: rollouts, load control and zone overflow act only where a deployment's settings ask for them, and an instance did not know which version of its software an endpoint runs. Registrations carry their version, also between instances. Nothing acts on them yet.

--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"github.com/hibiscusstair/hibiscusstair/gateway"
 	"github.com/hibiscusstair/hibiscusstair/platform"
@@ -19,6 +20,7 @@
 const (
 	flagSettings   = "settings"
 	flagPeerSecret = "peer-secret"
+	flagOverflow   = "zone-overflow"
 )
 
 // gatewayCommand returns the command that forwards callers' requests to endpoints by
@@ -27,7 +29,7 @@
 	return &cli.Command{
 		Name:   "gateway",
 		Usage:  "forward callers' requests to endpoints by the operator's routing table",
-		Flags:  []cli.Flag{settingsFlag(), peerSecretFlag()},
+		Flags:  []cli.Flag{settingsFlag(), peerSecretFlag(), overflowFlag()},
 		Action: runGateway,
 	}
 }
@@ -65,6 +67,15 @@
 	}
 }
 
+func overflowFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    flagOverflow,
+		Usage:   "whether requests leave the failure domain by need: auto (if the deployment asks for load control), on or off",
+		Sources: cli.EnvVars("HIBISCUSSTAIR_ZONE_OVERFLOW"),
+		Value:   string(gateway.OverflowAuto),
+	}
+}
+
 // settingsFile returns the platform's settings file. The secret of the instances comes
 // from a flag.
 func settingsFile(cmd *cli.Command) gateway.SettingsFile {
@@ -73,7 +84,9 @@
 		Parse: func(content []byte) (gateway.Settings, error) {
 			settings, err := platform.ParseSettings(content)
 			settings.PeerSecret = cmd.String(flagPeerSecret)
-			return settings, err
+			mode, modeErr := gateway.ParseOverflowMode(cmd.String(flagOverflow))
+			settings.ZoneOverflow = mode
+			return settings, errs.Combine(err, modeErr)
 		},
 	}
 }
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -156,6 +156,9 @@
 	restart("metrics_listen", next.MetricsListen != s.MetricsListen)
 	restart("peer_secret", next.PeerSecret != s.PeerSecret)
 	restart("table_activation", next.TableActivation != s.TableActivation)
+	restart("rollouts", next.Rollouts != s.Rollouts)
+	restart("load_control", next.LoadControl != s.LoadControl)
+	restart("zone_overflow", next.ZoneOverflow != s.ZoneOverflow)
 	restart("memory_unlimited", next.MemoryBytes <= 0 && s.MemoryBytes > 0)
 
 	apply := func(name string, changed bool) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -49,4 +50,49 @@
 	RetryRatio    float64
 	RetryBaseline float64
 	RetryWindow   time.Duration
+
+	Rollouts RolloutSettings
+	// LoadControl switches on the admission queue and the memory bounds for slow readers.
+	LoadControl bool
+	// ZoneOverflow says whether requests leave the failure domain by need.
+	ZoneOverflow OverflowMode
+}
+
+// RolloutSettings bound what a new version of a service's software may receive before it
+// is known to be good.
+type RolloutSettings struct {
+	Enabled bool
+	// ExposeShare is the share of a service's requests that a bad version may get, and
+	// ExposeSlack the number of requests that it may get in addition.
+	ExposeShare float64
+	ExposeSlack int
+	// RollbackTimeout is the time after the 50th bad response within which a bad version
+	// has to get no more requests.
+	RollbackTimeout time.Duration
+}
+
+// OverflowMode says whether requests leave the failure domain by need.
+type OverflowMode string
+
+// Overflow modes.
+const (
+	OverflowAuto OverflowMode = "auto" // as LoadControl
+	OverflowOn   OverflowMode = "on"
+	OverflowOff  OverflowMode = "off"
+)
+
+// ParseOverflowMode checks the name of a mode; "" is OverflowAuto.
+func ParseOverflowMode(text string) (OverflowMode, error) {
+	switch mode := OverflowMode(text); mode {
+	case "":
+		return OverflowAuto, nil
+	case OverflowAuto, OverflowOn, OverflowOff:
+		return mode, nil
+	}
+	return "", fmt.Errorf("zone overflow: %q is none of auto, on, off", text)
+}
+
+// overflows reports whether requests leave the failure domain by need.
+func (s Settings) overflows() bool {
+	return s.ZoneOverflow == OverflowOn || s.LoadControl && s.ZoneOverflow != OverflowOff
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -32,6 +32,7 @@
 	// endpoint that restarts under the same identifier has a higher one.
 	Incarnation int64
 	Service     string
+	Version     string // of the endpoint's software; "" is unknown
 	Address     string // IP number and port
 	Domain      api.FailureDomain
 	Slots       int
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -305,6 +305,7 @@
 	return &peerpb.RegisteredEndpoint{
 		Id: string(e.ID), Incarnation: e.Incarnation, Service: e.Service, Address: e.Address,
 		FailureDomain: string(e.Domain), Slots: uint32(e.Slots), Draining: e.Draining, ColdMs: uint32(e.ColdRemaining.Milliseconds()),
+		Version: e.Version,
 	}
 }
 
@@ -313,5 +314,6 @@
 		ID: api.EndpointID(e.GetId()), Incarnation: e.GetIncarnation(), Service: e.GetService(), Address: e.GetAddress(),
 		Domain: api.FailureDomain(e.GetFailureDomain()), Slots: int(e.GetSlots()), Draining: e.GetDraining(),
 		ColdRemaining: time.Duration(e.GetColdMs()) * time.Millisecond,
+		Version:       e.GetVersion(),
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -110,7 +110,7 @@
 func endpoint(id string) registry.Endpoint {
 	return registry.Endpoint{
 		ID: api.EndpointID(id), Incarnation: 7, Service: "s", Address: "10.0.0.1:1", Domain: "d", Slots: 4,
-		Draining: true, ColdRemaining: time.Second,
+		Draining: true, ColdRemaining: time.Second, Version: "v2",
 	}
 }
 
