--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -118,6 +118,8 @@
 	// quarantine never sends anything to other instances.
 	quarantine *quarantine.Runner
 	synced     chan struct{} // see forward.Options
+	// maxBodyBytes is the maximum size of a request body for applyTable; 0 is the default.
+	maxBodyBytes int64
 	// clockReads counts the handler's reads of the clock.
 	clockReads atomic.Int64
 
@@ -192,7 +194,7 @@
 		{ID: "first", Keys: []string{"urgent"}, HasPriority: true},
 		{ID: "last", Keys: []string{"patient"}, Priority: 40, HasPriority: true},
 	}
-	f.table.Apply(routing.New(f.table.Version()+1, routes, services, accounts, routing.Limits{}))
+	f.table.Apply(routing.New(f.table.Version()+1, routes, services, accounts, routing.Limits{MaxBodyBytes: f.maxBodyBytes}))
 }
 
 // startEndpoint starts an endpoint in a failure domain of its own and adds it.
