Take responses that break off during the upload, and invalid statuses, as interrupted

Cause: if an engine resets the connection while its request is being written, the kernel reports the reset to the writer, and the reader of the response sees the end of the connection, which ends a response without a length. An engine that dies with an empty receive queue closes the connection in order, with the same effect while the request is on its way. net/http accepts the statuses 000 to 999 from a server and panics in WriteHeader below 100. The pool kept connections whose response was not read or whose request was not written to its end until net/http closed them.

Change: upstream tracks each exchange on its network connection. The end of the connection counts only once the request was written and acknowledged (TIOCOUTQ); otherwise the response breaks off. A status below 200 or above 599 is an error of the round trip, so it is never forwarded. Both are interrupted attempts with run status unknown (engine_closed). Put closes a connection whose exchange has not ended. The engine client of package generation is not affected: a stream there ends with a finish reason, and another status than 200 is a failure.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/routing"
+	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
 const (
@@ -255,7 +256,11 @@
 	response, err := conn.RoundTrip(h.buildRequest(ctx, req, lease.Endpoint, Attempt{LastEventID: req.info.LastEventID}))
 	if err != nil {
 		conn.Close()
-		r.err, r.outcome = h.attemptError(ctx, "the connection ended before the answer")
+		message := "the connection ended before the answer"
+		if errors.Is(err, upstream.ErrInvalidStatus) {
+			message = err.Error()
+		}
+		r.err, r.outcome = h.attemptError(ctx, message)
 		return r
 	}
 	h.activity.record(h.o.Clock())
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -66,12 +66,11 @@
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	dialer := Dialer()
 	return &Pool{
 		clock: o.Clock,
 		idle:  make(map[connKey][]*Conn),
 		transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            dialTracked(Dialer()),
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
@@ -105,6 +104,7 @@
 // Conn is a connection to an endpoint, used by one request at a time.
 type Conn struct {
 	client *http.ClientConn
+	net    *netConn
 	key    connKey
 	// reusableUntil is the boot clock time until which the idle connection may
 	// be reused.
@@ -122,11 +122,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	client, err := p.transport.NewClientConn(ctx, "http", endpoint.Address)
+	var dialed *netConn
+	client, err := p.transport.NewClientConn(context.WithValue(ctx, dialedKey{}, &dialed), "http", endpoint.Address)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{client: client, key: key}, nil
+	return &Conn{client: client, net: dialed, key: key}, nil
 }
 
 func keyOf(endpoint registry.Endpoint) connKey {
@@ -152,10 +153,11 @@
 }
 
 // Put gives a connection back to the pool after its response was read
-// completely.
+// completely. One whose request was not written or whose response was not read
+// to its end is closed: the next response could be that of another request.
 func (p *Pool) Put(conn *Conn, response *http.Response) {
 	timeout, ok := idleTimeout(response)
-	if !ok || conn.client.Err() != nil {
+	if !ok || conn.client.Err() != nil || !conn.net.exchangeEnded() {
 		conn.Close()
 		return
 	}
@@ -210,11 +212,6 @@
 	}
 }
 
-// RoundTrip sends a request once.
-func (c *Conn) RoundTrip(request *http.Request) (*http.Response, error) {
-	return c.client.RoundTrip(request)
-}
-
 // Close closes the connection. The endpoint then cancels the request that runs
 // on it.
 func (c *Conn) Close() { _ = c.client.Close() }
