Accept the end of a response where the kernel does not tell what is unacknowledged

Cause: where the size of a socket's send queue can't be read, each response that is delimited by the end of its connection counted as broken off. Change: such a request counts as acknowledged once it is written. A closed socket still does not.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -126,7 +126,10 @@
 	}
 	_ = raw.Control(func(fd uintptr) {
 		queued, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
-		if err != nil {
+		if err != nil && !errors.Is(err, unix.EBADF) {
+			// Without the size of the queue, the request counts as acknowledged once it
+			// is written.
+			unacknowledged = 0
 			return
 		}
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
