Bound what an instance holds for slow callers and engines

Cause: a stream held up to 16 events of up to 64 KiB for a caller that reads nothing, a plain response its whole body without a write deadline, an upload its declared size until the deadline of its request, and the kernel up to 4 MB for each connection. The smallest instance has 184 MB.

Change, with Settings.LoadControl only: 10% of the memory for plain bodies and 5% for events, 64 KiB at most for each stream, socket buffers of 64 KiB. An event is written only if the kernel takes it whole; a caller that reads nothing for 3 s is cut off after a whole event and can resume (slow_caller). Streams of stalled callers are ended if others need the memory. An upload of which nothing arrives for 3 s is refused. hibiscusstair check-settings refuses less than 160 MB.

--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -41,10 +41,11 @@
 		Usage: "check a settings file of the platform and report all errors",
 		Flags: []cli.Flag{settingsFlag()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			if _, err := settingsFile(cmd).Load(); err != nil {
+			settings, err := settingsFile(cmd).Load()
+			if err = errs.Combine(err, settings.CheckMemory()); err != nil {
 				return cli.Exit(fmt.Sprintf("%+v", err), exitSettings)
 			}
-			_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
+			_, err = fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
 			return err
 		},
 	}
@@ -125,6 +126,9 @@
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailed)
 	}
+	if err := settings.CheckMemory(); err != nil {
+		log.Warn("the memory is too small for its bounds", "error", err)
+	}
 	log.Info("starting", "version", version, "failure_domain", settings.Place.FailureDomain)
 	if err := g.Run(ctx); err != nil {
 		return cli.Exit(err.Error(), exitFailed)
--- a/forward/body.go
+++ b/forward/body.go
@@ -51,8 +51,9 @@
 type bodyReservation struct {
 	io.ReadCloser // the body
 	memory        *bodyMemory
-	reserved      int64 // bytes
-	received      int64 // bytes
+	reserved      int64  // bytes
+	received      int64  // bytes
+	beforeRead    func() // nil is none
 }
 
 // reserve makes the reservation at least n bytes. It returns a refusal if there is no room.
@@ -69,6 +70,9 @@
 
 // Read implements io.Reader. Its error is a reason.Error if there is no room.
 func (r *bodyReservation) Read(p []byte) (int, error) {
+	if r.beforeRead != nil {
+		r.beforeRead()
+	}
 	n, err := r.ReadCloser.Read(p)
 	r.received += int64(n)
 	if refusal := r.reserve(r.received); refusal != nil {
@@ -93,9 +97,10 @@
 	if req.deadline != 0 {
 		timeout = h.remainingTime(req)
 	}
+	h.limitStalledUpload(w, req, timeout)
 	body, err := httpapi.ReadBodyWithin(w, req.inbound, limit, timeout)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, reason.New(reason.DeadlineExceeded, "the body did not arrive before the deadline")
+		return nil, h.uploadTimeoutError(req)
 	}
 	if err != nil {
 		return nil, reason.From(err)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -63,6 +63,8 @@
 	// MemoryBytes returns the memory that the process may use, of which request bodies get
 	// a part; nil or 0 sets no limit.
 	MemoryBytes func() int64
+	// BoundSlowReaders bounds what is held for callers that read slowly.
+	BoundSlowReaders bool
 }
 
 // Handler serves routed requests.
@@ -80,6 +82,7 @@
 	attempts        attemptTracker
 	activity        endpointActivity
 	bodies          bodyMemory
+	slow            *slowReaders // nil: not bounded
 	serveOrAbort    http.Handler // serve, which has to begin a response
 }
 
@@ -99,6 +102,7 @@
 	if o.MemoryBytes == nil {
 		h.bodies.processBytes = func() int64 { return 0 }
 	}
+	h.slow = newSlowReaders(o)
 	h.serveOrAbort = httpapi.RequireResponse(http.HandlerFunc(h.serve))
 	return h
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -54,6 +54,7 @@
 	results  chan result
 	inFlight int
 	hedge    *time.Timer
+	held     *holding // for the bodies of all attempts
 }
 
 // servePlain serves a request whose response is forwarded as a whole.
@@ -61,8 +62,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.o.RetryBudget.AddRequest(h.o.Clock(), req.service.Name)
-	p := &plainRequest{h: h, req: req, ctx: ctx, results: make(chan result, maxEndpointsTried+1)}
-	last := p.run()
+	p := &plainRequest{h: h, req: req, ctx: ctx, results: make(chan result, maxEndpointsTried+1), held: h.slow.openPlain()}
+	defer p.held.close()
+	last := result{err: h.reservePlain(ctx, req, p.held, firstPlainBytes)}
+	if last.err == nil {
+		last = p.run()
+	}
 	switch {
 	case callerDisconnected(req.inbound):
 		h.refusals.Inc(reason.CallerGone)
@@ -145,6 +150,9 @@
 	if r.err != nil {
 		why = r.err.Reason
 	}
+	if why == reason.Overloaded {
+		return false // there was no memory for the response
+	}
 	ran := r.err == nil || r.err.Run != reason.RunNo
 	if ran && p.req.route.RetryPolicy != routing.RetryAlways {
 		return false
@@ -201,7 +209,7 @@
 		"content_state", p.req.assessment.State, "content_crashes", p.req.assessment.Crashes, "in_flight", p.inFlight,
 		"age_ms", (p.h.o.Clock() - p.req.received).Milliseconds(), "configuration", p.req.tableVersion)
 	go func() {
-		r := p.h.sendPlain(p.ctx, p.req, lease, tracked)
+		r := p.h.sendPlain(p.ctx, p.req, lease, tracked, p.held)
 		p.h.concludeAttempt(p.req, lease, tracked, r.outcome)
 		p.h.logAttempt(p.req, number, r)
 		p.results <- r
@@ -238,7 +246,7 @@
 }
 
 // sendPlain sends the request to one endpoint and reads the whole response.
-func (h *Handler) sendPlain(ctx context.Context, req *request, lease *balance.Lease, tracked *trackedAttempt) result {
+func (h *Handler) sendPlain(ctx context.Context, req *request, lease *balance.Lease, tracked *trackedAttempt, held *holding) result {
 	r := result{lease: lease, tracked: tracked}
 	// A request that must not be retried gets a new connection: an idle one may
 	// be closing, or carry a late response to another request.
@@ -264,10 +272,16 @@
 		return r
 	}
 	h.activity.record(h.o.Clock())
-	body, err := readBody(response)
+	body, err := h.readHeldBody(ctx, req, held, response)
 	_ = response.Body.Close()
 	info := h.o.Protocol.DecodeResponse(response)
 	h.observeResponse(req, lease.Endpoint, info)
+	var noMemory *reason.Error
+	if errors.As(err, &noMemory) && ctx.Err() == nil {
+		conn.Close()
+		r.err, r.outcome = noMemory.WithRun(reason.RunUnknown), balance.Cancelled
+		return r
+	}
 	if err != nil || (info.ID != "" && info.ID != req.info.ID) {
 		conn.Close()
 		r.err, r.outcome = h.attemptError(ctx, "the answer broke off, is too large or belongs to another request")
@@ -330,7 +344,10 @@
 	copyResponseHeader(w, r.response.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 	w.WriteHeader(r.response.StatusCode)
-	_, err := w.Write(r.body)
+	err := h.writeBody(w, req, r.body)
+	if h.slow != nil && isSlowCaller(err) {
+		h.abortSlowPlain(req)
+	}
 	age := h.o.Clock() - req.received
 	h.responseLatency.RecordDuration(age)
 	req.log.Info("response complete", "status", r.response.StatusCode, "endpoint", r.lease.Endpoint.ID,
--- a/forward/run.go
+++ b/forward/run.go
@@ -37,6 +37,7 @@
 	// endsWithConnection is true if the response has neither a length nor chunks.
 	endsWithConnection bool
 	hasEvent           bool // an event was received, with an ID or without
+	held               *holding
 }
 
 // executeAttempt sends the request and passes the response to r.messages event
@@ -68,6 +69,9 @@
 		return
 	}
 	if response.StatusCode != http.StatusOK {
+		if !r.held.reserve(ctx, failureBytes(response), h.evictForRoom) {
+			return
+		}
 		body, err := readBody(response)
 		send(attemptMessage{response: response, whole: err == nil, body: body, err: err})
 		return
@@ -79,7 +83,7 @@
 			send(attemptMessage{complete: true})
 			return
 		}
-		if !send(attemptMessage{event: next, err: err}) || err != nil {
+		if !r.held.reserve(ctx, int64(len(next.raw)), h.evictForRoom) || !send(attemptMessage{event: next, err: err}) || err != nil {
 			return
 		}
 	}
@@ -106,6 +110,7 @@
 func (s *stream) deliverAttempt(r *streamAttempt) (bool, *reason.Error) {
 	end := s.processMessages(r)
 	r.cancel()
+	r.held.close()
 	s.h.concludeAttempt(s.req, r.lease, r.tracked, end.outcome)
 	if end.interruption != nil {
 		s.recordInterruption(r, end.interruption)
@@ -233,6 +238,7 @@
 	r.hasEvent = true
 	now := s.h.o.Clock()
 	s.recordProgress(r, e, now)
+	defer r.held.release(int64(len(e.raw)))
 	if e.hasID {
 		switch {
 		case e.id <= s.lastEventID:
@@ -245,7 +251,11 @@
 	s.writeHeader(r, now)
 	s.recordResume(r, e, now)
 	if err := s.writeEvent(e.raw); err != nil {
+		if s.ctx.Err() != nil {
+			return &attemptResult{finalError: s.contextError(), outcome: balance.Cancelled}
+		}
 		s.callerWriteFailed = true
+		s.callerSlow = s.h.slow != nil && isSlowCaller(err)
 		final := reason.New(reason.SlowCaller, "the caller's connection failed: %s", err).WithRun(reason.RunYes)
 		return &attemptResult{finalError: final, outcome: balance.Cancelled}
 	}
@@ -298,6 +308,9 @@
 
 // writeEvent writes an event to the caller and flushes it.
 func (s *stream) writeEvent(raw []byte) error {
+	if err := s.h.slow.awaitCaller(s.ctx, s.req.inbound, len(raw), true); err != nil {
+		return err
+	}
 	s.extendWriteDeadline()
 	if _, err := s.w.Write(raw); err != nil {
 		return err
@@ -313,5 +326,5 @@
 func (s *stream) extendWriteDeadline() {
 	// The error is ignored: all response writers of net/http support deadlines,
 	// those of tests may not.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = s.controller.SetWriteDeadline(time.Now().Add(s.h.writeTimeout()))
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,6 +45,7 @@
 	reservedLease     *balance.Lease
 	interruption      *reason.Error // why the last attempt ended
 	callerWriteFailed bool          // a write to the caller failed
+	callerSlow        bool          // it failed because the caller does not read; see slowReaders
 }
 
 // serveStream serves a request with a streamed response. If an engine is lost
@@ -131,7 +132,7 @@
 	s.req.attempts++
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &streamAttempt{
-		lease: lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
+		lease: lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, held: h.slow.openEvents(), messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
 		stall: stallDetector{targetEventGap: s.req.route.TargetEventGap, targetLatency: s.req.route.TargetLatency, silentSince: now, prefilled: fromBackup, hasBackup: attempt.BackupTargetAddress != ""},
 	}
 	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
@@ -201,6 +202,10 @@
 		s.req.log.Info("response complete", "attempts", s.req.attempts, "events", s.lastEventID, "age_ms", age.Milliseconds(),
 			"configuration", s.req.tableVersion)
 		return
+	case s.callerSlow && !callerDisconnected(s.req.inbound):
+		s.h.refusals.Inc(reason.SlowCaller)
+		s.req.log.Warn("response aborted", "reason", reason.SlowCaller, "message", err.Message, "attempts", s.req.attempts,
+			"event", s.lastEventID, "age_ms", age.Milliseconds())
 	// A failed write is counted as a disconnected caller, not under the reason of
 	// err.
 	case callerDisconnected(s.req.inbound) || s.callerWriteFailed:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,7 +124,7 @@
 	s := o.Settings
 	g.settings.Store(&s)
 	scope := o.Metrics.Scope
-	g.pool = upstream.New(upstream.Options{Clock: clock})
+	g.pool = upstream.New(upstream.Options{Clock: clock, SocketBufferBytes: s.socketBufferBytes()})
 	g.balancer = balance.New(balance.Options{
 		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, OnSuspect: g.reportSuspectedEndpoint},
 		Clock:       clock, Log: o.Log, Scope: scope.SubScope("balance"),
@@ -168,7 +168,7 @@
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced:      g.follower.Synced(),
 		TableStale:  g.tableStale,
-		MemoryBytes: func() int64 { return g.settings.Load().MemoryBytes },
+		MemoryBytes: func() int64 { return g.settings.Load().MemoryBytes }, BoundSlowReaders: s.LoadControl,
 	})
 	return g, nil
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,11 +8,15 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
+	"golang.org/x/sys/unix"
 
+	"github.com/hibiscusstair/hibiscusstair/forward"
 	"github.com/hibiscusstair/hibiscusstair/peer"
+	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
 // Run serves until the context ends, then stops gracefully.
@@ -37,7 +41,7 @@
 		handler     http.Handler
 		stopTimeout time.Duration
 	}{
-		{"caller", g.o.Settings.CallerListen, g.forwarder, lastRequestsTimeout},
+		{callerServer, g.o.Settings.CallerListen, g.forwarder, lastRequestsTimeout},
 		{"ready", g.o.Settings.ReadyListen, http.HandlerFunc(g.serveReady), 0},
 		{"peer", g.o.Settings.PeerListen, g.peerHandler(), 0},
 		{"metrics", g.o.Settings.MetricsListen, g.o.Metrics.Handler(), 0},
@@ -75,7 +79,12 @@
 // addServer adds a server that waits for its requests up to the timeout when the group
 // ends.
 func (g *Gateway) addServer(group *run.Group, name string, address netip.AddrPort, handler http.Handler, stopTimeout time.Duration) error {
-	listener, err := net.Listen("tcp", address.String())
+	bounded := name == callerServer && g.o.Settings.LoadControl
+	var config net.ListenConfig
+	if bounded {
+		config.Control = boundSendQueues
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return fmt.Errorf("%s listener: %w", name, err)
 	}
@@ -86,6 +95,9 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(g.o.Log.Handler(), slog.LevelDebug),
 	}
+	if bounded {
+		server.ConnContext = forward.ConnContext
+	}
 	group.Add(func() error {
 		g.o.Log.Info("listening", "interface", name, "address", address.String())
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -96,6 +108,22 @@
 	return nil
 }
 
+// callerServer is the name of the server of callers.
+const callerServer = "caller"
+
+// undeliveredTimeout is how long the kernel keeps what a caller does not read after its
+// connection was closed. It is longer than the time after which the forwarder closes it.
+const undeliveredTimeout = 10 * time.Second
+
+// boundSendQueues bounds what the kernel holds for the callers of a listener.
+func boundSendQueues(_, _ string, raw syscall.RawConn) error {
+	var sockoptErr error
+	err := raw.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(undeliveredTimeout.Milliseconds()))
+	})
+	return errors.Join(err, sockoptErr, upstream.SetSocketBuffers(raw, forward.SocketBufferBytes))
+}
+
 func (g *Gateway) peerHandler() http.Handler {
 	if g.fleet == nil {
 		return http.NotFoundHandler()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -47,6 +48,9 @@
 // Options configures a Pool.
 type Options struct {
 	Clock bootclock.Func
+	// SocketBufferBytes is the size of the kernel's buffers of a connection; 0 leaves it to
+	// the kernel.
+	SocketBufferBytes int
 }
 
 // Pool keeps idle connections by endpoint. It is safe for concurrent use.
@@ -70,7 +74,7 @@
 		clock: o.Clock,
 		idle:  make(map[connKey][]*Conn),
 		transport: &http.Transport{
-			DialContext:            dialTracked(Dialer()),
+			DialContext:            dialTracked(dialerWithBuffers(o.SocketBufferBytes)),
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
@@ -101,6 +105,32 @@
 	}
 }
 
+// dialerWithBuffers returns a Dialer whose connections have kernel buffers of the size; 0
+// leaves it to the kernel.
+func dialerWithBuffers(size int) *net.Dialer {
+	dialer := Dialer()
+	if size > 0 {
+		setTimeout := dialer.Control
+		dialer.Control = func(network, address string, raw syscall.RawConn) error {
+			return errors.Join(setTimeout(network, address, raw), SetSocketBuffers(raw, size))
+		}
+	}
+	return dialer
+}
+
+// SetSocketBuffers sets the size of the kernel's buffers of a connection, or of those that a
+// listener accepts.
+func SetSocketBuffers(raw syscall.RawConn, size int) error {
+	var sockoptErr error
+	err := raw.Control(func(fd uintptr) {
+		sockoptErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size),
+		)
+	})
+	return errors.Join(err, sockoptErr)
+}
+
 // Conn is a connection to an endpoint, used by one request at a time.
 type Conn struct {
 	client *http.ClientConn
