Check configurations with hibiscusctl check-config

Cause: an operator saw errors of a configuration only once it was in force; some of them (a route behind an equal one, a key of two accounts) have no visible effect.

Errors give exit code 5, a store that does not respond 8; differences are no failure.

--- a/cmd/hibiscusctl/exit.go
+++ b/cmd/hibiscusctl/exit.go
@@ -13,7 +13,7 @@
 	exitUsage           = 2 // wrong arguments or an unreadable file
 	exitUnreachable     = 3 // no instance responded or can serve the call
 	exitUnauthenticated = 4 // credential refused
-	exitInvalid         = 5 // the ticket has errors
+	exitInvalid         = 5 // the ticket or the configuration has errors
 	exitSuperseded      = 6 // another ticket has the same or a higher number
 	exitPending         = 7 // the ticket is not accepted within the wait time
 	exitStore           = 8 // the platform's store does not respond or limits the call rate
@@ -21,7 +21,7 @@
 
 const exitCodesHelp = `Exit codes:
    0 success           4 credential refused
-   1 other failure     5 the ticket has errors
+   1 other failure     5 the ticket or the configuration has errors
    2 wrong arguments   6 the number is taken or superseded
    3 unreachable       7 not accepted in the wait time
                        8 the platform's store does not respond or limits the call rate`
@@ -40,6 +40,10 @@
 	switch {
 	case errors.As(err, &usage):
 		return exitUsage
+	case errors.Is(err, errConfigInvalid):
+		return exitInvalid
+	case errors.Is(err, errConfigStore):
+		return exitStore
 	case errors.Is(err, errNotAccepted), errors.Is(err, context.DeadlineExceeded):
 		return exitPending
 	case errors.Is(err, errUnreachable):
--- a/cmd/hibiscusctl/main.go
+++ b/cmd/hibiscusctl/main.go
@@ -78,6 +78,7 @@
 		{Name: "streams", Usage: "list the resumed streams and why they were resumed", Action: printGET("/v1/streams")},
 		{Name: "trace", Usage: "show what happened to one request", ArgsUsage: "REQUEST", Action: printGETWithArgument("/v1/requests/")},
 		explainCommand(),
+		checkConfigCommand(),
 		{Name: "reasons", Usage: "list the reasons for refusals, retries and drops", Action: listReasons},
 	}
 }
--- a/forward/hold.go
+++ b/forward/hold.go
@@ -63,6 +63,11 @@
 	return int64(max(defaultMaxBodyBytes/bodyMemoryFraction, maxResponseBytes/plainMemoryFraction, maxHeldEventBytes/eventMemoryFraction))
 }
 
+// LargestBodyBytes returns the largest request body that an instance with the memory can hold.
+func LargestBodyBytes(memoryBytes int64) int64 {
+	return int64(float64(memoryBytes) * bodyMemoryFraction)
+}
+
 // BoundedMemoryFraction is the part of the process's memory that requests and responses in
 // progress may take together.
 const BoundedMemoryFraction = bodyMemoryFraction + plainMemoryFraction + eventMemoryFraction
