Let streams wait for engines with room under load control

Cause: each instance sends every generation on at once; bursts make all streams of the engines slower. Change: package admission holds a bounded queue for each service, ordered by rank, turns of the accounts and slack; balance bounds the generations and prefills of an engine and its memory; forward asks the queue before the first attempt of a stream. Measured: tests of balance, forward and gateway pass; new tests of waiting, stop and leaving callers pass with the race detector.

--- /dev/null
+++ b/admission/runner.go
@@ -0,0 +1,346 @@
+package admission
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/registry"
+)
+
+const (
+	// retryInterval is the time between two attempts to place a request while no engine
+	// has room, spread by retryJitter in both directions.
+	retryInterval = 100 * time.Millisecond
+	retryJitter   = 0.3
+	// queriesPerSecond bounds the load queries for waiting requests; a new request may
+	// always make one. Queries and new connections are priced.
+	queriesPerSecond = 8
+	maxQueryBurst    = 6
+	// freedTTL is how long an engine at which a generation of this instance ended is
+	// tried before others. Other instances may place a request there meanwhile.
+	freedTTL = 400 * time.Millisecond
+	// maxFreed bounds the engines that are remembered as freed.
+	maxFreed = 8
+	// shutdownRetryAfter is the Retry-After of requests that wait when the instance stops;
+	// other instances serve them.
+	shutdownRetryAfter = 50 * time.Millisecond
+	// maxHistogramRank is the last rank with a histogram of its own.
+	maxHistogramRank = 4
+)
+
+// Trial is one attempt to place a request.
+type Trial struct {
+	Limits Limits
+	// MaxQueries bounds the load queries.
+	MaxQueries int
+	// Freed are engines at which generations of this instance have ended just now.
+	Freed []registry.Endpoint
+	// Waited is how long the request has waited in the queue.
+	Waited time.Duration
+}
+
+// Result is the result of a Trial.
+type Result struct {
+	// Placed says that an engine has taken the request. Otherwise the request waits, or
+	// ends if Err is set.
+	Placed bool
+	Err    *reason.Error
+	// Queries is the number of load queries.
+	Queries int
+}
+
+// PlaceFunc attempts to place a request. It ends soon after its context.
+type PlaceFunc func(ctx context.Context, trial Trial) Result
+
+// Options configures a Runner.
+type Options struct {
+	Clock bootclock.Func
+	Log   *slog.Logger
+	Scope tally.Scope
+}
+
+// Runner holds the queues of all services. It is safe for concurrent use.
+type Runner struct {
+	o        Options
+	mu       sync.Mutex
+	services map[string]*serviceQueue
+	stopped  bool
+	// queries is the number of load queries that may be made now; refilledAt is when it
+	// was computed.
+	queries    float64
+	refilledAt time.Duration
+	waits      []tally.Histogram // by rank
+}
+
+// serviceQueue is the queue of one service.
+type serviceQueue struct {
+	core        *Core
+	waiting     map[string]*waiter
+	dispatching bool          // a dispatcher runs
+	wake        chan struct{} // has an element if the dispatcher should try at once
+	freed       []freedEngine // oldest first
+	trying      *waiter       // the dispatcher attempts to place it
+}
+
+type freedEngine struct {
+	endpoint registry.Endpoint
+	at       time.Duration
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	ctx      context.Context
+	request  Request
+	capacity int
+	place    PlaceFunc
+	since    time.Duration
+	placed   bool               // set before the element of done is sent
+	done     chan *reason.Error // receives one element at the end of the wait
+}
+
+// New returns a runner without requests.
+func New(o Options) *Runner {
+	r := &Runner{o: o, services: make(map[string]*serviceQueue), queries: maxQueryBurst}
+	buckets := tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
+	for rank := range maxHistogramRank + 1 {
+		r.waits = append(r.waits, o.Scope.Tagged(map[string]string{"rank": strconv.Itoa(rank)}).Histogram("wait", buckets))
+	}
+	return r
+}
+
+// Stop refuses all waiting requests and those that would wait from now on.
+func (r *Runner) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	for _, q := range r.services {
+		for id, w := range q.waiting {
+			if w != q.trying { // otherwise the dispatcher finishes it
+				q.core.Remove(id)
+				r.finish(q, w, stopRefusal())
+			}
+		}
+	}
+}
+
+func stopRefusal() *reason.Error {
+	return reason.New(reason.ShuttingDown, "the instance stops").WithRetryAfter(shutdownRetryAfter)
+}
+
+// Admit places a request of a service whose engines have the memory, in tokens. It returns
+// once place has placed it, with a refusal, or with neither if the context has ended. A
+// request that finds room at once does not wait.
+func (r *Runner) Admit(ctx context.Context, service string, request Request, capacity int, place PlaceFunc) (placed bool, _ *reason.Error) {
+	r.mu.Lock()
+	q := r.queue(service)
+	now := r.o.Clock()
+	request.Arrived = q.core.FirstArrival(now, request)
+	if !q.core.HasAhead(request.Rank) {
+		limits := q.core.Limits(now, request, capacity)
+		queries := max(1, r.availableQueries(now))
+		r.mu.Unlock()
+		result := place(ctx, Trial{Limits: limits, MaxQueries: queries})
+		r.mu.Lock()
+		r.queries -= float64(result.Queries)
+		if result.Placed || result.Err != nil {
+			q.core.memory.forget(request)
+			r.mu.Unlock()
+			if result.Placed {
+				r.recordWait(request.Rank, 0)
+			}
+			return result.Placed, result.Err
+		}
+		r.o.Scope.Counter("limits_hit").Inc(1)
+	}
+	w := &waiter{ctx: ctx, request: request, capacity: capacity, place: place, since: r.o.Clock(), done: make(chan *reason.Error, 1)}
+	refusal := r.enqueue(q, w)
+	r.mu.Unlock()
+	if refusal != nil {
+		return false, refusal
+	}
+	// The dispatcher ends the wait, because its last attempt has to be over by then.
+	stop := context.AfterFunc(ctx, q.signal)
+	defer stop()
+	err := <-w.done
+	return w.placed, err
+}
+
+func (r *Runner) queue(service string) *serviceQueue {
+	q := r.services[service]
+	if q == nil {
+		q = &serviceQueue{core: NewCore(), waiting: make(map[string]*waiter), wake: make(chan struct{}, 1)}
+		r.services[service] = q
+	}
+	return q
+}
+
+// enqueue adds a request to the queue and starts a dispatcher if none runs.
+func (r *Runner) enqueue(q *serviceQueue, w *waiter) *reason.Error {
+	if r.stopped {
+		return stopRefusal()
+	}
+	if refusal := q.core.Enqueue(w.since, w.request); refusal != nil {
+		r.o.Scope.Tagged(map[string]string{"cause": "arrival"}).Counter("refused").Inc(1)
+		return refusal
+	}
+	q.waiting[w.request.ID] = w
+	r.o.Scope.Gauge("queued").Update(float64(len(q.waiting)))
+	r.o.Log.Info("request queued", "request", w.request.ID, "rank", w.request.Rank, "queued", len(q.waiting),
+		"slack_ms", q.core.slack(w.since, w.request).Milliseconds())
+	if !q.dispatching {
+		q.dispatching = true
+		go r.dispatch(q)
+	}
+	q.signal()
+	return nil
+}
+
+func (q *serviceQueue) signal() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// dispatch places the requests of a queue until it is empty.
+func (r *Runner) dispatch(q *serviceQueue) {
+	for {
+		w, trial, ok := r.nextTrial(q)
+		if !ok {
+			return
+		}
+		if r.conclude(q, w, w.place(w.ctx, trial)) {
+			continue
+		}
+		pause := time.Duration(float64(retryInterval) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-q.wake:
+			timer.Stop()
+		}
+	}
+}
+
+// nextTrial returns the request to place next. It returns false if the queue is empty,
+// which ends the dispatcher.
+func (r *Runner) nextTrial(q *serviceQueue) (*waiter, Trial, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.o.Clock()
+	for id, w := range q.waiting {
+		if w.ctx.Err() != nil {
+			q.core.Remove(id)
+			r.finish(q, w, nil)
+		}
+	}
+	for id, refusal := range q.core.Expire(now) {
+		r.o.Scope.Tagged(map[string]string{"cause": "wait"}).Counter("refused").Inc(1)
+		r.finish(q, q.waiting[id], refusal)
+	}
+	next, ok := q.core.Next(now)
+	if !ok {
+		q.dispatching = false
+		return nil, Trial{}, false
+	}
+	w := q.waiting[next.ID]
+	trial := Trial{Limits: q.core.Limits(now, next, w.capacity), MaxQueries: r.availableQueries(now), Waited: now - w.since}
+	if pressed := q.core.maxPressure(now); pressed.ID != "" {
+		// The request whose turn it is gets the room that the most pressed one may take.
+		limits := q.core.Limits(now, Request{Rank: pressed.Rank, Arrived: pressed.Arrived, Target: pressed.Target, Tokens: next.Tokens}, w.capacity)
+		trial.Limits.Generations = max(trial.Limits.Generations, limits.Generations)
+		trial.Limits.Prefills = max(trial.Limits.Prefills, limits.Prefills)
+	}
+	trial.Freed = q.takeFreed(now)
+	q.trying = w
+	return w, trial, true
+}
+
+// conclude records the result of a trial. It reports whether the request was placed or
+// has ended.
+func (r *Runner) conclude(q *serviceQueue, w *waiter, result Result) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queries -= float64(result.Queries)
+	q.trying = nil
+	if !result.Placed && result.Err == nil && r.stopped {
+		result.Err = stopRefusal()
+	}
+	if !result.Placed && result.Err == nil {
+		r.o.Scope.Counter("limits_hit").Inc(1)
+		return false
+	}
+	now := r.o.Clock()
+	if result.Placed {
+		w.placed = true
+		q.core.Placed(now, w.request.ID)
+		r.recordWait(w.request.Rank, now-w.since)
+	} else {
+		q.core.Remove(w.request.ID)
+	}
+	r.finish(q, w, result.Err)
+	return true
+}
+
+func (r *Runner) finish(q *serviceQueue, w *waiter, err *reason.Error) {
+	delete(q.waiting, w.request.ID)
+	r.o.Scope.Gauge("queued").Update(float64(len(q.waiting)))
+	w.done <- err
+}
+
+func (r *Runner) recordWait(rank int, waited time.Duration) {
+	r.waits[min(max(rank, 0), maxHistogramRank)].RecordDuration(waited)
+}
+
+// availableQueries returns how many load queries may be made now.
+func (r *Runner) availableQueries(now time.Duration) int {
+	r.queries = min(maxQueryBurst, r.queries+queriesPerSecond*(now-r.refilledAt).Seconds())
+	r.refilledAt = now
+	return max(0, int(r.queries))
+}
+
+// takeFreed returns the engines that were freed just now.
+func (q *serviceQueue) takeFreed(now time.Duration) []registry.Endpoint {
+	var endpoints []registry.Endpoint
+	for _, f := range q.freed {
+		if now-f.at < freedTTL {
+			endpoints = append(endpoints, f.endpoint)
+		}
+	}
+	q.freed = nil
+	return endpoints
+}
+
+// RecordFirstEvent records the time from a placement to the first event.
+func (r *Runner) RecordFirstEvent(service string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queue(service).core.RecordFirstEvent(d)
+}
+
+// RecordEnd records the end of a generation of this instance, which has room for another
+// now, and its duration; 0 if its response was not complete.
+func (r *Runner) RecordEnd(service string, endpoint registry.Endpoint, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.queue(service)
+	if d > 0 {
+		q.core.RecordDuration(d)
+	}
+	if len(q.waiting) == 0 {
+		return
+	}
+	if len(q.freed) == maxFreed {
+		q.freed = q.freed[1:]
+	}
+	q.freed = append(q.freed, freedEngine{endpoint, r.o.Clock()})
+	q.signal()
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -75,6 +75,10 @@
 	// MaxFirstEventDelay bounds the expected time until the first event; 0 means
 	// no bound. Engines with a longer expected delay are not chosen.
 	MaxFirstEventDelay time.Duration
+	// MaxGenerations and MaxPrefills bound the generations and the prefills of the
+	// engine, including this one; 0 means no bound. If either is set, only endpoints in
+	// Probed are chosen, unless it is empty.
+	MaxGenerations, MaxPrefills int
 
 	sessionHash uint64 // hash of Session
 }
@@ -136,6 +140,9 @@
 	// OnSuspect is called when an endpoint fails and is put or kept under
 	// suspicion. It must not block.
 	OnSuspect func(registry.Endpoint)
+	// LoadControl says that new generations are bounded by MaxGenerations, so that the
+	// engines have memory for backups.
+	LoadControl bool
 }
 
 // Core chooses endpoints, and keeps the load and the health of each. It is not
@@ -225,13 +232,16 @@
 		case c.exceedsMaxDelay(now, e, request):
 			tooSlow++
 			continue
-		case c.exceedsCapacity(now, e, request) || (request.Probed != nil && !slices.Contains(request.Probed, e.ID)):
+		case c.exceedsRoom(now, e, request) || c.exceedsCapacity(now, e, request) || (request.Probed != nil && !slices.Contains(request.Probed, e.ID)):
 			continue
 		}
 		if cost := c.cost(now, e, request); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
+	if best == nil && request.bounded() && draining+excluded+limited < len(c.byService[request.Service]) {
+		return nil, reason.New(reason.NoSlot, "all endpoints of the service have as many generations as the request allows")
+	}
 	if best == nil && request.Probed != nil {
 		request.Probed = nil
 		return c.Choose(now, request)
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -20,7 +20,7 @@
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	var list []candidate
 	for _, e := range c.byService[request.Service] {
-		if e.Draining || e.blocks(now, request) || slices.Contains(request.Exclude, e.ID) || c.exceedsCapacity(now, e, request) || c.exceedsMaxDelay(now, e, request) {
+		if e.Draining || e.blocks(now, request) || slices.Contains(request.Exclude, e.ID) || c.exceedsCapacity(now, e, request) || c.exceedsMaxDelay(now, e, request) || c.exceedsRoom(now, e, request) {
 			continue
 		}
 		if cost := c.cost(now, e, request); cost < domainSuspectCost {
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -57,7 +57,7 @@
 // generation which runs on the primary. It returns nil if no engine outside the
 // primary's failure domain has capacity or if the engines' memory is short.
 func (c *Core) ChooseBackup(now time.Duration, request Request, primary registry.Endpoint) *Lease {
-	if c.memoryUse[request.Service] > maxMemoryUseForBackup {
+	if c.memoryUse[request.Service] > c.backupUseBound() {
 		return nil
 	}
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
@@ -67,7 +67,7 @@
 			continue
 		}
 		cost := c.cost(now, e, request)
-		if cost >= domainSuspectCost || c.exceedsCapacity(now, e, request) {
+		if cost >= domainSuspectCost || c.exceedsCapacity(now, e, request) || c.exceedsBackupRoom(now, e, request) {
 			continue
 		}
 		if cost < bestCost {
--- a/balance/wait.go
+++ b/balance/wait.go
@@ -50,7 +50,7 @@
 // It returns true if no endpoint was probed, since the load is then unknown.
 func (c *Core) HasCapacity(now time.Duration, request Request) bool {
 	for _, id := range request.Probed {
-		if e, ok := c.endpoints[id]; ok && !c.exceedsMaxDelay(now, e, request) && !c.exceedsCapacity(now, e, request) {
+		if e, ok := c.endpoints[id]; ok && !c.exceedsMaxDelay(now, e, request) && !c.exceedsCapacity(now, e, request) && !c.exceedsRoom(now, e, request) {
 			return true
 		}
 	}
--- /dev/null
+++ b/forward/admit_test.go
@@ -0,0 +1,127 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscusstair/hibiscusstair/admission"
+	"github.com/hibiscusstair/hibiscusstair/bootclock"
+	"github.com/hibiscusstair/hibiscusstair/forward"
+	"github.com/hibiscusstair/hibiscusstair/routing"
+)
+
+// Load: one engine, which takes two generations of urgent accounts and one of others.
+var _ = Describe("A stream that waits for an engine", func() {
+	var (
+		f      *fixture
+		runner *admission.Runner
+		finish chan struct{} // each element ends one generation
+	)
+	BeforeEach(func() {
+		runner = admission.New(admission.Options{Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		f = newFixtureWithOptions(nil, func(_ *fixture, o *forward.Options) {
+			o.RetryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{Ratio: 1, Baseline: 100, Window: 10 * time.Second})
+			o.Admission = runner
+		})
+		route := routing.Route{
+			Name: "stream", Host: "service.example", Prefix: "/stream/", Stream: true, RetryPolicy: routing.RetryFromLastEvent,
+			TargetLatency: 10 * time.Second, MaxAttempts: 3, Priority: 2, Services: []routing.WeightedService{{Service: "s", Weight: 1}},
+		}
+		// Memory for four generations of 110 tokens: the base limit is 2, the upper one 3.
+		// Without a report the engine counts as having one more.
+		services := []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 8, KVCapacity: 440}}}
+		accounts := []routing.Account{{ID: "acme", Keys: []string{"key"}}, {ID: "first", Keys: []string{"urgent"}, HasPriority: true}}
+		f.table.Apply(routing.New(f.table.Version()+1, []routing.Route{route}, services, accounts, routing.Limits{}))
+		finish = make(chan struct{}, 16)
+		f.startEndpoint("a", func(w http.ResponseWriter, r *http.Request) {
+			streamEvents(1, func(_ http.ResponseWriter, r *http.Request) {
+				select {
+				case <-finish:
+				case <-r.Context().Done():
+				}
+			})(w, r)
+		})
+	})
+
+	call := func(id, key string, done chan<- string) {
+		go func() {
+			defer GinkgoRecover()
+			response, err := f.call(context.Background(), http.MethodPost, "/stream/"+id, nil, http.Header{headerID: {id}, headerKey: {key}, headerTimeout: {"20000"}})
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = response.Body.Close() }()
+			_, _ = io.ReadAll(response.Body)
+			done <- id + " " + response.Status + " " + response.Header.Get("Test-Retry-After")
+		}()
+	}
+	receivedIDs := func() (ids []string) {
+		for _, r := range f.received() {
+			ids = append(ids, r.header.Get(headerID))
+		}
+		return ids
+	}
+
+	// Guards against a full engine that gets further streams, and against an urgent
+	// stream that waits behind less urgent ones.
+	It("is placed when another one ends, the urgent one first", func() {
+		done := make(chan string, 8)
+		call("r1", "urgent", done)
+		Eventually(receivedIDs, time.Second).Should(Equal([]string{"r1"}))
+		call("r2", "urgent", done)
+		Eventually(receivedIDs, time.Second).Should(Equal([]string{"r1", "r2"}))
+		call("r3", "key", done)
+		Consistently(receivedIDs, 300*time.Millisecond).Should(HaveLen(2))
+		call("r4", "urgent", done)
+		Consistently(receivedIDs, 300*time.Millisecond).Should(HaveLen(2))
+		finish <- struct{}{}
+		Eventually(receivedIDs, time.Second).Should(Equal([]string{"r1", "r2", "r4"}))
+		finish <- struct{}{}
+		finish <- struct{}{}
+		Eventually(receivedIDs, time.Second).Should(Equal([]string{"r1", "r2", "r4", "r3"}))
+		finish <- struct{}{}
+		for range 4 {
+			Eventually(done, time.Second).Should(Receive(ContainSubstring("200 OK")))
+		}
+	})
+
+	// Guards against callers that wait for an instance that stops.
+	It("is refused at once when the instance stops", func() {
+		done := make(chan string, 8)
+		call("r1", "urgent", done)
+		Eventually(receivedIDs, time.Second).Should(HaveLen(1))
+		call("r2", "urgent", done)
+		Eventually(receivedIDs, time.Second).Should(HaveLen(2))
+		call("r3", "key", done)
+		Consistently(receivedIDs, 200*time.Millisecond).Should(HaveLen(2))
+		runner.Stop()
+		Eventually(done, 300*time.Millisecond).Should(Receive(Equal("r3 503 Service Unavailable 50ms")))
+		finish <- struct{}{}
+		finish <- struct{}{}
+	})
+
+	// Guards against a lease or a place in the queue that is lost with its caller.
+	It("leaves the queue with its caller", func() {
+		done := make(chan string, 8)
+		call("r1", "urgent", done)
+		Eventually(receivedIDs, time.Second).Should(HaveLen(1))
+		call("r2", "urgent", done)
+		Eventually(receivedIDs, time.Second).Should(HaveLen(2))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			_, _ = f.call(ctx, http.MethodPost, "/stream/r3", nil, http.Header{headerID: {"r3"}})
+		}()
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		Eventually(f.handler.ActiveRequests, time.Second).Should(Equal(2))
+		finish <- struct{}{}
+		finish <- struct{}{}
+		Eventually(f.handler.ActiveRequests, time.Second).Should(BeZero())
+		Expect(receivedIDs()).To(HaveLen(2))
+	})
+})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscusstair/hibiscusstair/admission"
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
@@ -48,9 +49,11 @@
 	// PromptIndex finds the engines that hold the KV cache of a prompt; nil
 	// disables the lookup.
 	PromptIndex *prefixcache.Index
-	Clock       bootclock.Func
-	Log         *slog.Logger
-	Scope       tally.Scope
+	// Admission holds streams back while all engines are full; nil places them at once.
+	Admission *admission.Runner
+	Clock     bootclock.Func
+	Log       *slog.Logger
+	Scope     tally.Scope
 	// Synced is closed once the instance has a configuration and endpoints.
 	// Earlier requests wait for it, up to maxSyncWait; nil disables the wait.
 	Synced <-chan struct{}
--- a/forward/place.go
+++ b/forward/place.go
@@ -52,6 +52,10 @@
 		}
 		s.h.o.Balance.Release(backup, balance.Cancelled)
 	}
+	if s.waitsForAdmission() {
+		lease, err := s.admit()
+		return lease, false, err
+	}
 	until := s.h.o.Clock() + maxEngineWait
 	for {
 		request := s.balanceRequest()
--- a/forward/run.go
+++ b/forward/run.go
@@ -107,6 +107,7 @@
 	end := s.processMessages(r)
 	r.cancel()
 	s.h.concludeAttempt(s.req, r.lease, r.tracked, end.outcome)
+	s.recordFreedEngine(r, end)
 	if end.interruption != nil {
 		s.recordInterruption(r, end.interruption)
 	}
@@ -265,6 +266,7 @@
 	r.lastReceivedID = e.id
 	r.eventsReceived++
 	s.recordServed(r)
+	s.recordAdmittedEvent(r, now)
 	r.stall.recordEvent(now)
 	s.h.activity.record(now)
 	s.h.o.Balance.RecordResponse(r.lease)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,6 +45,7 @@
 	reservedLease     *balance.Lease
 	interruption      *reason.Error // why the last attempt ended
 	callerWriteFailed bool          // a write to the caller failed
+	admittedAt        time.Duration // when the admission queue placed the stream; 0 if it did not
 }
 
 // serveStream serves a request with a streamed response. If an engine is lost
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/admission"
 	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/bootclock"
@@ -109,6 +110,7 @@
 	peerClients     *peer.Clients
 	fleet           *fleet.Runner // nil if other instances cannot call this one
 	retryBudget     *forward.RetryBudget
+	admission       *admission.Runner // nil if requests don't wait for engines
 	forwarder       *forward.Handler
 	newerTables     chan newerTable
 	membersKnown    chan struct{} // closed when another instance has sent its member table
@@ -126,7 +128,7 @@
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock})
 	g.balancer = balance.New(balance.Options{
-		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, OnSuspect: g.reportSuspectedEndpoint},
+		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, OnSuspect: g.reportSuspectedEndpoint, LoadControl: s.LoadControl},
 		Clock:       clock, Log: o.Log, Scope: scope.SubScope("balance"),
 	})
 	g.registry = registry.New(registry.Options{
@@ -161,10 +163,13 @@
 	g.retryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{
 		Ratio: ratio, Baseline: baseline, Window: s.RetryWindow, InstanceCount: g.liveInstanceCount,
 	})
+	if s.LoadControl {
+		g.admission = admission.New(admission.Options{Clock: clock, Log: o.Log, Scope: scope.SubScope("admission")})
+	}
 	g.forwarder = forward.New(forward.Options{
 		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, Quarantine: g.quarantine,
-		RetryBudget: g.retryBudget,
-		Permits:     g.limiter, OnLeaving: g.recordLeaving,
+		RetryBudget: g.retryBudget, Admission: g.admission,
+		Permits: g.limiter, OnLeaving: g.recordLeaving,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced:      g.follower.Synced(),
 		TableStale:  g.tableStale,
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -51,6 +51,9 @@
 	began := bootclock.Now()
 	end := began + timeout - exitReserve
 	g.stopDeadline.Store(int64(end))
+	if g.admission != nil {
+		g.admission.Stop()
+	}
 	g.o.Log.Info("stopping", "running", g.forwarder.ActiveRequests())
 	if g.fleet != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), deregistrationDelay)
