--- a/admission/core.go
+++ b/admission/core.go
@@ -28,8 +28,14 @@
 	maxRefusalShare = 1.0 / 3
 	// minRetryAfter is the least Retry-After of a refusal.
 	minRetryAfter = 200 * time.Millisecond
+	// stoppedFactor times the average time between placements without one means that the
+	// average is out of date.
+	stoppedFactor = 4
 	// averageWeight is the weight of one observation in the moving averages.
 	averageWeight = 0.2
+	// tokensWeight is the weight of one request in the average size, which varies little
+	// over time and much between requests.
+	tokensWeight = 0.05
 )
 
 // Request is a request that waits for an engine.
@@ -69,6 +75,9 @@
 	// firstEvent and duration are moving averages of the time from the placement to the
 	// first event and to the end of the response.
 	firstEvent, duration time.Duration
+	// tokens is the moving average of the memory of a generation.
+	tokens float64
+	freed  []freedEngine // oldest first
 }
 
 // rankQueue holds the waiting requests of one rank by account. The accounts take turns.
@@ -90,6 +99,14 @@
 // Len returns the number of waiting requests.
 func (c *Core) Len() int { return len(c.byID) }
 
+// RecordArrival records the size of a request that has arrived, waiting or not.
+func (c *Core) RecordArrival(r Request) {
+	if c.tokens == 0 {
+		c.tokens = float64(r.Tokens)
+	}
+	c.tokens += tokensWeight * (float64(r.Tokens) - c.tokens)
+}
+
 // FirstArrival returns when the caller of a request first sent it, if the request was
 // refused before, otherwise when it was received.
 func (c *Core) FirstArrival(now time.Duration, r Request) time.Duration {
@@ -165,8 +182,10 @@
 	if ahead == 0 {
 		return 0
 	}
-	// If placements have stopped, the average is out of date.
-	interval := max(c.betweenPlacements, now-max(c.lastPlaced, c.firstIn))
+	interval := c.betweenPlacements
+	if since := now - max(c.lastPlaced, c.firstIn); since > stoppedFactor*interval {
+		interval = since // placements have stopped
+	}
 	return time.Duration(ahead) * interval
 }
 
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -3,17 +3,25 @@
 import "time"
 
 const (
-	// relaxedSlackShare is the slack, as a share of the target latency, down to which a
-	// request gets the base limits; at pressedSlackShare it gets the upper ones. A request
-	// should not be held for longer than an eighth of its target, and prefilling takes a
-	// tenth of a less urgent target.
+	// A request gets the base limits while its slack, as a share of its target latency, is
+	// above relaxedSlackShare, the raised ones at raisedSlackShare and the upper ones at
+	// pressedSlackShare. It should not be held for longer than an eighth of its target, so
+	// the limits rise soon. They rise further until the slack is small, so that the oldest
+	// requests of all instances find room first.
 	relaxedSlackShare = 0.90
-	pressedSlackShare = 0.80
-	// baseMemoryShare and upperMemoryShare are the shares of an engine's memory that
-	// generations fill at the base and at the upper limit. The rest is for backups.
-	baseMemoryShare  = 0.5
-	upperMemoryShare = 0.75
-	// basePrefills and upperPrefills are the limits of the prefills at one engine.
+	raisedSlackShare  = 0.80
+	pressedSlackShare = 0.40
+	// prefillSlackShare is the slack from which on a request may be the second prefill of an
+	// engine.
+	prefillSlackShare = 0.72
+	// Shares of an engine's memory that generations fill at the base, raised and upper
+	// limit. The rest is for backups.
+	baseMemoryShare   = 0.5
+	raisedMemoryShare = 0.6
+	upperMemoryShare  = 0.75
+	urgentMemoryShare = 0.85
+	// basePrefills and upperPrefills are the limits of the prefills at one engine, up to
+	// and above the raised limit.
 	basePrefills  = 1
 	upperPrefills = 2
 )
@@ -27,25 +35,32 @@
 // their urgency, although the instances know nothing of each other's queues. A request of
 // the first rank gets the upper limits at once.
 func (c *Core) Limits(now time.Duration, r Request, capacityTokens int) Limits {
-	pressure := c.pressure(now, r)
 	limits := Limits{Prefills: basePrefills}
-	if pressure >= 0.5 {
+	share := c.memoryShare(now, r)
+	if r.Rank <= 0 || c.slackShare(now, r) <= prefillSlackShare {
 		limits.Prefills = upperPrefills
 	}
-	if capacityTokens > 0 && r.Tokens > 0 {
-		share := baseMemoryShare + pressure*(upperMemoryShare-baseMemoryShare)
-		limits.Generations = max(1, int(share*float64(capacityTokens)/float64(r.Tokens)+0.5))
+	if capacityTokens > 0 && c.tokens > 0 {
+		limits.Generations = max(1, int(share*float64(capacityTokens)/c.tokens+0.5))
 	}
 	return limits
 }
 
-// pressure is 0 for a request with much slack and 1 for one that has to be placed soon.
-func (c *Core) pressure(now time.Duration, r Request) float64 {
+// memoryShare returns the share of an engine's memory that generations may fill with the
+// request.
+func (c *Core) memoryShare(now time.Duration, r Request) float64 {
 	if r.Rank <= 0 {
-		return 1
+		return urgentMemoryShare
 	}
-	slack := float64(c.slack(now, r)) / float64(r.target())
-	return min(1, max(0, (relaxedSlackShare-slack)/(relaxedSlackShare-pressedSlackShare)))
+	slack := c.slackShare(now, r)
+	raised := min(1, max(0, (relaxedSlackShare-slack)/(relaxedSlackShare-raisedSlackShare)))
+	pressed := min(1, max(0, (raisedSlackShare-slack)/(raisedSlackShare-pressedSlackShare)))
+	return baseMemoryShare + raised*(raisedMemoryShare-baseMemoryShare) + pressed*(upperMemoryShare-raisedMemoryShare)
+}
+
+// slackShare returns the slack as a share of the target latency.
+func (c *Core) slackShare(now time.Duration, r Request) float64 {
+	return float64(c.slack(now, r)) / float64(r.target())
 }
 
 // slack returns the time left until the request has to be placed to be on time.
@@ -53,14 +68,15 @@
 	return r.Arrived + r.target() - now - c.firstEvent
 }
 
-// maxPressure returns the highest pressure of the waiting requests that can be on time.
-func (c *Core) maxPressure(now time.Duration) Request {
-	var pressed Request
-	highest := -1.0
+// QueueLimits returns the limits for the request whose turn it is: those of the most
+// pressed request that waits and can be on time, at least its own. A request that may use
+// the room of an engine must not wait for another one that has more slack.
+func (c *Core) QueueLimits(now time.Duration, next Request, capacityTokens int) Limits {
+	pressed := next
 	for _, r := range c.byID {
-		if p := c.pressure(now, r); p > highest && c.slack(now, r) >= 0 {
-			pressed, highest = r, p
+		if c.slack(now, r) >= 0 && c.memoryShare(now, r) > c.memoryShare(now, pressed) {
+			pressed = r
 		}
 	}
-	return pressed
+	return c.Limits(now, pressed, capacityTokens)
 }
--- a/admission/runner.go
+++ b/admission/runner.go
@@ -20,15 +20,6 @@
 	// has room, spread by retryJitter in both directions.
 	retryInterval = 100 * time.Millisecond
 	retryJitter   = 0.3
-	// queriesPerSecond bounds the load queries for waiting requests; a new request may
-	// always make one. Queries and new connections are priced.
-	queriesPerSecond = 8
-	maxQueryBurst    = 6
-	// freedTTL is how long an engine at which a generation of this instance ended is
-	// tried before others. Other instances may place a request there meanwhile.
-	freedTTL = 400 * time.Millisecond
-	// maxFreed bounds the engines that are remembered as freed.
-	maxFreed = 8
 	// shutdownRetryAfter is the Retry-After of requests that wait when the instance stops;
 	// other instances serve them.
 	shutdownRetryAfter = 50 * time.Millisecond
@@ -73,11 +64,9 @@
 	mu       sync.Mutex
 	services map[string]*serviceQueue
 	stopped  bool
-	// queries is the number of load queries that may be made now; refilledAt is when it
-	// was computed.
-	queries    float64
-	refilledAt time.Duration
-	waits      []tally.Histogram // by rank
+	budget   QueryBudget
+	sequence uint64            // of the last request that was queued
+	waits    []tally.Histogram // by rank
 }
 
 // serviceQueue is the queue of one service.
@@ -86,15 +75,9 @@
 	waiting     map[string]*waiter
 	dispatching bool          // a dispatcher runs
 	wake        chan struct{} // has an element if the dispatcher should try at once
-	freed       []freedEngine // oldest first
 	trying      *waiter       // the dispatcher attempts to place it
 }
 
-type freedEngine struct {
-	endpoint registry.Endpoint
-	at       time.Duration
-}
-
 // waiter is a request in the queue.
 type waiter struct {
 	ctx      context.Context
@@ -108,7 +91,7 @@
 
 // New returns a runner without requests.
 func New(o Options) *Runner {
-	r := &Runner{o: o, services: make(map[string]*serviceQueue), queries: maxQueryBurst}
+	r := &Runner{o: o, services: make(map[string]*serviceQueue)}
 	buckets := tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
 	for rank := range maxHistogramRank + 1 {
 		r.waits = append(r.waits, o.Scope.Tagged(map[string]string{"rank": strconv.Itoa(rank)}).Histogram("wait", buckets))
@@ -142,14 +125,15 @@
 	r.mu.Lock()
 	q := r.queue(service)
 	now := r.o.Clock()
+	q.core.RecordArrival(request)
 	request.Arrived = q.core.FirstArrival(now, request)
 	if !q.core.HasAhead(request.Rank) {
 		limits := q.core.Limits(now, request, capacity)
-		queries := max(1, r.availableQueries(now))
+		queries := max(1, r.budget.Available(now))
 		r.mu.Unlock()
 		result := place(ctx, Trial{Limits: limits, MaxQueries: queries})
 		r.mu.Lock()
-		r.queries -= float64(result.Queries)
+		r.budget.Spend(result.Queries)
 		if result.Placed || result.Err != nil {
 			q.core.memory.forget(request)
 			r.mu.Unlock()
@@ -187,6 +171,9 @@
 	if r.stopped {
 		return stopRefusal()
 	}
+	// Callers may send two requests with one ID.
+	r.sequence++
+	w.request.ID += "/" + strconv.FormatUint(r.sequence, 10)
 	if refusal := q.core.Enqueue(w.since, w.request); refusal != nil {
 		r.o.Scope.Tagged(map[string]string{"cause": "arrival"}).Counter("refused").Inc(1)
 		return refusal
@@ -252,14 +239,10 @@
 		return nil, Trial{}, false
 	}
 	w := q.waiting[next.ID]
-	trial := Trial{Limits: q.core.Limits(now, next, w.capacity), MaxQueries: r.availableQueries(now), Waited: now - w.since}
-	if pressed := q.core.maxPressure(now); pressed.ID != "" {
-		// The request whose turn it is gets the room that the most pressed one may take.
-		limits := q.core.Limits(now, Request{Rank: pressed.Rank, Arrived: pressed.Arrived, Target: pressed.Target, Tokens: next.Tokens}, w.capacity)
-		trial.Limits.Generations = max(trial.Limits.Generations, limits.Generations)
-		trial.Limits.Prefills = max(trial.Limits.Prefills, limits.Prefills)
+	trial := Trial{
+		Limits: q.core.QueueLimits(now, next, w.capacity), MaxQueries: r.budget.Available(now),
+		Freed: q.core.TakeFreed(now), Waited: now - w.since,
 	}
-	trial.Freed = q.takeFreed(now)
 	q.trying = w
 	return w, trial, true
 }
@@ -269,7 +252,7 @@
 func (r *Runner) conclude(q *serviceQueue, w *waiter, result Result) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.queries -= float64(result.Queries)
+	r.budget.Spend(result.Queries)
 	q.trying = nil
 	if !result.Placed && result.Err == nil && r.stopped {
 		result.Err = stopRefusal()
@@ -300,25 +283,6 @@
 	r.waits[min(max(rank, 0), maxHistogramRank)].RecordDuration(waited)
 }
 
-// availableQueries returns how many load queries may be made now.
-func (r *Runner) availableQueries(now time.Duration) int {
-	r.queries = min(maxQueryBurst, r.queries+queriesPerSecond*(now-r.refilledAt).Seconds())
-	r.refilledAt = now
-	return max(0, int(r.queries))
-}
-
-// takeFreed returns the engines that were freed just now.
-func (q *serviceQueue) takeFreed(now time.Duration) []registry.Endpoint {
-	var endpoints []registry.Endpoint
-	for _, f := range q.freed {
-		if now-f.at < freedTTL {
-			endpoints = append(endpoints, f.endpoint)
-		}
-	}
-	q.freed = nil
-	return endpoints
-}
-
 // RecordFirstEvent records the time from a placement to the first event.
 func (r *Runner) RecordFirstEvent(service string, d time.Duration) {
 	r.mu.Lock()
@@ -335,12 +299,8 @@
 	if d > 0 {
 		q.core.RecordDuration(d)
 	}
-	if len(q.waiting) == 0 {
-		return
+	if len(q.waiting) > 0 {
+		q.core.RecordFreed(r.o.Clock(), endpoint)
+		q.signal()
 	}
-	if len(q.freed) == maxFreed {
-		q.freed = q.freed[1:]
-	}
-	q.freed = append(q.freed, freedEngine{endpoint, r.o.Clock()})
-	q.signal()
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -157,6 +157,13 @@
 	// memoryUse is the share of the engines' memory in use, by service, as a
 	// moving average of load reports.
 	memoryUse map[string]float64
+	// generationTokens is the moving average of the memory of a generation, by service.
+	generationTokens map[string]float64
+	// running and prefilling are the numbers of generations and prefills of an engine, by
+	// service, as moving averages of load reports. Each prefill ends with a new backup at
+	// some engine.
+	running, prefilling map[string]float64
+	reportedAt          map[string]time.Duration // time of the last load report, by service
 	// prefillTime is the duration of one prefill, by service, as a moving average
 	// in nanoseconds.
 	prefillTime map[string]float64
@@ -176,6 +183,10 @@
 		domainSuspectUntil: make(map[domainKey]time.Duration),
 		kvCapacity:         make(map[string]int),
 		memoryUse:          make(map[string]float64),
+		generationTokens:   make(map[string]float64),
+		running:            make(map[string]float64),
+		prefilling:         make(map[string]float64),
+		reportedAt:         make(map[string]time.Duration),
 		prefillTime:        make(map[string]float64),
 	}
 }
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -47,6 +47,7 @@
 	e.running++
 	e.tokens += request.Tokens
 	if request.Tokens > 0 {
+		c.recordGeneration(request)
 		l.prefilling = true
 		e.prefilling++
 	}
@@ -70,6 +71,9 @@
 		if cost >= domainSuspectCost || c.exceedsCapacity(now, e, request) || c.exceedsBackupRoom(now, e, request) {
 			continue
 		}
+		if c.options.LoadControl {
+			cost = c.boundedBackupCost(e, request)
+		}
 		if cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/balance/load.go
+++ b/balance/load.go
@@ -38,6 +38,9 @@
 	if capacity := c.kvCapacity[e.Service]; capacity > 0 {
 		c.memoryUse[e.Service] += memoryUseWeight * (float64(load.Tokens)/float64(capacity) - c.memoryUse[e.Service])
 	}
+	c.reportedAt[e.Service] = now
+	c.running[e.Service] += loadWeight * (float64(load.Running) - c.running[e.Service])
+	c.prefilling[e.Service] += loadWeight * (float64(load.Prefilling) - c.prefilling[e.Service])
 	e.otherLoad = Load{
 		Running:    max(0, load.Running-e.running),
 		Prefilling: max(0, load.Prefilling-e.prefilling),
--- a/balance/room.go
+++ b/balance/room.go
@@ -13,10 +13,22 @@
 	// maxBackupMemoryUse is the share of an engine's memory that a backup may fill under
 	// load control. The rest covers generations that other instances place meanwhile.
 	maxBackupMemoryUse = 0.95
-	// staleLoadTTL is how long the last report of an engine still bounds its memory after
-	// it is too old for the choice between engines. A generation takes 5 s and more, so
-	// most of the reported ones are still there.
-	staleLoadTTL = 3 * time.Second
+	// pendingBackupFactor times the average number of prefills of an engine is the number
+	// of backups that are expected to come to it. Instances choose independently, so some
+	// engines get more than the average.
+	pendingBackupFactor = 2.0
+	// loadWeight is the weight of one report in the average load of an engine. A burst
+	// changes it within a few seconds.
+	loadWeight = 0.25
+	// generationTokensWeight is the weight of one generation in their average size.
+	generationTokensWeight = 0.05
+	// recentReportTTL is how long a load report is as good as a new query. All instances
+	// with a request that waits see the same room, so older reports lead several of them
+	// to one engine.
+	recentReportTTL = 150 * time.Millisecond
+	// backupReportTTL is how long a load report shows whether an engine has room for a
+	// backup. Backups and generations come to an engine about once a second each.
+	backupReportTTL = time.Second
 )
 
 // bounded reports whether the request limits the generations or prefills of its engine.
@@ -40,17 +52,23 @@
 		return true
 	}
 	capacity := c.kvCapacity[request.Service]
-	return capacity > 0 && c.projectedTokens(now, e, request.Tokens)+request.Tokens > capacity
+	return capacity > 0 && reported && c.projectedTokens(e)+request.Tokens > capacity
 }
 
-// projectedTokens returns the memory that the known generations and backups of an engine
-// take once they have prefilled their prompts, if each takes perGeneration tokens. A
-// report counts only memory in use, which a prompt that waits does not take yet.
-func (c *Core) projectedTokens(now time.Duration, e *endpoint, perGeneration int) int {
-	if now-e.reportedAt >= staleLoadTTL {
-		return max(e.tokens, int(c.memoryUse[e.Service]*float64(c.kvCapacity[e.Service])))
+// projectedTokens returns the memory that the generations and backups of an engine take by
+// its last report once all of them run. A report counts only memory in use, which a
+// generation that waits does not take yet.
+func (c *Core) projectedTokens(e *endpoint) int {
+	return e.tokens + max(e.otherLoad.Tokens, int(float64(e.otherLoad.Running)*c.generationTokens[e.Service]))
+}
+
+// recordGeneration updates the average memory of a generation.
+func (c *Core) recordGeneration(request Request) {
+	average := c.generationTokens[request.Service]
+	if average == 0 {
+		average = float64(request.Tokens)
 	}
-	return e.tokens + max(e.otherLoad.Tokens, e.otherLoad.Running*perGeneration)
+	c.generationTokens[request.Service] = average + generationTokensWeight*(float64(request.Tokens)-average)
 }
 
 // backupUseBound returns the average use of the engines' memory above which no backups
@@ -62,21 +80,37 @@
 	return maxMemoryUseForBackup
 }
 
-// exceedsBackupRoom reports whether a backup would take the engine above
-// maxBackupMemoryUse.
+// exceedsBackupRoom reports whether an engine has too little memory for a further backup:
+// it keeps room for one generation more than an engine has on average, and for the backups of generations that are
+// prefilled now, which reports do not show yet. An engine without a recent report has room
+// only if no engine has sent one.
 func (c *Core) exceedsBackupRoom(now time.Duration, e *endpoint, request Request) bool {
 	capacity := c.kvCapacity[request.Service]
 	if !c.options.LoadControl || capacity == 0 {
 		return false
 	}
-	return float64(c.projectedTokens(now, e, request.Tokens)+request.Tokens) > maxBackupMemoryUse*float64(capacity)
+	if now-e.reportedAt >= backupReportTTL && now-c.reportedAt[e.Service] < backupReportTTL {
+		return true
+	}
+	running := float64(e.running + e.otherLoad.Running)
+	reserved := max(0, c.running[e.Service]+1-running) * c.generationTokens[e.Service]
+	coming := pendingBackupFactor * c.prefilling[e.Service] * c.generationTokens[e.Service]
+	projected := float64(c.projectedTokens(e)+request.Tokens) + reserved + coming
+	return projected > maxBackupMemoryUse*float64(capacity)
+}
+
+// boundedBackupCost is the cost of an engine with room for a backup. It leaves out the
+// load: reports show a backup only after the prefill, so all instances would choose the
+// engine that had the least load some seconds ago.
+func (c *Core) boundedBackupCost(e *endpoint, request Request) float64 {
+	return c.localityCost(e.Domain) + errorRateCost*e.errorRate + backupCost*float64(e.backups) + maxAffinityCost*e.affinityDistance(request.sessionHash)
 }
 
 // WithRoom returns the endpoints that have room for the request by a recent load report.
 func (c *Core) WithRoom(now time.Duration, request Request) []api.EndpointID {
 	var ids []api.EndpointID
 	for _, e := range c.byService[request.Service] {
-		if _, reported := e.load(now); !reported || e.Draining || e.blocks(now, request) || now < e.suspectUntil {
+		if now-e.reportedAt >= recentReportTTL || e.Draining || e.blocks(now, request) || now < e.suspectUntil {
 			continue
 		}
 		if !c.exceedsCapacity(now, e, request) && !c.exceedsMaxDelay(now, e, request) && !c.exceedsRoom(now, e, request) {
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -12,6 +12,10 @@
 	"github.com/hibiscusstair/hibiscusstair/registry"
 )
 
+// maxAdmissionCandidates is the number of engines among which one for the generation and
+// one for its backup are queried first.
+const maxAdmissionCandidates = 6
+
 // maxUnofferedShare is the share of the target latency after which a request for which no
 // engine is available goes to one that is suspected to be down, as it would without the
 // queue.
@@ -58,11 +62,13 @@
 // tryAdmit attempts to place the first attempt within the limits of a trial.
 func (s *stream) tryAdmit(ctx context.Context, trial admission.Trial) (*balance.Lease, admission.Result) {
 	request := s.balanceRequest()
+	request.MaxFirstEventDelay = 0 // the limits bound it
 	request.MaxGenerations, request.MaxPrefills = trial.Limits.Generations, trial.Limits.Prefills
 	queries := 0
 	if s.h.o.LoadProber != nil && len(request.Prefer) == 0 {
-		request.Probed, queries = s.queryForAdmission(ctx, request, trial)
-		if len(request.Probed) == 0 && !s.unofferedTooLong(trial) {
+		var anyEngine bool
+		request.Probed, queries, anyEngine = s.queryForAdmission(ctx, request, trial)
+		if len(request.Probed) == 0 && (anyEngine || !s.unofferedTooLong(trial)) {
 			request.Probed = []api.EndpointID{} // none is chosen
 		}
 	}
@@ -83,23 +89,22 @@
 }
 
 // queryForAdmission queries the load of engines that may have room, first those at which a
-// generation of this instance has just ended, and returns the engines to choose from. An
-// engine with a recent report needs no query.
-func (s *stream) queryForAdmission(ctx context.Context, request balance.Request, trial admission.Trial) ([]api.EndpointID, int) {
-	known := s.h.o.Balance.WithRoom(request)
+// generation of this instance has just ended, and returns the engines to choose from, the
+// number of queries, and whether there was any engine to query. An engine with a recent
+// report needs no query.
+func (s *stream) queryForAdmission(ctx context.Context, request balance.Request, trial admission.Trial) (known []api.EndpointID, queries int, anyEngine bool) {
+	known = s.h.o.Balance.WithRoom(request)
 	engines := slices.Clone(trial.Freed)
-	for _, candidate := range s.h.o.Balance.Candidates(request, maxCandidates) {
+	for _, candidate := range s.h.o.Balance.Candidates(request, maxAdmissionCandidates) {
 		if !slices.ContainsFunc(engines, func(e registry.Endpoint) bool { return e.ID == candidate.ID }) {
 			engines = append(engines, candidate)
 		}
 	}
-	queries := 0
+	putBackupSecond(engines)
+	anyEngine = len(engines) > 0
 	for len(engines) > 0 && queries < trial.MaxQueries {
-		// The first alone: it usually has room. The others together.
-		count := 1
-		if queries > 0 {
-			count = min(len(engines), trial.MaxQueries-queries, maxCandidates-1)
-		}
+		// The first usually has room, and the second is for the backup.
+		count := min(len(engines), max(1, trial.MaxQueries-queries), 2)
 		s.h.o.LoadProber.Refresh(ctx, engines[:count])
 		queries += count
 		for _, engine := range engines[:count] {
@@ -109,11 +114,31 @@
 			break
 		}
 		engines = engines[count:]
-		if request.Probed = known; queries >= maxCandidates && s.h.o.Balance.HasCapacity(request) {
+		if s.foundRoom(request, known, queries) {
 			break
 		}
 	}
-	return known, queries
+	return known, queries, anyEngine
+}
+
+// foundRoom reports whether one of the engines has room and no prompt to prefill, or has
+// room after several queries. An urgent request goes on while it has queries left.
+func (s *stream) foundRoom(request balance.Request, known []api.EndpointID, queries int) bool {
+	withoutPrefill := request
+	withoutPrefill.Probed, withoutPrefill.MaxPrefills = known, 1
+	if s.h.o.Balance.HasCapacity(withoutPrefill) {
+		return true
+	}
+	request.Probed = known
+	return queries > maxCandidates && s.req.priority > 0 && s.h.o.Balance.HasCapacity(request)
+}
+
+// putBackupSecond moves the first engine of another failure domain than the first one's to
+// the second place.
+func putBackupSecond(engines []registry.Endpoint) {
+	for i := 2; i < len(engines) && engines[1].Domain == engines[0].Domain; i++ {
+		engines[1], engines[i] = engines[i], engines[1]
+	}
 }
 
 // recordAdmittedEvent records the time to the first event of a stream from the queue.
