--- a/admission/core.go
+++ b/admission/core.go
@@ -113,6 +113,9 @@
 	return c.memory.firstArrival(now, r)
 }
 
+// Forget drops what is remembered of a request that is served or does not wait.
+func (c *Core) Forget(r Request) { c.memory.forget(r) }
+
 // HasAhead reports whether a request waits that is placed before a new one of the rank.
 func (c *Core) HasAhead(rank int) bool {
 	for other := range c.ranks {
@@ -196,8 +199,9 @@
 	if r.Deadline > 0 {
 		longest = time.Duration(float64(r.Deadline-now) * maxRefusalShare)
 	}
+	wait = min(wait, time.Duration(float64(longest)/(1+retrySpread)))
 	after := time.Duration(float64(wait) * spread(r.ID))
-	return reason.New(reason.Overloaded, "%s", message).WithRetryAfter(max(minRetryAfter, min(after, longest)))
+	return reason.New(reason.Overloaded, "%s", message).WithRetryAfter(max(minRetryAfter, after))
 }
 
 // Expire removes the requests that cannot be served in time any more and returns their
--- a/admission/runner.go
+++ b/admission/runner.go
@@ -135,7 +135,7 @@
 		r.mu.Lock()
 		r.budget.Spend(result.Queries)
 		if result.Placed || result.Err != nil {
-			q.core.memory.forget(request)
+			q.core.Forget(request)
 			r.mu.Unlock()
 			if result.Placed {
 				r.recordWait(request.Rank, 0)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -130,6 +130,8 @@
 	// otherLoad is the part of the last load report that other instances cause.
 	otherLoad  Load
 	reportedAt time.Duration
+	// recentChanges are those of the own load that reports may not show yet.
+	recentChanges []loadChange
 }
 
 // CoreOptions configures a Core.
--- a/balance/health.go
+++ b/balance/health.go
@@ -13,6 +13,7 @@
 	if l.prefilling {
 		l.prefilling = false
 		e.prefilling--
+		c.recordChange(now, e, Load{Prefilling: -1})
 		c.recordPrefillTime(now, l)
 	}
 }
@@ -20,7 +21,7 @@
 // Release ends a lease and records the outcome of its request. Further releases
 // of the lease have no effect.
 func (c *Core) Release(now time.Duration, l *Lease, outcome Outcome) {
-	if l.end() && !l.backup {
+	if c.endLease(now, l) && !l.backup {
 		c.recordOutcome(now, l.endpoint, l, outcome)
 	}
 }
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -50,6 +50,7 @@
 		c.recordGeneration(request)
 		l.prefilling = true
 		e.prefilling++
+		c.recordChange(now, e, Load{Running: 1, Prefilling: 1, Tokens: request.Tokens})
 	}
 	return l
 }
@@ -62,27 +63,33 @@
 		return nil
 	}
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
+	var possible []*endpoint
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	for _, e := range c.byService[request.Service] {
 		if e.Draining || e.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
 			continue
 		}
 		cost := c.cost(now, e, request)
-		if cost >= domainSuspectCost || c.exceedsCapacity(now, e, request) || c.exceedsBackupRoom(now, e, request) {
+		if cost >= domainSuspectCost {
 			continue
 		}
 		if c.options.LoadControl {
-			cost = c.boundedBackupCost(e, request)
+			possible = append(possible, e)
+			continue
 		}
-		if cost < bestCost {
+		if !c.exceedsCapacity(now, e, request) && cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
+	if c.options.LoadControl {
+		best = c.chooseBoundedBackup(now, possible, request)
+	}
 	if best == nil {
 		return nil
 	}
 	best.backups++
 	best.tokens += request.Tokens
+	c.recordChange(now, best, Load{Tokens: request.Tokens})
 	return &Lease{Endpoint: best.Endpoint, endpoint: best, tokens: request.Tokens, started: now, backup: true}
 }
 
@@ -96,6 +103,7 @@
 	l.started = now
 	l.endpoint.backups--
 	l.endpoint.running++
+	c.recordChange(now, l.endpoint, Load{Running: 1})
 }
 
 // end removes the lease from the load of its endpoint. It returns false if the lease
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -33,7 +33,7 @@
 // Withdraw ends a lease for which no permit was granted: nothing was sent, so there
 // is no outcome. The endpoint is not chosen for the given time.
 func (c *Core) Withdraw(now time.Duration, l *Lease, wait time.Duration) {
-	if !l.end() {
+	if !c.endLease(now, l) {
 		return
 	}
 	l.endpoint.trialRunning = false
--- a/balance/load.go
+++ b/balance/load.go
@@ -41,10 +41,11 @@
 	c.reportedAt[e.Service] = now
 	c.running[e.Service] += loadWeight * (float64(load.Running) - c.running[e.Service])
 	c.prefilling[e.Service] += loadWeight * (float64(load.Prefilling) - c.prefilling[e.Service])
+	own := e.ownLoadInReport(now)
 	e.otherLoad = Load{
-		Running:    max(0, load.Running-e.running),
-		Prefilling: max(0, load.Prefilling-e.prefilling),
-		Tokens:     max(0, load.Tokens-e.tokens),
+		Running:    max(0, load.Running-own.Running),
+		Prefilling: max(0, load.Prefilling-own.Prefilling),
+		Tokens:     max(0, load.Tokens-own.Tokens),
 	}
 }
 
--- a/balance/room.go
+++ b/balance/room.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
@@ -20,6 +22,8 @@
 	// loadWeight is the weight of one report in the average load of an engine. A burst
 	// changes it within a few seconds.
 	loadWeight = 0.25
+	// maxBackupTries is the number of engines that one generation considers for its backup.
+	maxBackupTries = 2
 	// generationTokensWeight is the weight of one generation in their average size.
 	generationTokensWeight = 0.05
 	// recentReportTTL is how long a load report is as good as a new query. All instances
@@ -80,18 +84,39 @@
 	return maxMemoryUseForBackup
 }
 
+// chooseBoundedBackup returns the engine for a backup under load control, or nil if there
+// is none. It considers only engines with a recent report, if there are any, and of these
+// maxBackupTries that depend on the session, not on the load: reports show a backup only
+// after the prefill, so otherwise all instances would choose the few engines that had room
+// some seconds ago.
+func (c *Core) chooseBoundedBackup(now time.Duration, possible []*endpoint, request Request) *endpoint {
+	if now-c.reportedAt[request.Service] < backupReportTTL {
+		possible = slices.DeleteFunc(possible, func(e *endpoint) bool { return now-e.reportedAt >= backupReportTTL })
+	}
+	slices.SortFunc(possible, func(a, b *endpoint) int {
+		return cmp.Compare(c.boundedBackupCost(a, request), c.boundedBackupCost(b, request))
+	})
+	for _, e := range possible[:min(maxBackupTries, len(possible))] {
+		if !c.exceedsCapacity(now, e, request) && !c.exceedsBackupRoom(e, request) {
+			return e
+		}
+	}
+	return nil
+}
+
+// boundedBackupCost is the cost of an engine for a backup without its load.
+func (c *Core) boundedBackupCost(e *endpoint, request Request) float64 {
+	return c.localityCost(e.Domain) + errorRateCost*e.errorRate + backupCost*float64(e.backups) + maxAffinityCost*e.affinityDistance(request.sessionHash)
+}
+
 // exceedsBackupRoom reports whether an engine has too little memory for a further backup:
-// it keeps room for one generation more than an engine has on average, and for the backups of generations that are
-// prefilled now, which reports do not show yet. An engine without a recent report has room
-// only if no engine has sent one.
-func (c *Core) exceedsBackupRoom(now time.Duration, e *endpoint, request Request) bool {
+// it keeps room for one generation more than an engine has on average, and for the backups
+// of generations that are prefilled now, which reports do not show yet.
+func (c *Core) exceedsBackupRoom(e *endpoint, request Request) bool {
 	capacity := c.kvCapacity[request.Service]
-	if !c.options.LoadControl || capacity == 0 {
+	if capacity == 0 {
 		return false
 	}
-	if now-e.reportedAt >= backupReportTTL && now-c.reportedAt[e.Service] < backupReportTTL {
-		return true
-	}
 	running := float64(e.running + e.otherLoad.Running)
 	reserved := max(0, c.running[e.Service]+1-running) * c.generationTokens[e.Service]
 	coming := pendingBackupFactor * c.prefilling[e.Service] * c.generationTokens[e.Service]
@@ -99,13 +124,6 @@
 	return projected > maxBackupMemoryUse*float64(capacity)
 }
 
-// boundedBackupCost is the cost of an engine with room for a backup. It leaves out the
-// load: reports show a backup only after the prefill, so all instances would choose the
-// engine that had the least load some seconds ago.
-func (c *Core) boundedBackupCost(e *endpoint, request Request) float64 {
-	return c.localityCost(e.Domain) + errorRateCost*e.errorRate + backupCost*float64(e.backups) + maxAffinityCost*e.affinityDistance(request.sessionHash)
-}
-
 // WithRoom returns the endpoints that have room for the request by a recent load report.
 func (c *Core) WithRoom(now time.Duration, request Request) []api.EndpointID {
 	var ids []api.EndpointID
