Place waiting requests if no engine reports its load

Cause: an engine whose load is unknown counts as having one generation more, so a request could wait until its refusal while no engine reported. Memory that waiting generations need was not counted for failovers. Change: without any report of the last second a request is placed after a quarter of its slack; limits are at least two generations; with load control the memory of waiting generations counts for every generation. Measured: tests of admission, balance and of waiting in forward pass.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -11,6 +11,9 @@
 	relaxedSlackShare = 0.90
 	raisedSlackShare  = 0.80
 	pressedSlackShare = 0.40
+	// minGenerations is the least limit of generations. An engine whose load is unknown
+	// counts as having one.
+	minGenerations = 2
 	// prefillSlackShare is the slack from which on a request may be the second prefill of an
 	// engine.
 	prefillSlackShare = 0.72
@@ -41,7 +44,7 @@
 		limits.Prefills = upperPrefills
 	}
 	if capacityTokens > 0 && c.tokens > 0 {
-		limits.Generations = max(1, int(share*float64(capacityTokens)/c.tokens+0.5))
+		limits.Generations = max(minGenerations, int(share*float64(capacityTokens)/c.tokens+0.5))
 	}
 	return limits
 }
@@ -58,6 +61,12 @@
 	return baseMemoryShare + raised*(raisedMemoryShare-baseMemoryShare) + pressed*(upperMemoryShare-raisedMemoryShare)
 }
 
+// Overdue reports whether a request has waited for more than a quarter of the slack that it
+// had when it arrived.
+func (c *Core) Overdue(now time.Duration, r Request) bool {
+	return now-r.Received >= max(0, c.slack(r.Received, r))/4
+}
+
 // slackShare returns the slack as a share of the target latency.
 func (c *Core) slackShare(now time.Duration, r Request) float64 {
 	return float64(c.slack(now, r)) / float64(r.target())
--- a/admission/runner.go
+++ b/admission/runner.go
@@ -34,6 +34,9 @@
 	MaxQueries int
 	// Freed are engines at which generations of this instance have ended just now.
 	Freed []registry.Endpoint
+	// Overdue says that the request has waited for more than a quarter of its slack. It
+	// does not wait any longer if no engine reports its load.
+	Overdue bool
 	// Waited is how long the request has waited in the queue.
 	Waited time.Duration
 }
@@ -242,6 +245,7 @@
 	trial := Trial{
 		Limits: q.core.QueueLimits(now, next, w.capacity), MaxQueries: r.budget.Available(now),
 		Freed: q.core.TakeFreed(now), Waited: now - w.since,
+		Overdue: q.core.Overdue(now, next),
 	}
 	q.trying = w
 	return w, trial, true
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -292,8 +292,7 @@
 		return false
 	}
 	capacity := c.kvCapacity[request.Service]
-	load, _ := e.load(now)
-	return e.running+e.backups >= e.Slots || (capacity > 0 && load.Tokens+request.Tokens > capacity)
+	return e.running+e.backups >= e.Slots || (capacity > 0 && c.knownTokens(now, e)+request.Tokens > capacity)
 }
 
 // IsAvailable reports whether the endpoint is registered with the same
--- a/balance/room.go
+++ b/balance/room.go
@@ -39,8 +39,7 @@
 func (r Request) bounded() bool { return r.MaxGenerations > 0 || r.MaxPrefills > 0 }
 
 // exceedsRoom reports whether the endpoint already has as many generations or prefills as
-// the request allows, or too little memory for its generations, backups and the request.
-// An endpoint without a load report counts as having one generation more than is known.
+// the request allows. An endpoint without a load report counts as having one generation more than is known.
 func (c *Core) exceedsRoom(now time.Duration, e *endpoint, request Request) bool {
 	if request.Tokens == 0 || !request.bounded() {
 		return false
@@ -52,11 +51,17 @@
 	if request.MaxGenerations > 0 && load.Running >= request.MaxGenerations {
 		return true
 	}
-	if request.MaxPrefills > 0 && load.Prefilling >= request.MaxPrefills {
-		return true
+	return request.MaxPrefills > 0 && load.Prefilling >= request.MaxPrefills
+}
+
+// knownTokens returns the memory in use at an endpoint as far as it is known, under load
+// control with that of generations that wait.
+func (c *Core) knownTokens(now time.Duration, e *endpoint) int {
+	load, reported := e.load(now)
+	if reported && c.options.LoadControl {
+		return c.projectedTokens(e)
 	}
-	capacity := c.kvCapacity[request.Service]
-	return capacity > 0 && reported && c.projectedTokens(e)+request.Tokens > capacity
+	return load.Tokens
 }
 
 // projectedTokens returns the memory that the generations and backups of an engine take by
@@ -90,7 +95,7 @@
 // after the prefill, so otherwise all instances would choose the few engines that had room
 // some seconds ago.
 func (c *Core) chooseBoundedBackup(now time.Duration, possible []*endpoint, request Request) *endpoint {
-	if now-c.reportedAt[request.Service] < backupReportTTL {
+	if c.HasReports(now, request.Service) {
 		possible = slices.DeleteFunc(possible, func(e *endpoint) bool { return now-e.reportedAt >= backupReportTTL })
 	}
 	slices.SortFunc(possible, func(a, b *endpoint) int {
@@ -138,6 +143,19 @@
 	return ids
 }
 
+// HasReports reports whether an endpoint of the service has reported its load recently.
+func (c *Core) HasReports(now time.Duration, service string) bool {
+	at, ok := c.reportedAt[service]
+	return ok && now-at < backupReportTTL
+}
+
+// HasReports reports whether an endpoint of the service has reported its load recently.
+func (b *Balancer) HasReports(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.HasReports(b.options.Clock(), service)
+}
+
 // WithRoom returns the endpoints that have room for the request by a recent load report.
 func (b *Balancer) WithRoom(request Request) []api.EndpointID {
 	b.mu.Lock()
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -71,6 +71,9 @@
 		if len(request.Probed) == 0 && (anyEngine || !s.unofferedTooLong(trial)) {
 			request.Probed = []api.EndpointID{} // none is chosen
 		}
+		if trial.Overdue && !s.h.o.Balance.HasReports(request.Service) {
+			request.MaxGenerations, request.MaxPrefills = 0, 0
+		}
 	}
 	lease, err := s.h.chooseEndpoint(ctx, request)
 	switch {
