Tune the limits and the load queries of the admission queue

Cause: in the played burst urgent requests were late behind two other prompts, and 25 instances refused 292 of 3,531 requests of a burst that 224 engines could serve, because the budget of load queries was too small. Change: a second prefill at an engine from a slack of 0.67 of the target (waits of about 1 s), limits of 0.5, 0.65, 0.8 and for the first rank 0.9 of the memory; each arrival adds two queries to the budget of four a second, and may always make two.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -16,13 +16,13 @@
 	minGenerations = 2
 	// prefillSlackShare is the slack from which on a request may be the second prefill of an
 	// engine.
-	prefillSlackShare = 0.72
+	prefillSlackShare = 0.67
 	// Shares of an engine's memory that generations fill at the base, raised and upper
 	// limit. The rest is for backups.
 	baseMemoryShare   = 0.5
-	raisedMemoryShare = 0.6
-	upperMemoryShare  = 0.75
-	urgentMemoryShare = 0.85
+	raisedMemoryShare = 0.65
+	upperMemoryShare  = 0.80
+	urgentMemoryShare = 0.90
 	// basePrefills and upperPrefills are the limits of the prefills at one engine, up to
 	// and above the raised limit.
 	basePrefills  = 1
--- a/admission/pace.go
+++ b/admission/pace.go
@@ -8,10 +8,15 @@
 
 const (
 	// queriesPerSecond and maxQueryBurst bound the load queries of an instance for waiting
-	// requests; a request that has just arrived may always make one. Queries and new
-	// connections are priced.
-	queriesPerSecond = 5
+	// requests. Queries and new connections are priced, and the more instances look at an
+	// engine within the age of a report, the more of them send a request there.
+	queriesPerSecond = 4
 	maxQueryBurst    = 6
+	// queriesPerArrival is added for each request that arrives.
+	queriesPerArrival = 2
+	// minArrivalQueries is the number of queries that a request which has just arrived may
+	// always make: of an engine for the generation and one for its backup.
+	minArrivalQueries = 2
 	// freedTTL is how long an engine at which a generation of this instance ended is
 	// tried before others. Other instances may place a request there meanwhile.
 	freedTTL = 400 * time.Millisecond
@@ -33,6 +38,10 @@
 	return max(0, int(maxQueryBurst-b.used))
 }
 
+// Earn adds the queries of a request that has arrived. Without them an instance with many
+// requests would hold them although engines have room.
+func (b *QueryBudget) Earn() { b.used = max(0, b.used-queriesPerArrival) }
+
 // Spend records queries that were made.
 func (b *QueryBudget) Spend(queries int) { b.used += float64(queries) }
 
--- a/admission/runner.go
+++ b/admission/runner.go
@@ -129,10 +129,11 @@
 	q := r.queue(service)
 	now := r.o.Clock()
 	q.core.RecordArrival(request)
+	r.budget.Earn()
 	request.Arrived = q.core.FirstArrival(now, request)
 	if !q.core.HasAhead(request.Rank) {
 		limits := q.core.Limits(now, request, capacity)
-		queries := max(1, r.budget.Available(now))
+		queries := max(minArrivalQueries, r.budget.Available(now))
 		r.mu.Unlock()
 		result := place(ctx, Trial{Limits: limits, MaxQueries: queries})
 		r.mu.Lock()
