--- a/admission/runner.go
+++ b/admission/runner.go
@@ -70,6 +70,8 @@
 	budget   QueryBudget
 	sequence uint64            // of the last request that was queued
 	waits    []tally.Histogram // by rank
+
+	limitsHit, refusedOnArrival, refusedAfterWait tally.Counter
 }
 
 // serviceQueue is the queue of one service.
@@ -94,7 +96,15 @@
 
 // New returns a runner without requests.
 func New(o Options) *Runner {
-	r := &Runner{o: o, services: make(map[string]*serviceQueue)}
+	r := &Runner{
+		o: o, services: make(map[string]*serviceQueue),
+		limitsHit:        o.Scope.Counter("limits_hit"),
+		refusedOnArrival: o.Scope.Tagged(map[string]string{"cause": "arrival"}).Counter("refused"),
+		refusedAfterWait: o.Scope.Tagged(map[string]string{"cause": "wait"}).Counter("refused"),
+	}
+	for _, counter := range []tally.Counter{r.limitsHit, r.refusedOnArrival, r.refusedAfterWait} {
+		counter.Inc(0) // exports it
+	}
 	buckets := tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
 	for rank := range maxHistogramRank + 1 {
 		r.waits = append(r.waits, o.Scope.Tagged(map[string]string{"rank": strconv.Itoa(rank)}).Histogram("wait", buckets))
@@ -146,7 +156,7 @@
 			}
 			return result.Placed, result.Err
 		}
-		r.o.Scope.Counter("limits_hit").Inc(1)
+		r.limitsHit.Inc(1)
 	}
 	w := &waiter{ctx: ctx, request: request, capacity: capacity, place: place, since: r.o.Clock(), done: make(chan *reason.Error, 1)}
 	refusal := r.enqueue(q, w)
@@ -175,16 +185,16 @@
 	if r.stopped {
 		return stopRefusal()
 	}
-	// Callers may send two requests with one ID.
-	r.sequence++
+	id := w.request.ID
+	r.sequence++ // callers may send two requests with one ID
 	w.request.ID += "/" + strconv.FormatUint(r.sequence, 10)
 	if refusal := q.core.Enqueue(w.since, w.request); refusal != nil {
-		r.o.Scope.Tagged(map[string]string{"cause": "arrival"}).Counter("refused").Inc(1)
+		r.refusedOnArrival.Inc(1)
 		return refusal
 	}
 	q.waiting[w.request.ID] = w
 	r.o.Scope.Gauge("queued").Update(float64(len(q.waiting)))
-	r.o.Log.Info("request queued", "request", w.request.ID, "rank", w.request.Rank, "queued", len(q.waiting),
+	r.o.Log.Info("request queued", "request", id, "rank", w.request.Rank, "queued", len(q.waiting),
 		"slack_ms", q.core.slack(w.since, w.request).Milliseconds())
 	if !q.dispatching {
 		q.dispatching = true
@@ -234,7 +244,7 @@
 		}
 	}
 	for id, refusal := range q.core.Expire(now) {
-		r.o.Scope.Tagged(map[string]string{"cause": "wait"}).Counter("refused").Inc(1)
+		r.refusedAfterWait.Inc(1)
 		r.finish(q, q.waiting[id], refusal)
 	}
 	next, ok := q.core.Next(now)
@@ -263,7 +273,7 @@
 		result.Err = stopRefusal()
 	}
 	if !result.Placed && result.Err == nil {
-		r.o.Scope.Counter("limits_hit").Inc(1)
+		r.limitsHit.Inc(1)
 		return false
 	}
 	now := r.o.Clock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -252,6 +252,21 @@
 		_ = response.Body.Close()
 	})
 
+	// Guards against a queue that is not built although load control is on, or the reverse.
+	DescribeTable("has an admission queue under load control only", func(loadControl bool) {
+		settings.LoadControl = loadControl
+		start()
+		Eventually(ready, "5s").Should(Equal(http.StatusOK))
+		response, err := http.Get("http://" + settings.MetricsListen.String() + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Contains(string(body), "hibiscusstair_admission_limits_hit")).To(Equal(loadControl))
+		stop()
+		Eventually(ended, "5s").Should(Receive(BeNil()))
+	}, Entry("on", true), Entry("off", false))
+
 	// Guards against changed settings that take effect only after a restart, which
 	// would interrupt the running requests.
 	It("applies changed settings after a signal", func() {
