--- a/admission/runner.go
+++ b/admission/runner.go
@@ -67,6 +67,7 @@
 	mu       sync.Mutex
 	services map[string]*serviceQueue
 	stopped  bool
+	queued   int // requests that wait, of all services
 	budget   QueryBudget
 	sequence uint64            // of the last request that was queued
 	waits    []tally.Histogram // by rank
@@ -193,7 +194,7 @@
 		return refusal
 	}
 	q.waiting[w.request.ID] = w
-	r.o.Scope.Gauge("queued").Update(float64(len(q.waiting)))
+	r.addQueued(1)
 	r.o.Log.Info("request queued", "request", id, "rank", w.request.Rank, "queued", len(q.waiting),
 		"slack_ms", q.core.slack(w.since, w.request).Milliseconds())
 	if !q.dispatching {
@@ -290,10 +291,15 @@
 
 func (r *Runner) finish(q *serviceQueue, w *waiter, err *reason.Error) {
 	delete(q.waiting, w.request.ID)
-	r.o.Scope.Gauge("queued").Update(float64(len(q.waiting)))
+	r.addQueued(-1)
 	w.done <- err
 }
 
+func (r *Runner) addQueued(n int) {
+	r.queued += n
+	r.o.Scope.Gauge("queued").Update(float64(r.queued))
+}
+
 func (r *Runner) recordWait(rank int, waited time.Duration) {
 	r.waits[min(max(rank, 0), maxHistogramRank)].RecordDuration(waited)
 }
