Don't refuse an admitted stream whose first engine accepts no connection

Cause: such a stream has no attempt yet, so it was refused (overloaded) if prompts waited at all other engines, although the queue had let it through. Change: the bound on the delay of the first event holds only for streams that the queue has not placed.

--- a/forward/admit_test.go
+++ b/forward/admit_test.go
@@ -164,3 +164,37 @@
 		Expect(receivedIDs()).To(HaveLen(2))
 	})
 })
+
+var _ = Describe("A stream that the admission queue has placed", func() {
+	// Guards against a refusal because prompts wait at all other engines after the first
+	// engine accepted no connection: the queue holds requests back, and this one was let
+	// through.
+	It("is not refused as overloaded when its first engine accepts no connection", func() {
+		f := newFixtureWithOptions(nil, func(_ *fixture, o *forward.Options) {
+			o.RetryBudget = forward.NewRetryBudget(forward.RetryBudgetOptions{Ratio: 1, Baseline: 100, Window: 10 * time.Second})
+			o.Admission = admission.New(admission.Options{Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		})
+		f.applyTable(nil)
+		f.startEndpoint("b", func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/stream/hang":
+				hang(w, r)
+				return
+			case "/stream/slow":
+				time.Sleep(700 * time.Millisecond)
+			}
+			streamEvents(2, endStream)(w, r)
+		})
+		code, _, _ := f.get("/stream/slow")
+		Expect(code).To(Equal(http.StatusOK))
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() { _, _ = f.call(ctx, http.MethodGet, "/stream/hang", nil, nil) }()
+		Eventually(f.received, time.Second).Should(HaveLen(2))
+		f.startEndpoint("a", respond("unused"))
+		f.refuseConnections("a")
+		code, body, _ := f.get("/stream/x")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(body).To(Equal(streamText(2)))
+	})
+})
--- a/forward/place.go
+++ b/forward/place.go
@@ -85,11 +85,11 @@
 
 // balanceRequest describes the stream to the balancer. A first attempt whose
 // response would start late is refused before it takes engine time from others.
-// A stream that has already started, or that the caller resumes, is not refused
-// for that reason.
+// A stream that has already started, that the admission queue has placed before, or
+// that the caller resumes, is not refused for that reason.
 func (s *stream) balanceRequest() balance.Request {
 	request := s.req.balanceRequest()
-	if s.req.attempts == 0 && s.req.info.LastEventID == "" {
+	if s.req.attempts == 0 && s.admittedAt == 0 && s.req.info.LastEventID == "" {
 		request.MaxFirstEventDelay = time.Duration(float64(s.req.route.TargetLatency) * maxQueueDelayShare)
 	}
 	return request
