--- a/balance/balance.go
+++ b/balance/balance.go
@@ -75,6 +75,10 @@
 	// MaxFirstEventDelay bounds the expected time until the first event; 0 means
 	// no bound. Engines with a longer expected delay are not chosen.
 	MaxFirstEventDelay time.Duration
+	// MaxGenerations and MaxPrefills bound the generations and the prefills of the
+	// engine, including this one; 0 means no bound. If either is set, only endpoints in
+	// Probed are chosen, unless it is empty.
+	MaxGenerations, MaxPrefills int
 
 	sessionHash uint64 // hash of Session
 }
@@ -126,6 +130,8 @@
 	// otherLoad is the part of the last load report that other instances cause.
 	otherLoad  Load
 	reportedAt time.Duration
+	// recentChanges are those of the own load that reports may not show yet.
+	recentChanges []loadChange
 }
 
 // CoreOptions configures a Core.
@@ -136,6 +142,9 @@
 	// OnSuspect is called when an endpoint fails and is put or kept under
 	// suspicion. It must not block.
 	OnSuspect func(registry.Endpoint)
+	// LoadControl says that new generations are bounded by MaxGenerations, so that the
+	// engines have memory for backups.
+	LoadControl bool
 }
 
 // Core chooses endpoints, and keeps the load and the health of each. It is not
@@ -150,6 +159,13 @@
 	// memoryUse is the share of the engines' memory in use, by service, as a
 	// moving average of load reports.
 	memoryUse map[string]float64
+	// generationTokens is the moving average of the memory of a generation, by service.
+	generationTokens map[string]float64
+	// running and prefilling are the numbers of generations and prefills of an engine, by
+	// service, as moving averages of load reports. Each prefill ends with a new backup at
+	// some engine.
+	running, prefilling map[string]float64
+	reportedAt          map[string]time.Duration // time of the last load report, by service
 	// prefillTime is the duration of one prefill, by service, as a moving average
 	// in nanoseconds.
 	prefillTime map[string]float64
@@ -169,6 +185,10 @@
 		domainSuspectUntil: make(map[domainKey]time.Duration),
 		kvCapacity:         make(map[string]int),
 		memoryUse:          make(map[string]float64),
+		generationTokens:   make(map[string]float64),
+		running:            make(map[string]float64),
+		prefilling:         make(map[string]float64),
+		reportedAt:         make(map[string]time.Duration),
 		prefillTime:        make(map[string]float64),
 	}
 }
@@ -225,13 +245,16 @@
 		case c.exceedsMaxDelay(now, e, request):
 			tooSlow++
 			continue
-		case c.exceedsCapacity(now, e, request) || (request.Probed != nil && !slices.Contains(request.Probed, e.ID)):
+		case c.exceedsRoom(now, e, request) || c.exceedsCapacity(now, e, request) || (request.Probed != nil && !slices.Contains(request.Probed, e.ID)):
 			continue
 		}
 		if cost := c.cost(now, e, request); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
+	if best == nil && request.bounded() && draining+excluded+limited < len(c.byService[request.Service]) {
+		return nil, reason.New(reason.NoSlot, "all endpoints of the service have as many generations as the request allows")
+	}
 	if best == nil && request.Probed != nil {
 		request.Probed = nil
 		return c.Choose(now, request)
@@ -269,8 +292,7 @@
 		return false
 	}
 	capacity := c.kvCapacity[request.Service]
-	load, _ := e.load(now)
-	return e.running+e.backups >= e.Slots || (capacity > 0 && load.Tokens+request.Tokens > capacity)
+	return e.running+e.backups >= e.Slots || (capacity > 0 && c.knownTokens(now, e)+request.Tokens > capacity)
 }
 
 // IsAvailable reports whether the endpoint is registered with the same
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -46,6 +46,7 @@
 	interruption      *reason.Error // why the last attempt ended
 	callerWriteFailed bool          // a write to the caller failed
 	callerSlow        bool          // it failed because the caller does not read; see slowReaders
+	admittedAt        time.Duration // when the admission queue placed the stream; 0 if it did not
 }
 
 // serveStream serves a request with a streamed response. If an engine is lost
