Restrict the choice of endpoints to versions

Cause: a rollout bounds which versions of a service's software a request may reach, but the balancer chose among all endpoints of the service. An engine found at the address of another one while the store is unreachable took over the version of that one, although the address may belong to the other version. Change: balance.Request has Versions (nil: no restriction), PreferVersions, which are chosen as long as one of their endpoints takes the request, and Canaries, the endpoints of a new version that take requests. With CoreOptions.Versioned, the engines that are asked for a resumed stream are chosen by failure domain and version. With revive.Options.Versioned, a replacement has an unknown version while the service has several.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,13 +70,23 @@
 	Probed []api.EndpointID
 	// Exclude lists endpoints that were tried before.
 	Exclude []api.EndpointID
+	// Versions lists the versions of the endpoints that may be chosen; nil means no
+	// restriction.
+	Versions []string
+	// PreferVersions lists those of Versions that are chosen as long as an endpoint of
+	// them takes the request; nil means no preference.
+	PreferVersions []string
+	// Canaries are the endpoints of a new version that may be chosen. Endpoints of other
+	// versions are not restricted; nil means no restriction.
+	Canaries map[api.EndpointID]bool
 	// OnlyUnlimited leaves out endpoints that limit the requests of all instances.
 	OnlyUnlimited bool
 	// MaxFirstEventDelay bounds the expected time until the first event; 0 means
 	// no bound. Engines with a longer expected delay are not chosen.
 	MaxFirstEventDelay time.Duration
 
-	sessionHash uint64 // hash of Session
+	sessionHash    uint64   // hash of Session
+	canaryVersions []string // versions of Canaries
 }
 
 // Outcome says how a request at an endpoint ended.
@@ -133,6 +143,8 @@
 	Instance api.InstanceID
 	Place    api.Place
 	Regions  map[api.FailureDomain]api.Region
+	// Versioned says that a session's generations stay on one version of the endpoints.
+	Versioned bool
 	// OnSuspect is called when an endpoint fails and is put or kept under
 	// suspicion. It must not block.
 	OnSuspect func(registry.Endpoint)
@@ -209,10 +221,14 @@
 // Choose returns a lease of the endpoint with the lowest cost for the request.
 func (c *Core) Choose(now time.Duration, request Request) (*Lease, *reason.Error) {
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
-	draining, excluded, limited, tooSlow := 0, 0, 0, 0
+	draining, excluded, limited, tooSlow, otherVersion := 0, 0, 0, 0, 0
+	request = c.resolveVersions(now, request)
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	for _, e := range c.byService[request.Service] {
 		switch {
+		case !e.admits(request):
+			otherVersion++
+			continue
 		case e.Draining:
 			draining++
 			continue
@@ -237,25 +253,27 @@
 		return c.Choose(now, request)
 	}
 	if best == nil && limited > 0 {
-		return nil, c.blockedError(now, request.Service)
+		return nil, c.blockedError(now, request)
 	}
 	if best == nil && tooSlow > 0 {
 		return nil, reason.New(reason.Overloaded, "prompts wait at all engines")
 	}
 	if best == nil {
-		return nil, c.refusalError(request, draining, excluded)
+		return nil, refusalError(len(c.byService[request.Service]), otherVersion, draining, excluded)
 	}
 	return c.grantLease(now, best, request), nil
 }
 
-func (c *Core) refusalError(request Request, draining, excluded int) *reason.Error {
-	total := len(c.byService[request.Service])
+// refusalError returns the refusal of a request that no endpoint takes.
+func refusalError(total, otherVersion, draining, excluded int) *reason.Error {
 	switch {
 	case total == 0:
 		return reason.New(reason.NoEndpoint, "no endpoint of the service is registered")
-	case draining == total:
+	case otherVersion == total:
+		return reason.New(reason.NoEndpoint, "no endpoint of an allowed version is registered")
+	case draining+otherVersion == total:
 		return reason.New(reason.EndpointLeaving, "all endpoints of the service are leaving")
-	case draining+excluded == total:
+	case draining+excluded+otherVersion == total:
 		return reason.New(reason.AttemptsExhausted, "all endpoints of the service were tried")
 	}
 	return reason.New(reason.NoSlot, "all endpoints of the service are full")
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -17,13 +17,11 @@
 		endpoint registry.Endpoint
 		cost     float64
 	}
+	request = c.resolveVersions(now, request)
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	var list []candidate
 	for _, e := range c.byService[request.Service] {
-		if e.Draining || e.blocks(now, request) || slices.Contains(request.Exclude, e.ID) || c.exceedsCapacity(now, e, request) || c.exceedsMaxDelay(now, e, request) {
-			continue
-		}
-		if cost := c.cost(now, e, request); cost < domainSuspectCost {
+		if cost := c.candidateCost(now, e, request); cost < domainSuspectCost {
 			list = append(list, candidate{e.Endpoint, cost})
 		}
 	}
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -61,9 +61,10 @@
 		return nil
 	}
 	best, bestCost := (*endpoint)(nil), math.Inf(1)
+	request = c.resolveVersions(now, request)
 	request.sessionHash = xxhash.Sum64String(request.Session)
 	for _, e := range c.byService[request.Service] {
-		if e.Draining || e.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
+		if e.Draining || !e.admits(request) || e.blocks(now, request) || e.Domain == primary.Domain || e.ID == primary.ID || slices.Contains(request.Exclude, e.ID) {
 			continue
 		}
 		cost := c.cost(now, e, request)
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -59,12 +59,12 @@
 // blockedError returns the refusal of a request for which only endpoints are left that
 // give no permit or have deferred it. It advises to return when the first of them takes
 // requests.
-func (c *Core) blockedError(now time.Duration, service string) *reason.Error {
+func (c *Core) blockedError(now time.Duration, request Request) *reason.Error {
 	wait := time.Duration(0)
 	limited := false
-	for _, e := range c.byService[service] {
+	for _, e := range c.byService[request.Service] {
 		deferred := now < e.deferredUntil
-		if e.Draining || !e.rateLimit.limited && !deferred {
+		if e.Draining || !e.admits(request) || !e.rateLimit.limited && !deferred {
 			continue
 		}
 		limited = limited || !deferred
--- a/balance/preferred.go
+++ b/balance/preferred.go
@@ -12,7 +12,8 @@
 	"github.com/hibiscusstair/hibiscusstair/registry"
 )
 
-// preferredPerDomain is the number of engines of a failure domain among which a
+// preferredPerDomain is the number of engines of a failure domain, and of a version if
+// the sessions keep to versions, among which a
 // session's generations and their backups are expected. It bounds the engines that are
 // searched for one of them, whatever the size of the service.
 const preferredPerDomain = 8
@@ -26,16 +27,27 @@
 		endpoint registry.Endpoint
 		distance float64
 	}
+	type group struct {
+		domain  api.FailureDomain
+		version string
+	}
 	sessionHash := xxhash.Sum64String(session)
-	byDomain := make(map[api.FailureDomain][]preference)
+	groups := make(map[group][]preference)
 	for _, e := range c.byService[service] {
 		if !e.Draining && now >= e.suspectUntil && now >= e.deferredUntil {
-			byDomain[e.Domain] = append(byDomain[e.Domain], preference{e.Endpoint, e.affinityDistance(sessionHash)})
+			key := group{domain: e.Domain}
+			if c.options.Versioned {
+				key.version = e.Version
+			}
+			groups[key] = append(groups[key], preference{e.Endpoint, e.affinityDistance(sessionHash)})
 		}
 	}
 	var list []registry.Endpoint
-	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		preferences := byDomain[domain]
+	keys := slices.SortedFunc(maps.Keys(groups), func(a, b group) int {
+		return cmp.Or(cmp.Compare(a.domain, b.domain), cmp.Compare(a.version, b.version))
+	})
+	for _, key := range keys {
+		preferences := groups[key]
 		slices.SortFunc(preferences, func(a, b preference) int { return cmp.Compare(a.distance, b.distance) })
 		for _, p := range preferences[:min(preferredPerDomain, len(preferences))] {
 			list = append(list, p.endpoint)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -25,6 +25,10 @@
 	outageThreshold = 2500 * time.Millisecond
 )
 
+// UnknownVersion is the version of an endpoint that was found at the address of another
+// one, if it may be of any version.
+const UnknownVersion = "?"
+
 // Endpoint is a registered endpoint.
 type Endpoint struct {
 	ID api.EndpointID
--- a/revive/revive.go
+++ b/revive/revive.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -55,9 +56,11 @@
 	Registry *registry.Registry
 	// StoreUnreachable reports whether the store does not respond.
 	StoreUnreachable func() bool
-	Clock            bootclock.Func
-	Log              *slog.Logger
-	Scope            tally.Scope
+	// Versioned says that requests are restricted to versions of the endpoints.
+	Versioned bool
+	Clock     bootclock.Func
+	Log       *slog.Logger
+	Scope     tally.Scope
 }
 
 // RestartDetector detects restarted engines.
@@ -165,11 +168,24 @@
 	}
 	next := s.endpoint
 	next.ID, next.Incarnation, next.Draining, next.ColdRemaining = found.ID, found.Incarnation, false, 0
+	if d.o.Versioned && d.hasOtherVersion(s.endpoint) {
+		// The address may have been given to an endpoint of the other version. Only the
+		// registration names the version.
+		next.Version = registry.UnknownVersion
+	}
 	d.o.Scope.Counter("revived").Inc(1)
 	d.o.Registry.Apply(registry.ReplacementObserved{Endpoint: next, Replaces: s.endpoint.ID})
 	return true
 }
 
+// hasOtherVersion reports whether endpoints of the service with another version are
+// registered.
+func (d *RestartDetector) hasOtherVersion(known registry.Endpoint) bool {
+	return slices.ContainsFunc(d.o.Registry.Endpoints(), func(e registry.Endpoint) bool {
+		return e.Service == known.Service && e.Version != known.Version
+	})
+}
+
 // belongsToService reports whether the endpoint found at a known address
 // belongs to the same service as its predecessor. Addresses of removed
 // endpoints are reassigned to other services, so the endpoint has to be a model
--- a/revive/revive_test.go
+++ b/revive/revive_test.go
@@ -88,7 +88,7 @@
 		reg.Apply(registry.EndpointsListed{Endpoints: []registry.Endpoint{engine("a1", "a:1"), engine("b1", "b:1")}})
 		storeUnreachable.Store(true)
 		detector = revive.New(revive.Options{
-			Client: identifier, Table: table, Registry: reg, StoreUnreachable: storeUnreachable.Load,
+			Client: identifier, Table: table, Registry: reg, StoreUnreachable: storeUnreachable.Load, Versioned: true,
 			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -97,6 +97,22 @@
 		DeferCleanup(func() { cancel(); <-done })
 	})
 
+	// Guards against requests to a version that no rollout allows, at an address of an
+	// engine of another version that has ended.
+	DescribeTable("keeps the version of a replaced engine only if the service has no other",
+		func(other, want string) {
+			old, second := engine("a1", "a:1"), engine("b1", "b:1")
+			old.Version, second.Version = "v1", other
+			reg.Apply(registry.EndpointsListed{Endpoints: []registry.Endpoint{old, second}})
+			identifier.set("a:1", revive.Identity{ID: "a2", Incarnation: 2, Models: []string{"m"}})
+			detector.ReportFailure(old)
+			Eventually(endpointIDs, "3s").Should(ContainElement(api.EndpointID("a2")))
+			Expect(reg.Endpoints()[0].Version).To(Equal(want))
+		},
+		Entry("one version", "v1", "v1"),
+		Entry("two versions", "v2", registry.UnknownVersion),
+	)
+
 	// Guards against losing every engine that crashes during an outage of the
 	// store; here the other engine of its failure domain restarts too.
 	It("finds engines that restarted under new identifiers", func() {
