Ask the rollout of a service for the versions of each attempt

Cause: a rollout has to bound what a new version receives and needs the outcomes of its requests. Change: forward.Options.Rollouts restricts every attempt, backup, failover and reserved engine to the allowed versions. The first allowed one is preferred, after a failure another one. A stream stays on the version on which it began while an engine of it takes the stream, then continues on an allowed one; a resumed stream takes the version of the engine that holds its prompt. Each attempt's outcome is recorded: sent, started, late gap, completed, failed, broken, refused or abandoned. An abandoned attempt that waited for half the latency target counts as started then, so that hedged attempts do not hide a slow version.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -76,17 +76,15 @@
 	// PreferVersions lists those of Versions that are chosen as long as an endpoint of
 	// them takes the request; nil means no preference.
 	PreferVersions []string
-	// Canaries are the endpoints of a new version that may be chosen. Endpoints of other
-	// versions are not restricted; nil means no restriction.
-	Canaries map[api.EndpointID]bool
+	// HeldBack are the endpoints of Versions that are not in use yet.
+	HeldBack map[api.EndpointID]bool
 	// OnlyUnlimited leaves out endpoints that limit the requests of all instances.
 	OnlyUnlimited bool
 	// MaxFirstEventDelay bounds the expected time until the first event; 0 means
 	// no bound. Engines with a longer expected delay are not chosen.
 	MaxFirstEventDelay time.Duration
 
-	sessionHash    uint64   // hash of Session
-	canaryVersions []string // versions of Canaries
+	sessionHash uint64 // hash of Session
 }
 
 // Outcome says how a request at an endpoint ended.
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -120,6 +120,13 @@
 	b.core.PromoteBackup(b.options.Clock(), l)
 }
 
+// Endpoint returns a registered endpoint.
+func (b *Balancer) Endpoint(id api.EndpointID) (registry.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Endpoint(id)
+}
+
 // Candidates returns the endpoints with the lowest cost for the request, at most
 // limit.
 func (b *Balancer) Candidates(request Request, limit int) []registry.Endpoint {
--- a/balance/version.go
+++ b/balance/version.go
@@ -6,32 +6,27 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/registry"
 )
 
-// admits reports whether the request may be sent to the version of the endpoint, and to
-// the endpoint itself if only some of its version take requests.
-func (e *endpoint) admits(request Request) bool {
-	if request.Versions == nil {
-		return true
+// Endpoint returns a registered endpoint.
+func (c *Core) Endpoint(id api.EndpointID) (registry.Endpoint, bool) {
+	if e, ok := c.endpoints[id]; ok {
+		return e.Endpoint, true
 	}
-	return slices.Contains(request.Versions, e.Version) &&
-		(request.Canaries[e.ID] || !slices.Contains(request.canaryVersions, e.Version))
+	return registry.Endpoint{}, false
 }
 
-// resolveCanaries sets the versions whose endpoints are restricted to the canaries.
-func (c *Core) resolveCanaries(request *Request) {
-	request.canaryVersions = nil
-	for id := range request.Canaries {
-		if e, ok := c.endpoints[id]; ok && e.Service == request.Service && !slices.Contains(request.canaryVersions, e.Version) {
-			request.canaryVersions = append(request.canaryVersions, e.Version)
-		}
-	}
+// admits reports whether the request may be sent to the endpoint by its version.
+func (e *endpoint) admits(request Request) bool {
+	return request.Versions == nil || slices.Contains(request.Versions, e.Version) && !request.HeldBack[e.ID]
 }
 
 // resolveVersions restricts the request to its preferred versions if an endpoint of them
 // takes it.
 func (c *Core) resolveVersions(now time.Duration, request Request) Request {
-	c.resolveCanaries(&request)
 	if request.PreferVersions == nil {
 		return request
 	}
--- a/balance/wait.go
+++ b/balance/wait.go
@@ -49,7 +49,6 @@
 // HasCapacity reports whether one of the probed endpoints can take the request.
 // It returns true if no endpoint was probed, since the load is then unknown.
 func (c *Core) HasCapacity(now time.Duration, request Request) bool {
-	c.resolveCanaries(&request)
 	for _, id := range request.Probed {
 		if e, ok := c.endpoints[id]; ok && e.admits(request) && !c.exceedsMaxDelay(now, e, request) && !c.exceedsCapacity(now, e, request) {
 			return true
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -92,6 +92,9 @@
 
 // reportCrash reports the crash of an endpoint with the requests that it ran.
 func (h *Handler) reportCrash(endpoint registry.Endpoint) {
+	if h.o.OnCrash != nil {
+		h.o.OnCrash(endpoint)
+	}
 	if h.o.Quarantine == nil {
 		return
 	}
--- a/forward/failover.go
+++ b/forward/failover.go
@@ -83,7 +83,7 @@
 // backupUsable reports whether the attempt can continue from its backup. An
 // engine replicates a request to its backup only once it generates.
 func (s *stream) backupUsable(r *streamAttempt) bool {
-	return s.backup != nil && r.eventsReceived > 0 && s.h.o.Balance.IsAvailable(s.backup.Endpoint)
+	return s.backup != nil && r.eventsReceived > 0 && s.h.o.Balance.IsAvailable(s.backup.Endpoint) && s.mayContinueAt(s.backup.Endpoint)
 }
 
 // reserveLease returns a lease of an engine other than the attempt's that is
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/reason"
 	"github.com/hibiscusstair/hibiscusstair/registry"
+	"github.com/hibiscusstair/hibiscusstair/rollout"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
 	"github.com/hibiscusstair/hibiscusstair/upstream"
@@ -42,6 +43,12 @@
 	// Quarantine tracks contents and prompt parts that crash endpoints; nil disables
 	// the check.
 	Quarantine Quarantine
+	// Rollouts says which versions of a service's software the attempts may be sent to; nil
+	// allows all.
+	Rollouts rollout.Selector
+	// OnCrash is called when an endpoint was found to have crashed; nil ignores it. It must
+	// not block.
+	OnCrash func(registry.Endpoint)
 	// LoadProber queries engines for their load before one is chosen; nil
 	// disables the queries.
 	LoadProber *loadprobe.Prober
@@ -80,6 +87,7 @@
 	attempts        attemptTracker
 	activity        endpointActivity
 	bodies          bodyMemory
+	countedAttempts atomic.Int64 // numbers them for Rollouts
 	serveOrAbort    http.Handler // serve, which has to begin a response
 }
 
@@ -133,6 +141,8 @@
 	log      *slog.Logger
 	attempts int
 	tried    []api.EndpointID
+	// failedVersions are the versions on which attempts failed.
+	failedVersions []string
 	// holders are, for a stream that the caller resumes, the engines that hold
 	// the KV cache of its prompt.
 	holders []api.EndpointID
@@ -295,11 +305,12 @@
 }
 
 // balanceRequest describes the request to the balancer.
-func (req *request) balanceRequest() balance.Request {
+func (h *Handler) balanceRequest(req *request) balance.Request {
 	request := balance.Request{Service: req.service.Name, Session: req.info.LastPartID, Prefer: req.holders, Exclude: req.tried}
 	if req.service.Engine != nil {
 		request.Tokens = max(1, req.info.TotalTokens())
 	}
+	h.restrictVersions(&request, req)
 	return request
 }
 
--- a/forward/place.go
+++ b/forward/place.go
@@ -44,7 +44,7 @@
 	}
 	if backup := s.backup; backup != nil {
 		s.backup = nil
-		if s.h.o.Balance.IsAvailable(backup.Endpoint) {
+		if s.h.o.Balance.IsAvailable(backup.Endpoint) && s.mayContinueAt(backup.Endpoint) {
 			s.h.o.Balance.PromoteBackup(backup)
 			if s.h.acquirePermit(s.ctx, backup) {
 				return backup, true, nil
@@ -84,7 +84,8 @@
 // A stream that has already started, or that the caller resumes, is not refused
 // for that reason.
 func (s *stream) balanceRequest() balance.Request {
-	request := s.req.balanceRequest()
+	request := s.h.balanceRequest(s.req)
+	s.restrictVersions(&request)
 	if s.req.attempts == 0 && s.req.info.LastEventID == "" {
 		request.MaxFirstEventDelay = time.Duration(float64(s.req.route.TargetLatency) * maxQueueDelayShare)
 	}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -53,6 +53,8 @@
 	results  chan result
 	inFlight int
 	hedge    *time.Timer
+	// lastVersion is the version of the endpoint of the last attempt.
+	lastVersion string
 }
 
 // servePlain serves a request whose response is forwarded as a whole.
@@ -75,7 +77,7 @@
 
 // run starts attempts until there is a final result.
 func (p *plainRequest) run() result {
-	if err := p.startAttempt(p.req.balanceRequest()); err != nil {
+	if err := p.startAttempt(p.h.balanceRequest(p.req)); err != nil {
 		return result{err: err}
 	}
 	p.hedge = time.NewTimer(p.hedgeDelay())
@@ -108,7 +110,8 @@
 	if p.h.crashRefusal(p.req) != nil || !p.tryRetry(reason.EngineSilent) {
 		return
 	}
-	request := p.req.balanceRequest()
+	p.req.recordFailedVersion(p.lastVersion)
+	request := p.h.balanceRequest(p.req)
 	request.OnlyUnlimited = true
 	_ = p.startAttempt(request)
 }
@@ -145,6 +148,9 @@
 		why = r.err.Reason
 	}
 	ran := r.err == nil || r.err.Run != reason.RunNo
+	if ran {
+		p.req.recordFailedVersion(r.lease.Endpoint.Version)
+	}
 	if ran && p.req.route.RetryPolicy != routing.RetryAlways {
 		return false
 	}
@@ -155,7 +161,7 @@
 	if p.h.startRefusal(p.req) != nil {
 		return false
 	}
-	return p.tryRetry(why) && p.startAttempt(p.req.balanceRequest()) == nil
+	return p.tryRetry(why) && p.startAttempt(p.h.balanceRequest(p.req)) == nil
 }
 
 // tryRetry reports whether a further attempt is allowed, and counts and logs it.
@@ -191,6 +197,8 @@
 		return refusal
 	}
 	tracked := p.h.attempts.add(lease.Endpoint, p.req.running())
+	counted := p.h.countAttempt(p.req, lease.Endpoint)
+	p.lastVersion = lease.Endpoint.Version
 	p.req.attempts++
 	p.req.tried = append(p.req.tried, lease.Endpoint.ID)
 	p.inFlight++
@@ -202,6 +210,7 @@
 	go func() {
 		r := p.h.sendPlain(p.ctx, p.req, lease, tracked)
 		p.h.concludeAttempt(p.req, lease, tracked, r.outcome)
+		counted.end(r.outcome, r.err)
 		p.h.logAttempt(p.req, number, r)
 		p.results <- r
 	}()
--- a/forward/run.go
+++ b/forward/run.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -27,6 +28,7 @@
 type streamAttempt struct {
 	lease          *balance.Lease
 	tracked        *trackedAttempt
+	counted        *countedAttempt
 	cancel         context.CancelFunc
 	messages       chan attemptMessage
 	stall          stallDetector
@@ -107,7 +109,11 @@
 	end := s.processMessages(r)
 	r.cancel()
 	s.h.concludeAttempt(s.req, r.lease, r.tracked, end.outcome)
+	r.counted.end(end.outcome, cmp.Or(end.interruption, end.finalError))
 	if end.interruption != nil {
+		if end.interruption.Run != reason.RunNo {
+			s.req.recordFailedVersion(r.lease.Endpoint.Version)
+		}
 		s.recordInterruption(r, end.interruption)
 	}
 	return end.complete, end.finalError
@@ -242,6 +248,7 @@
 			return &attemptResult{interruption: interruption, outcome: balance.Interrupted}
 		}
 	}
+	s.recordVersion(r.lease.Endpoint)
 	s.writeHeader(r, now)
 	s.recordResume(r, e, now)
 	if err := s.writeEvent(e.raw); err != nil {
@@ -265,6 +272,7 @@
 	r.lastReceivedID = e.id
 	r.eventsReceived++
 	s.recordServed(r)
+	r.counted.event(now)
 	r.stall.recordEvent(now)
 	s.h.activity.record(now)
 	s.h.o.Balance.RecordResponse(r.lease)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,6 +45,9 @@
 	reservedLease     *balance.Lease
 	interruption      *reason.Error // why the last attempt ended
 	callerWriteFailed bool          // a write to the caller failed
+	// version is the version on which the response runs, once it has begun.
+	version string
+	began   bool
 }
 
 // serveStream serves a request with a streamed response. If an engine is lost
@@ -77,6 +80,7 @@
 	for _, holder := range holders {
 		s.req.holders = append(s.req.holders, holder.Endpoint)
 	}
+	s.resumeVersion()
 	s.req.log.Info("caller resumes a stream", "after_event", s.lastEventID, "holders", s.req.holders)
 }
 
@@ -124,14 +128,15 @@
 		attempt.QueueRank = queueRank(s.req.priority)
 	}
 	if engine := s.req.service.Engine; engine != nil && engine.SupportsBackups && s.req.route.RetryPolicy == routing.RetryFromLastEvent {
-		if s.backup = h.o.Balance.ChooseBackup(s.req.balanceRequest(), lease.Endpoint); s.backup != nil {
+		if s.backup = h.o.Balance.ChooseBackup(s.backupRequest(lease.Endpoint), lease.Endpoint); s.backup != nil {
 			attempt.BackupTargetAddress = s.backup.Endpoint.Address
 		}
 	}
 	s.req.attempts++
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &streamAttempt{
-		lease: lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
+		counted: h.countAttempt(s.req, lease.Endpoint),
+		lease:   lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
 		stall: stallDetector{targetEventGap: s.req.route.TargetEventGap, targetLatency: s.req.route.TargetLatency, silentSince: now, prefilled: fromBackup, hasBackup: attempt.BackupTargetAddress != ""},
 	}
 	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
