Connect rollouts to the gateway

Cause: the decisions of rollouts had no reports, no grants and no store. Change: rollout.Runner reports every 500 ms for services with several versions to the first live instance by rendezvous hash, or the next one if that does not respond; the peer listener serves these reports as the service Rollouts. The coordinator lists and watches the orders only while instances report to it, and writes statuses. It grants nothing unless at least half of the instances known within ten minutes report to it: otherwise each of many instances that are cut off would grant the slack of the exposure. A request that may go to the new version may go to the base version if no engine of the new one takes it. Decisions, grants, writes and failures have counters and log lines. The gateway builds all this only if the settings enable rollouts.

--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -107,14 +107,15 @@
 	metrics := telemetry.NewMetrics()
 	defer func() { _ = metrics.Close() }()
 	lines.SetDropCounter(metrics.Scope.Counter("log_lines_dropped"))
-	storeClient := platform.NewHTTPClient()
+	store := platform.NewStore(settings.Store.String(), platform.NewHTTPClient())
 	engines := platform.NewEngineClient(platform.NewHTTPClient())
 	g, err := gateway.New(gateway.Options{
 		Settings:       settings,
 		SettingsFile:   file,
 		ReloadSignals:  reloadSignals,
 		Protocol:       platform.Headers{},
-		Store:          platform.NewStore(settings.Store.String(), storeClient),
+		Store:          store,
+		RolloutStore:   store,
 		PartLister:     engines,
 		IdentityClient: engines,
 		EngineClient:   engines,
--- a/fleetsim/http_test.go
+++ b/fleetsim/http_test.go
@@ -93,7 +93,7 @@
 		Log: log, Scope: tally.NoopScope, Clock: bootclock.Now, Seed: 1,
 	})
 	Expect(err).NotTo(HaveOccurred())
-	p.peerServer = httptest.NewUnstartedServer(peer.NewHandler(p, nil, nil, secret, tally.NoopScope))
+	p.peerServer = httptest.NewUnstartedServer(peer.NewHandler(p, nil, nil, nil, secret, tally.NoopScope))
 	p.peerServer.Listener.Close()
 	p.peerServer.Listener = listener
 	p.peerServer.Start()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/relay"
 	"github.com/hibiscusstair/hibiscusstair/revive"
+	"github.com/hibiscusstair/hibiscusstair/rollout"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
 	"github.com/hibiscusstair/hibiscusstair/telemetry"
@@ -75,6 +76,7 @@
 	ReloadSignals  <-chan os.Signal
 	Protocol       forward.Protocol
 	Store          Store
+	RolloutStore   rollout.Store // needed if the settings enable rollouts
 	PartLister     prefixcache.PartLister
 	IdentityClient revive.IdentityClient
 	EngineClient   loadprobe.EngineClient
@@ -105,6 +107,7 @@
 	quarantine      *quarantine.Runner
 	limiter         *ratelimit.Limiter
 	loadProber      *loadprobe.Prober
+	rollouts        *rollout.Runner // nil if the settings do not enable them
 	relayCache      *relay.Cache
 	peerClients     *peer.Clients
 	fleet           *fleet.Runner // nil if other instances cannot call this one
@@ -126,7 +129,7 @@
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock})
 	g.balancer = balance.New(balance.Options{
-		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, OnSuspect: g.reportSuspectedEndpoint},
+		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, Versioned: s.Rollouts.Enabled, OnSuspect: g.reportSuspectedEndpoint},
 		Clock:       clock, Log: o.Log, Scope: scope.SubScope("balance"),
 	})
 	g.registry = registry.New(registry.Options{
@@ -144,12 +147,15 @@
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
 	})
 	g.limiter = g.newLimiter()
+	if s.Rollouts.Enabled {
+		g.rollouts = g.newRollouts()
+	}
 	if err := g.buildFleet(); err != nil {
 		return nil, err
 	}
 	g.restartDetector = revive.New(revive.Options{
 		Client: o.IdentityClient, Table: g.table, Registry: g.registry, StoreUnreachable: g.follower.EndpointContact().Lost,
-		Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
+		Versioned: s.Rollouts.Enabled, Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
 	})
 	g.loadProber = loadprobe.New(loadprobe.Options{
 		Client: o.EngineClient, Balance: g.balancer, Clock: clock, Log: o.Log, Scope: scope.SubScope("loadprobe"),
@@ -165,6 +171,7 @@
 		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, Quarantine: g.quarantine,
 		RetryBudget: g.retryBudget,
 		Permits:     g.limiter, OnLeaving: g.recordLeaving,
+		Rollouts: g.rolloutSelector(), OnCrash: g.recordCrash,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced:      g.follower.Synced(),
 		TableStale:  g.tableStale,
@@ -286,6 +293,9 @@
 		g.limiter.Forget(change.Endpoint)
 		g.forwarder.EndpointGone(change.Endpoint)
 	}
+	if g.rollouts != nil {
+		g.rollouts.ApplyChange(change)
+	}
 }
 
 // recordLeaving records that an endpoint has said that it leaves.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -28,6 +28,9 @@
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
 	g.addTask(&group, "settings", g.followSettings)
 	g.addTask(&group, "lateness", g.measureLateness)
+	if g.rollouts != nil {
+		g.addTask(&group, "rollouts", g.rollouts.Run)
+	}
 	if g.fleet != nil {
 		g.addTask(&group, "fleet", g.fleet.Run)
 	}
@@ -100,5 +103,5 @@
 	if g.fleet == nil {
 		return http.NotFoundHandler()
 	}
-	return peer.NewHandler(peerServer{g}, g.relayCache, g.limiter.Server(), g.o.Settings.PeerSecret, g.o.Metrics.Scope.SubScope("peer"))
+	return peer.NewHandler(peerServer{g}, g.relayCache, g.limiter.Server(), g.rolloutServer(), g.o.Settings.PeerSecret, g.o.Metrics.Scope.SubScope("peer"))
 }
--- a/instance/listen.go
+++ b/instance/listen.go
@@ -39,7 +39,7 @@
 	}{
 		{"caller", i.settings.CallerListen, i.callerMux},
 		{"operator", i.settings.OperatorListen, i.operatorMux},
-		{"peer", i.settings.PeerListen, peer.NewHandler(peerServer{i}, nil, nil, i.settings.PeerSecret, i.scope("peer"))},
+		{"peer", i.settings.PeerListen, peer.NewHandler(peerServer{i}, nil, nil, nil, i.settings.PeerSecret, i.scope("peer"))},
 	}
 	var listeners []listener
 	for _, iface := range interfaces {
--- a/peer/client.go
+++ b/peer/client.go
@@ -90,6 +90,12 @@
 	return peerpb.NewPermitsProtobufClient("http://"+address, c.pooledHTTP, twirp.WithClientPathPrefix(PathPrefix))
 }
 
+// Rollouts returns a client of the instance at the address (host and port) that reports
+// to it.
+func (c *Clients) Rollouts(address string) peerpb.Rollouts {
+	return peerpb.NewRolloutsProtobufClient("http://"+address, c.pooledHTTP, twirp.WithClientPathPrefix(PathPrefix))
+}
+
 // Close closes the idle pooled connections.
 func (c *Clients) Close() { c.pooledHTTP.CloseIdleConnections() }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -51,7 +51,7 @@
 	BeforeEach(func() {
 		service = &server{}
 		connections.Store(0)
-		testServer = httptest.NewUnstartedServer(peer.NewHandler(service, nil, nil, secret, tally.NoopScope))
+		testServer = httptest.NewUnstartedServer(peer.NewHandler(service, nil, nil, nil, secret, tally.NoopScope))
 		testServer.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 			if state == http.StateNew {
 				connections.Add(1)
@@ -79,7 +79,7 @@
 	})
 
 	It("are refused as responses that are signed with another secret", func() {
-		untrusted := httptest.NewServer(peer.NewHandler(service, nil, nil, "another secret", tally.NoopScope))
+		untrusted := httptest.NewServer(peer.NewHandler(service, nil, nil, nil, "another secret", tally.NoopScope))
 		defer untrusted.Close()
 		clients := peer.NewClients(secret, tally.NoopScope)
 		defer clients.Close()
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,9 +25,9 @@
 )
 
 // NewHandler returns the handler of the peer listener. It refuses and counts
-// requests without a valid signature. relay and permits are nil if the instance does
-// not serve these services.
-func NewHandler(server peerpb.Peer, relay peerpb.Relay, permits peerpb.Permits, secret string, scope tally.Scope) http.Handler {
+// requests without a valid signature. relay, permits and rollouts are nil if the
+// instance does not serve these services.
+func NewHandler(server peerpb.Peer, relay peerpb.Relay, permits peerpb.Permits, rollouts peerpb.Rollouts, secret string, scope tally.Scope) http.Handler {
 	mux := http.NewServeMux()
 	prefix := twirp.WithServerPathPrefix(PathPrefix)
 	services := []peerpb.TwirpServer{peerpb.NewPeerServer(server, prefix)}
@@ -37,6 +37,9 @@
 	if permits != nil {
 		services = append(services, peerpb.NewPermitsServer(permits, prefix))
 	}
+	if rollouts != nil {
+		services = append(services, peerpb.NewRolloutsServer(rollouts, prefix))
+	}
 	for _, service := range services {
 		mux.Handle(service.PathPrefix(), service)
 	}
--- a/ratelimit/bench_test.go
+++ b/ratelimit/bench_test.go
@@ -40,7 +40,7 @@
 // work of both instances.
 func BenchmarkAcquire(b *testing.B) {
 	granter, _ := newBenchLimiter("n0", nil, "")
-	server := httptest.NewServer(peer.NewHandler(noPeer{}, nil, granter.Server(), "secret", tally.NoopScope))
+	server := httptest.NewServer(peer.NewHandler(noPeer{}, nil, granter.Server(), nil, "secret", tally.NoopScope))
 	defer server.Close()
 	clients := peer.NewClients("secret", tally.NoopScope)
 	l, e := newBenchLimiter("asking", clients.Permits, server.Listener.Addr().String())
--- a/rollout/types.go
+++ b/rollout/types.go
@@ -194,7 +194,8 @@
 
 // Selector is asked by package forward for each attempt. It is safe for concurrent use.
 type Selector interface {
-	// Allowed returns the versions that a new request may be sent to; nil is all.
+	// Allowed returns the versions that a new request may be sent to, the preferred one
+	// first; nil is all.
 	Allowed(service, requestID string) []string
 	// Continue returns the versions that a continuation or a backup may be sent to of a
 	// stream that began on a version; nil is all.
