--- a/rollout/crashes.go
+++ b/rollout/crashes.go
@@ -34,29 +34,29 @@
 	}
 }
 
-// withDomain reports whether an endpoint crashed together with others of its failure
-// domain. A version that crashes its endpoints hits no other version or service, so the
-// crashes have to include one if the domain has endpoints of one.
-func (c crashes) withDomain(key incarnation, registered map[api.EndpointID]Endpoint) bool {
-	first, known := c[key]
-	if !known {
-		return false
+// domainFailed reports whether a failure domain failed around a time, so that a request
+// that broke at one of its endpoints says nothing about the version. A version that
+// crashes its endpoints hits no other version or service, so the crashes have to include
+// one if the domain has endpoints of one.
+func (c crashes) domainFailed(at time.Duration, e Endpoint, registered map[api.EndpointID]Endpoint) bool {
+	if own, known := c[incarnation{id: e.ID, start: e.Incarnation}]; known {
+		at = own.at // a request can notice the crash of its endpoint late
 	}
 	together, others := 0, false
 	for _, crashed := range c {
-		if crashed.endpoint.Domain == first.endpoint.Domain && (crashed.at-first.at).Abs() <= crashWindow {
+		if crashed.endpoint.Domain == e.Domain && (crashed.at-at).Abs() <= crashWindow {
 			together++
-			others = others || !crashed.endpoint.sameSoftware(first.endpoint)
+			others = others || !crashed.endpoint.sameSoftware(e)
 		}
 	}
-	if together < minDomainCrashes {
-		return false
-	}
 	if others {
-		return true
+		return together >= minDomainCrashes
+	}
+	if together < minVersionCrashes {
+		return false
 	}
-	for _, e := range registered {
-		if e.Domain == first.endpoint.Domain && !e.sameSoftware(first.endpoint) {
+	for _, other := range registered {
+		if other.Domain == e.Domain && !other.sameSoftware(e) {
 			return false
 		}
 	}
--- a/rollout/outcomes.go
+++ b/rollout/outcomes.go
@@ -9,15 +9,18 @@
 )
 
 const (
-	// crashWindow is the time within which endpoints of a failure domain crash together.
-	crashWindow = time.Second
+	// crashWindow is the time within which an instance learns the crashes of endpoints
+	// that crash together.
+	crashWindow = 1500 * time.Millisecond
 	// brokenHold is how long a broken request is held before it is counted. An instance
 	// has few requests at each endpoint, so it learns most crashes from the registry and
 	// from other instances, within about a second.
 	brokenHold = 1500 * time.Millisecond
-	// minDomainCrashes is the number of endpoints that have to crash together. Fewer
-	// can be the endpoints that a version crashes by itself.
-	minDomainCrashes = 3
+	// minDomainCrashes is the number of endpoints of different software that crash
+	// together when their failure domain fails, and minVersionCrashes that of endpoints
+	// of one version. Fewer can be endpoints that a version crashes by itself.
+	minDomainCrashes  = 2
+	minVersionCrashes = 3
 )
 
 // countKey identifies counts of a service.
@@ -28,12 +31,13 @@
 
 // attempt is a request that runs at an endpoint.
 type attempt struct {
-	service string
-	key     countKey
-	sentAt  time.Duration
-	target  time.Duration
-	started bool
-	cold    bool
+	service  string
+	key      countKey
+	endpoint Endpoint
+	sentAt   time.Duration
+	target   time.Duration
+	started  bool
+	cold     bool
 }
 
 // brokenAttempt is a request whose connection broke and which is not counted yet.
@@ -42,7 +46,7 @@
 	service  string
 	key      countKey
 	started  bool
-	endpoint incarnation
+	endpoint Endpoint
 }
 
 // incarnation identifies one incarnation of an endpoint.
@@ -125,8 +129,7 @@
 		c.Failures++
 	case OutcomeBroken:
 		o.broken = append(o.broken, brokenAttempt{
-			at: now, service: a.service, key: a.key, started: a.started,
-			endpoint: incarnation{id: out.Endpoint, start: out.Incarnation},
+			at: now, service: a.service, key: a.key, started: a.started, endpoint: a.endpoint,
 		})
 	case OutcomeRefused, OutcomeAbandoned:
 	}
@@ -146,8 +149,8 @@
 }
 
 // settleBroken counts the broken requests that are older than brokenHold as failed, or
-// as crashed if their endpoint crashed with its failure domain.
-func (o *outcomes) settleBroken(now time.Duration, crashed func(incarnation) bool) {
+// as crashed if their failure domain failed.
+func (o *outcomes) settleBroken(now time.Duration, domainFailed func(time.Duration, Endpoint) bool) {
 	settled := 0
 	for _, b := range o.broken {
 		if now-b.at < brokenHold {
@@ -155,7 +158,7 @@
 		}
 		settled++
 		c := o.of(b.service, b.key)
-		if crashed(b.endpoint) {
+		if domainFailed(b.at, b.endpoint) {
 			c.Crashed++
 			continue
 		}
--- a/rollout/phases.go
+++ b/rollout/phases.go
@@ -7,12 +7,12 @@
 
 // Times of a rollout relative to its duration.
 const (
-	// minCanaryTime lets failures in the middle of streams and slow first responses be
-	// seen before the share grows.
-	minCanaryTime = 0.25
-	maxCanaryTime = 0.4
+	// canaryTime is the time for which the canary phase lasts at least. Versions that
+	// fail rarely, or that become bad late, are found at a small share or exceed the
+	// exposure bound.
+	canaryTime = 0.5
 	// minStepTime is the time for which each share of the ramp is granted at least.
-	minStepTime = 0.1
+	minStepTime = 0.12
 	// fewResponsesTime is when a version with few responses is completed.
 	fewResponsesTime = 0.75
 	// drainTime is when the old version is given up although requests run on it. The
@@ -24,12 +24,12 @@
 )
 
 const (
-	// maxMinCanary bounds minCanaryTime for long rollouts.
-	maxMinCanary = 10 * time.Second
 	// goodResponses and goodRouteResponses are the numbers of responses of the new
 	// version, in total and on each route, from which it is judged good.
 	goodResponses      = 30
 	goodRouteResponses = 5
+	// goodLatencies is the number of responses whose latency was counted.
+	goodLatencies = 10
 	// minRouteShare is the share of the requests of a route from which it has to have
 	// goodRouteResponses. Others have too few requests to wait for them.
 	minRouteShare = 0.05
@@ -43,15 +43,22 @@
 
 // decide moves to the next phase or reverts.
 func (r *rollout) decide(now time.Duration) []Action {
-	if f, bad := r.verdict(now); bad {
+	if f, bad := r.verdict(); bad {
 		return r.revert(f)
 	}
 	passed := r.passed(now)
 	suspicion := r.judge.worst()
-	if suspicion.score >= suspected {
-		if passed >= lastStepTime && r.status.Phase != PhaseDrained {
-			return r.revert(suspicion)
-		}
+	if passed < lastStepTime {
+		r.suspected = suspicion.score >= suspected
+	} else {
+		r.suspected = suspicion.score >= probable
+	}
+	switch {
+	case r.suspected && passed >= lastStepTime && (r.status.Phase != PhaseDrained || r.unconfirmed):
+		return r.revert(suspicion)
+	case passed >= drainTime && r.answers():
+		return r.finish(now, passed)
+	case r.suspected:
 		return nil
 	}
 	switch r.status.Phase {
@@ -73,19 +80,13 @@
 	return float64(now-r.startedAt) / float64(r.order.Duration)
 }
 
-// verdict returns the finding that reverts the version. While the share is that of the
-// canary phase, slow responses can wait until endpoints that are cold for longer than
-// expected have recovered.
-func (r *rollout) verdict(now time.Duration) (finding, bool) {
+// verdict returns the finding that reverts the version.
+func (r *rollout) verdict() (finding, bool) {
 	if f, bad := r.judge.manyFailures(); bad {
 		return f, true
 	}
 	f := r.judge.worst()
-	if f.score < convicted {
-		return finding{}, false
-	}
-	patient := r.status.Phase == PhaseCanary && r.passed(now) < maxCanaryTime && f.new.Bad < manyBad
-	return f, f.reason == ReasonFailures || !patient
+	return f, f.score >= convicted
 }
 
 func (r *rollout) revert(f finding) []Action {
@@ -102,7 +103,6 @@
 }
 
 func (r *rollout) leaveCanary(now time.Duration, passed float64) []Action {
-	minimum := min(time.Duration(minCanaryTime*float64(r.order.Duration)), maxMinCanary)
 	switch {
 	case r.engines[r.order.To] == 0:
 		return nil
@@ -111,7 +111,7 @@
 		if passed >= fewResponsesTime {
 			return r.enter(now, PhaseDrained, 1, ReasonGood)
 		}
-		if now-r.startedAt >= minimum {
+		if passed >= canaryTime {
 			return r.enter(now, PhaseRamp, rampShares[0], ReasonGood)
 		}
 	case passed >= fewResponsesTime && r.answers():
@@ -124,7 +124,8 @@
 // responsesSuffice reports whether the new version has enough responses to be judged.
 func (r *rollout) responsesSuffice() bool {
 	all := r.latest.byRoute[allRoutes]
-	if all.new.Responses < goodResponses {
+	waiting := grown(all.new.Sent, all.new.Responses+all.new.Crashed)
+	if all.new.Responses < goodResponses || all.new.begun() < goodLatencies+waiting {
 		return false
 	}
 	sent := float64(all.new.Sent + all.old.Sent)
@@ -139,7 +140,7 @@
 // answers reports whether the new version responds to what it gets.
 func (r *rollout) answers() bool {
 	all := r.latest.byRoute[allRoutes].new
-	return 2*all.Responses >= min(all.Sent, 2*minResponses)
+	return all.Responses > 0 || all.Sent < minResponses
 }
 
 func (r *rollout) ramp(now time.Duration, passed float64) []Action {
@@ -171,13 +172,17 @@
 		}
 		reason = ReasonDrained
 	}
-	r.status.State, r.status.GoodUntilUnixMS = StateComplete, r.unixMS(now)
+	r.status.State, r.status.Phase, r.status.Share = StateComplete, PhaseDrained, 1
+	r.status.GoodUntilUnixMS = r.unixMS(now)
 	return []Action{r.decided(reason, finding{})}
 }
 
 // share is the share that is granted.
 func (r *rollout) share() float64 {
 	stored := r.order.Status
+	if r.status.State == StateRunning && r.suspected {
+		return min(r.status.Share, canaryPart*r.options.ExposeShare)
+	}
 	if r.unconfirmed && stored.Phase != PhaseDrained && stored.State != StateComplete {
 		return min(r.status.Share, canaryPart*r.options.ExposeShare)
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -33,6 +33,9 @@
 	seen       rate
 	writing    bool
 	failedAt   time.Duration
+	// suspected says that there is weak evidence against the version. It gets few
+	// requests until the evidence is strong or gone.
+	suspected bool
 	// unconfirmed says that the version was let pass with few responses, for which the
 	// store has to accept the status first. A coordinator that is cut off has few
 	// responses of any version.
@@ -92,7 +95,7 @@
 	r.joinedAt, r.steppedAt = now, now
 	r.judge = newJudge()
 	r.latest, r.seen = totals{}, rate{}
-	r.writing, r.unconfirmed = false, false
+	r.writing, r.suspected, r.unconfirmed = false, false, false
 	if r.order.Status.State == "" {
 		r.reports.restart()
 		r.startedAt = now
@@ -184,19 +187,12 @@
 	r.latest = r.reports.totals(now, r.order.To)
 	all := r.latest.byRoute[allRoutes]
 	r.seen.update(now, all.new.Sent+all.old.Sent)
-	r.judge.observe(now, r.latest, r.judgesLatency(now))
+	r.judge.observe(now, r.latest, r.status.Share <= controlShare)
 	if r.status.Phase == PhaseCanary {
 		r.status.Share = r.canaryShare(now)
 	}
 }
 
-// judgesLatency reports whether slow responses are evidence: the new endpoints are no
-// longer cold, and the old version still has enough load to compare.
-func (r *rollout) judgesLatency(now time.Duration) bool {
-	cold := min(max(time.Duration(coldShare*float64(r.order.Duration)), minCold), maxCold)
-	return now-r.startedAt >= cold && r.status.Share <= controlShare
-}
-
 func (r *rollout) decided(reason Reason, f finding) Decided {
 	return Decided{
 		Service: r.service, To: r.order.To, State: r.status.State, Phase: r.status.Phase, Share: r.share(),
--- a/rollout/selection.go
+++ b/rollout/selection.go
@@ -34,9 +34,16 @@
 	base      Version
 	grant     Grant
 	grantedAt time.Duration
-	excluded  map[api.EndpointID]bool
+	// openedAt is when the version of the grant may first have received requests.
+	openedAt time.Duration
+	excluded map[api.EndpointID]bool
 }
 
+// coldTime is how long the latency of a version is not counted after it receives its
+// first requests. Endpoints can be cold for some seconds although their registrations do
+// not say so.
+const coldTime = 3 * time.Second
+
 // NewSelection returns a selection of an instance without endpoints. A restarted
 // instance has a higher incarnation.
 func NewSelection(instance api.InstanceID, incarnation uint64) *Selection {
@@ -134,6 +141,9 @@
 	if known.grant.To == g.To && known.grant.State.Final() && !g.State.Final() && g.To != "" && known.grantedAt+GrantLifetime > at {
 		return // from a coordinator that has not read the final status yet
 	}
+	if g.To != known.grant.To || g.Share > 0 && known.openedAt == 0 {
+		known.openedAt = at
+	}
 	known.grant, known.grantedAt = g, at
 	switch {
 	case g.To == "":
@@ -236,9 +246,11 @@
 	if !s.Reporting(service) {
 		return
 	}
+	e := s.endpoints[o.Endpoint]
+	known := s.services[service]
 	s.outcomes.sent(now, o.Request, attempt{
-		service: service, key: countKey{route: route, version: Version(version)},
-		target: o.Target, cold: now < s.coldUntil[o.Endpoint],
+		service: service, key: countKey{route: route, version: Version(version)}, endpoint: e, target: o.Target,
+		cold: now < s.coldUntil[o.Endpoint] || e.Version == known.grant.To && now-known.openedAt < coldTime,
 	})
 }
 
@@ -259,7 +271,9 @@
 
 // Reports returns the reports of all services with several versions, in a stable order.
 func (s *Selection) Reports(now time.Duration) []Report {
-	s.outcomes.settleBroken(now, func(key incarnation) bool { return s.crashes.withDomain(key, s.endpoints) })
+	s.outcomes.settleBroken(now, func(at time.Duration, e Endpoint) bool {
+		return s.crashes.domainFailed(at, e, s.endpoints)
+	})
 	s.crashes.expire(now)
 	var reports []Report
 	for service := range s.services {
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -11,6 +11,9 @@
 	convicted = 9.2
 	// suspected is the sum from which a version is not judged good: a ratio of 20.
 	suspected = 3.0
+	// probable is the sum that reverts a version for which there is no time left to find
+	// out more: a ratio of 400.
+	probable = 6.0
 	// maxScore bounds the sum, so that a version that was slow when cold recovers with
 	// a few good responses.
 	maxScore = convicted + 2
