Play rollouts with real processes on the platform's stand-in

Cause: rollouts were tested only with runners in one process and a store in memory. Change: the stand-in store takes the write of a status under a revision, and can leave it without a response or execute it seconds later. Engines have a version, of which a share of the generations can fail (status 500 or a reset in the middle) or be slow. The deployment starts engines of a second version, orders a rollout, stops the old engines at once when it is complete, and drains the new ones some seconds after it was reverted.

--- a/standins/platform/deployment/config.go
+++ b/standins/platform/deployment/config.go
@@ -10,7 +10,8 @@
 // order, those for callers, readiness checks, peers and metrics, and that of the
 // store proxy. The settings have host and port of the metrics address as ip and
 // port-range. The retry baseline is the fleet's number of retries in a window.
-func settingsText(instance *Instance, addresses, controlAddresses []string, retryBaseline int) string {
+// contracts names the parts of the platform's rules that are in force.
+func settingsText(instance *Instance, addresses, controlAddresses, contracts []string, retryBaseline int) string {
 	seeds := make([]string, 0, 3)
 	for _, address := range controlAddresses[:min(3, len(controlAddresses))] {
 		seeds = append(seeds, fmt.Sprintf("%q", address))
@@ -22,6 +23,7 @@
 region = "r"
 port-range = [%s,%s]
 seeds = [%s]
+contracts = [%s]
 [zones]
 d0 = "r"
 d1 = "r"
@@ -38,12 +40,24 @@
 retry-budget-ratio = 0.8
 budget-window-s = 10
 budget-slack = %d
+expose-share = 0.1
+expose-slack = 50
+rollback-ms = 5000
 [provider]
 address = %q
-`, instance.Name, metricsHost, instance.Domain, metricsPort, metricsPort, strings.Join(seeds, ","),
+`, instance.Name, metricsHost, instance.Domain, metricsPort, metricsPort, strings.Join(seeds, ","), quoted(contracts),
 		addresses[0], addresses[1], addresses[2], retryBaseline, addresses[4])
 }
 
+// quoted returns the elements of a list in the settings file.
+func quoted(list []string) string {
+	elements := make([]string, 0, len(list))
+	for _, element := range list {
+		elements = append(elements, fmt.Sprintf("%q", element))
+	}
+	return strings.Join(elements, ",")
+}
+
 // configuration is the configuration that the operator writes to the store.
 type configuration struct {
 	Version  uint64          `json:"version"`
--- a/standins/platform/deployment/deployment.go
+++ b/standins/platform/deployment/deployment.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,9 @@
 	Instances        int
 	Engines          int
 	EngineParameters world.EngineParameters
+	// Contracts names the parts of the platform's rules that are in force; see platform
+	// settings.
+	Contracts []string
 	// LogDirectory is the directory for the logs and settings of the instances.
 	LogDirectory string
 	// OnError, if not nil, is called when an exited process can't be restarted.
@@ -79,6 +83,8 @@
 	version   uint64
 	apiKeys   []string
 	addedKeys int
+	// added are the engines of later versions. Engines are those of the first.
+	added []*world.Endpoint
 }
 
 // Domain returns the failure domain of the i-th engine, desk or instance.
@@ -183,7 +189,9 @@
 }
 
 func (d *Deployment) endpoints() []*world.Endpoint {
-	return append(append([]*world.Endpoint(nil), d.Engines...), d.Desks...)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Concat(d.Engines, d.Desks, d.added)
 }
 
 // EndStaleRegistrations ends the registrations of earlier incarnations, which the
@@ -239,7 +247,10 @@
 		id     string
 	}
 	var crashed []crashedEngine
-	for _, e := range d.Engines {
+	d.mu.Lock()
+	engines := slices.Concat(d.Engines, d.added)
+	d.mu.Unlock()
+	for _, e := range engines {
 		if e.Domain == domain && !spare() {
 			crashed = append(crashed, crashedEngine{e, e.Crash()})
 		}
--- a/standins/platform/deployment/node.go
+++ b/standins/platform/deployment/node.go
@@ -73,7 +73,7 @@
 		instance.settingsPath = filepath.Join(d.options.LogDirectory, instance.Name+".toml")
 		knownAddresses := controlAddresses
 		instance.settingsText = func(retryBaseline int) string {
-			return settingsText(instance, addresses, knownAddresses, retryBaseline)
+			return settingsText(instance, addresses, knownAddresses, d.options.Contracts, retryBaseline)
 		}
 		if err := instance.WriteSettings(defaultRetryBaseline); err != nil {
 			return err
--- a/standins/platform/world/desk.go
+++ b/standins/platform/world/desk.go
@@ -28,7 +28,7 @@
 // NewDesk returns an endpoint of a plain HTTP service, the desk, which serves orders
 // and lookups. It is not started.
 func NewDesk(service, domain string, slots int, store *Store, requestLog *RequestLog, faults *DeskFaults) *Endpoint {
-	e := &Endpoint{Service: service, Domain: domain, Slots: slots, store: store, requestLog: requestLog}
+	e := &Endpoint{Service: service, Domain: domain, version: firstVersion, Slots: slots, store: store, requestLog: requestLog}
 	e.serve = func(e *Endpoint, id string, w http.ResponseWriter, r *http.Request) { serveDesk(e, faults, id, w, r) }
 	return e
 }
--- a/standins/platform/world/endpoint.go
+++ b/standins/platform/world/endpoint.go
@@ -15,6 +15,7 @@
 type ReceivedRequest struct {
 	AttemptID     string
 	IncarnationID string
+	Version       string // of the endpoint's software
 	Method        string
 	Target        string
 	BodyHash      uint64 // see Hash
@@ -75,6 +76,9 @@
 	serve       func(e *Endpoint, id string, w http.ResponseWriter, r *http.Request)
 
 	mu                sync.Mutex
+	version           string
+	versionFaults     VersionFaults
+	retired           bool // the endpoint does not start again
 	incarnationID     string
 	startCount        int
 	listenAddress     string
@@ -102,7 +106,7 @@
 func (e *Endpoint) Start() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.server != nil {
+	if e.server != nil || e.retired {
 		return nil
 	}
 	address := e.listenAddress
@@ -166,7 +170,7 @@
 		state = "draining"
 	}
 	e.store.Put("servers", e.incarnationID, registration{
-		Service: e.Service, Address: e.registeredAddress, Zone: e.Domain, Version: "v1", Slots: e.Slots, State: state, StartedAtMS: e.startedAtMS,
+		Service: e.Service, Address: e.registeredAddress, Zone: e.Domain, Version: e.version, Slots: e.Slots, State: state, StartedAtMS: e.startedAtMS,
 	})
 }
 
@@ -298,7 +302,7 @@
 		return nil
 	}
 	e.requestLog.add(ReceivedRequest{
-		AttemptID: r.Header.Get("Hibiscusstair-Attempt-Id"), IncarnationID: incarnationID, Method: r.Method, Target: r.RequestURI,
+		AttemptID: r.Header.Get("Hibiscusstair-Attempt-Id"), IncarnationID: incarnationID, Version: e.Version(), Method: r.Method, Target: r.RequestURI,
 		BodyHash: Hash(body), Account: r.Header.Get("Hibiscusstair-Tenant"), APIKey: r.Header.Get("X-Api-Key"),
 		ReceivedAt: time.Now(), Ran: true,
 	})
--- a/standins/platform/world/engine.go
+++ b/standins/platform/world/engine.go
@@ -26,10 +26,10 @@
 // NewEngine returns an engine that is not started.
 func NewEngine(service, domain string, parameters EngineParameters, store *Store, requestLog *RequestLog, backups *Backups) *Endpoint {
 	eng := &engine{backups: backups, stop: func() {}}
-	e := &Endpoint{Service: service, Domain: domain, Slots: parameters.Slots, queueLength: parameters.QueueLength, store: store, requestLog: requestLog}
+	e := &Endpoint{Service: service, Domain: domain, version: firstVersion, Slots: parameters.Slots, queueLength: parameters.QueueLength, store: store, requestLog: requestLog}
 	e.onStart = func() {
 		ctx, cancel := context.WithCancel(context.Background())
-		b := &batch{parameters: parameters, backups: backups, engineAddress: e.RegisteredAddress}
+		b := &batch{parameters: parameters.slowed(e.versionFaults.Slowness), backups: backups, engineAddress: e.RegisteredAddress}
 		eng.batch, eng.stop = b, cancel
 		go b.run(ctx)
 	}
@@ -64,6 +64,16 @@
 	}
 	defer b.remove(g)
 	body := e.recordRequest(incarnationID, r)
+	switch e.drawFailure() {
+	case respondsFailure:
+		w.Header().Set("Hibiscusstair-Server-Signature", "s."+incarnationID)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case resets:
+		w.Header().Set("Hibiscusstair-Server-Signature", "s."+incarnationID)
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeFailure(w, r, g, Hash(body))
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Hibiscusstair-Server-Signature", "s."+incarnationID)
 	poison := e.poisonContent(r.RequestURI, body)
--- a/standins/platform/world/store.go
+++ b/standins/platform/world/store.go
@@ -29,7 +29,8 @@
 		Name     string `json:"name"`
 		Revision uint64 `json:"revision"`
 	} `json:"metadata"`
-	Spec json.RawMessage `json:"spec"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 type storeEvent struct {
@@ -53,6 +54,7 @@
 	watchesStalled    bool
 	delay             time.Duration
 	callCount         int
+	statusFault       StatusFault
 	era               uint64
 }
 
@@ -192,6 +194,8 @@
 	switch {
 	case down:
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Method == http.MethodPut && strings.HasSuffix(name, "/status"):
+		s.putStatus(w, r, kind, strings.TrimSuffix(name, "/status"))
 	case r.Method != http.MethodGet:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	case query.Has("watch"):
