Hold the canary phase longer, and let the trials fail

Cause: versions that fail 5%, or become bad late, were found after the share had grown; a service with few requests was moved at 75% of the time without evidence. Slow responses are frequent, so chance convicted good versions. Change: canary until 55% of the duration and 60 responses; a version with fewer is completed at 94% without a phase in between. Latencies need more evidence. The status is decided at each tick.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -19,6 +19,9 @@
 	// controlShare is the share of the new version up to which latencies are compared.
 	// Above it the old version has too little load.
 	controlShare = 0.75
+	// latencyWeight makes the limits for slow responses and late gaps stricter: they
+	// are frequent, so that a test starts anew every few responses, and come in groups.
+	latencyWeight = 0.65
 	// manyBad bad responses at a rate above manyRatio times that of the old version
 	// revert at once.
 	manyBad   = 20
@@ -72,15 +75,15 @@
 	for route, p := range t.byRoute {
 		grown := p.new.minus(last.byRoute[route].new)
 		recent := p.old.minus(first.byRoute[route].old)
-		j.score(ReasonFailures, route).add(failures(grown).Bad, grown.Responses, worseRate(failures(p.old), failures(recent)), failureAlternatives)
+		j.score(ReasonFailures, route).add(failures(grown), worseRate(failures(p.old), failures(recent)), failureAlternatives, 1)
 		if !latency {
 			continue
 		}
 		bucket := slowBucket(p.old)
 		slowNew := slowSince(p.new, last.byRoute[route].new, bucket)
 		slowOld := worseRate(slow(p.old, bucket), slowSince(p.old, first.byRoute[route].old, bucket))
-		j.score(ReasonSlow, route).add(slowNew.Bad, slowNew.Responses, slowOld, latencyAlternatives)
-		j.score(ReasonLateGaps, route).add(grown.LateGaps, grown.Responses, worseRate(lateGaps(p.old), lateGaps(recent)), latencyAlternatives)
+		j.score(ReasonSlow, route).add(slowNew, slowOld, latencyAlternatives, latencyWeight)
+		j.score(ReasonLateGaps, route).add(lateGaps(grown), worseRate(lateGaps(p.old), lateGaps(recent)), latencyAlternatives, latencyWeight)
 	}
 	j.history = append(j.history, sample{at: now, totals: t})
 }
--- a/rollout/phases.go
+++ b/rollout/phases.go
@@ -10,14 +10,17 @@
 	// canaryTime is the time for which the canary phase lasts at least. Versions that
 	// fail rarely, or that become bad late, are found at a small share or exceed the
 	// exposure bound.
-	canaryTime = 0.5
+	canaryTime = 0.55
 	// minStepTime is the time for which each share of the ramp is granted at least.
-	minStepTime = 0.12
-	// fewResponsesTime is when a version with few responses is completed.
-	fewResponsesTime = 0.75
+	minStepTime = 0.1
+	// rampTime is when the steps of the ramp end.
+	rampTime = 0.75
 	// drainTime is when the old version is given up although requests run on it. The
 	// rest is for the write of the status.
 	drainTime = 0.92
+	// fewResponsesTime is when a version with few responses is completed. What remains
+	// exposes less than the exposure share.
+	fewResponsesTime = 0.94
 	// lastStepTime is when a version that is still suspected is reverted. It leaves the
 	// time of the last steps.
 	lastStepTime = 0.85
@@ -25,8 +28,10 @@
 
 const (
 	// goodResponses and goodRouteResponses are the numbers of responses of the new
-	// version, in total and on each route, from which it is judged good.
-	goodResponses      = 30
+	// version, in total and on each route, from which it is judged good. Of versions
+	// that fail 5%, one in 20 has no failure in 60 responses; 30 responses let one in 5
+	// pass.
+	goodResponses      = 60
 	goodRouteResponses = 5
 	// goodLatencies is the number of responses whose latency was counted.
 	goodLatencies = 10
@@ -56,9 +61,9 @@
 	switch {
 	case r.suspected && passed >= lastStepTime && (r.status.Phase != PhaseDrained || r.unconfirmed):
 		return r.revert(suspicion)
-	case passed >= drainTime && r.answers():
+	case passed >= fewResponsesTime && r.answers():
 		return r.finish(now, passed)
-	case r.suspected:
+	case r.suspected && (passed < drainTime || r.status.Phase != PhaseDrained):
 		return nil
 	}
 	switch r.status.Phase {
@@ -104,21 +109,12 @@
 
 func (r *rollout) leaveCanary(now time.Duration, passed float64) []Action {
 	switch {
-	case r.engines[r.order.To] == 0:
+	case r.engines[r.order.To] == 0 || passed < canaryTime || !r.responsesSuffice():
 		return nil
-	case r.responsesSuffice():
-		// After a long wait for the responses there is no time for the ramp.
-		if passed >= fewResponsesTime {
-			return r.enter(now, PhaseDrained, 1, ReasonGood)
-		}
-		if passed >= canaryTime {
-			return r.enter(now, PhaseRamp, rampShares[0], ReasonGood)
-		}
-	case passed >= fewResponsesTime && r.answers():
-		r.unconfirmed = true
-		return r.enter(now, PhaseDrained, 1, ReasonFewResponses)
+	case passed >= rampTime:
+		return r.enter(now, PhaseDrained, 1, ReasonGood)
 	}
-	return nil
+	return r.enter(now, PhaseRamp, rampShares[0], ReasonGood)
 }
 
 // responsesSuffice reports whether the new version has enough responses to be judged.
@@ -145,12 +141,12 @@
 
 func (r *rollout) ramp(now time.Duration, passed float64) []Action {
 	stepTime := time.Duration(minStepTime * float64(r.order.Duration))
-	if passed < fewResponsesTime && now-r.steppedAt < stepTime {
+	if passed < rampTime && now-r.steppedAt < stepTime {
 		return nil
 	}
 	for _, share := range rampShares {
 		if share > r.status.Share {
-			if passed >= fewResponsesTime {
+			if passed >= rampTime {
 				share = 1
 			}
 			return r.enter(now, PhaseRamp, share, ReasonGood)
@@ -171,6 +167,9 @@
 			return nil
 		}
 		reason = ReasonDrained
+	} else if r.status.Phase == PhaseCanary {
+		reason = ReasonFewResponses
+		r.unconfirmed = true
 	}
 	r.status.State, r.status.Phase, r.status.Share = StateComplete, PhaseDrained, 1
 	r.status.GoodUntilUnixMS = r.unixMS(now)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -94,7 +94,7 @@
 func (r *rollout) begin(now time.Duration) []Action {
 	r.joinedAt, r.steppedAt = now, now
 	r.judge = newJudge()
-	r.latest, r.seen = totals{}, rate{}
+	r.latest, r.seen, r.observedAt = totals{}, rate{}, now-ReportInterval
 	r.writing, r.suspected, r.unconfirmed = false, false, false
 	if r.order.Status.State == "" {
 		r.reports.restart()
@@ -173,12 +173,14 @@
 	if r.status.State != StateRunning {
 		return r.write(now)
 	}
-	var actions []Action
-	if now-r.observedAt >= ReportInterval || r.observedAt == 0 {
+	// The first comparison needs the reports of all instances.
+	if now-r.joinedAt < joinTime {
+		return r.write(now)
+	}
+	if now-r.observedAt >= ReportInterval {
 		r.observe(now)
-		actions = r.decide(now)
 	}
-	return append(actions, r.write(now)...)
+	return append(r.decide(now), r.write(now)...)
 }
 
 // observe sums the reports.
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -30,13 +30,13 @@
 // alternative rate.
 type score []float64
 
-// add applies n responses, bad of which are bad, where rate is the rate of the old
-// version and alternatives are the rates that a worse version may have.
-func (s *score) add(bad, n uint64, rate float64, alternatives []float64) {
+// add applies responses, where rate is the rate of the old version and alternatives are
+// the rates that a worse version may have. A weight below 1 asks for more evidence.
+func (s *score) add(e Evidence, rate float64, alternatives []float64, weight float64) {
 	if len(*s) == 0 {
 		*s = make(score, len(alternatives))
 	}
-	n = max(n, bad)
+	bad, n := e.Bad, max(e.Responses, e.Bad)
 	for i, worse := range alternatives {
 		if worse < minRatio*rate {
 			worse = minRatio * rate
@@ -45,8 +45,8 @@
 			(*s)[i] = 0
 			continue
 		}
-		sum := (*s)[i] + float64(bad)*math.Log(worse/rate) + float64(n-bad)*math.Log((1-worse)/(1-rate))
-		(*s)[i] = min(max(sum, 0), maxScore)
+		ratio := float64(bad)*math.Log(worse/rate) + float64(n-bad)*math.Log((1-worse)/(1-rate))
+		(*s)[i] = min(max((*s)[i]+weight*ratio, 0), maxScore)
 	}
 }
 
