--- a/rollout/core.go
+++ b/rollout/core.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/hibiscusstair/hibiscusstair/api"
 )
 
 // CoreOptions bound the exposure to a new version; see gateway.RolloutSettings.
@@ -109,18 +107,3 @@
 // coordinatingTime is the time without reports after which an instance no longer
 // coordinates a service. Its reports are then older than those of another coordinator.
 const coordinatingTime = 5 * time.Second
-
-// Reporters returns how many instances have reported about a service lately.
-func (c *Core) Reporters(now time.Duration, service string) int {
-	r := c.services[service]
-	if r == nil {
-		return 0
-	}
-	recent := make(map[api.InstanceID]bool)
-	for key, report := range r.reports.last {
-		if now-report.at <= reportLifetime {
-			recent[key.instance] = true
-		}
-	}
-	return len(recent)
-}
--- a/rollout/phases.go
+++ b/rollout/phases.go
@@ -59,7 +59,7 @@
 		r.suspected = suspicion.score >= probable
 	}
 	switch {
-	case r.suspected && passed >= lastStepTime && (r.status.Phase != PhaseDrained || r.unconfirmed):
+	case r.suspected && passed >= lastStepTime && r.status.Phase != PhaseDrained:
 		return r.revert(suspicion)
 	case passed >= fewResponsesTime && r.answers():
 		return r.finish(now, passed)
@@ -179,10 +179,13 @@
 // share is the share that is granted.
 func (r *rollout) share() float64 {
 	stored := r.order.Status
-	if r.status.State == StateRunning && r.suspected {
-		return min(r.status.Share, canaryPart*r.options.ExposeShare)
+	switch {
+	case r.status.State == StateReverted:
+		return 0
+	case stored.State == StateComplete:
+		return 1
 	}
-	if r.unconfirmed && stored.Phase != PhaseDrained && stored.State != StateComplete {
+	if r.unconfirmed || r.suspected && r.status.State == StateRunning {
 		return min(r.status.Share, canaryPart*r.options.ExposeShare)
 	}
 	return r.status.Share
--- a/rollout/reports.go
+++ b/rollout/reports.go
@@ -60,14 +60,29 @@
 // lost reports whether an instance that reported no longer does. It may be cut off and
 // have requests running.
 func (r *reports) lost(now time.Duration) bool {
-	for _, report := range r.last {
-		if now-report.at > reportLifetime {
+	latest := make(map[api.InstanceID]time.Duration, len(r.last))
+	for key, report := range r.last {
+		latest[key.instance] = max(latest[key.instance], report.at)
+	}
+	for _, at := range latest {
+		if now-at > reportLifetime {
 			return true
 		}
 	}
 	return false
 }
 
+// expire removes the reports of instances that no longer report, which count only while a
+// rollout is running.
+func (r *reports) expire(now time.Duration) {
+	for key, report := range r.last {
+		if now-report.at > coordinatingTime {
+			delete(r.last, key)
+			delete(r.before, key)
+		}
+	}
+}
+
 // totals are the sums of the counts over all instances, for the new version and the
 // others.
 type totals struct {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -167,10 +167,8 @@
 
 // tick compares the versions and moves to the next phase.
 func (r *rollout) tick(now time.Duration) []Action {
-	if !r.ordered {
-		return nil
-	}
-	if r.status.State != StateRunning {
+	if !r.ordered || r.status.State != StateRunning {
+		r.reports.expire(now)
 		return r.write(now)
 	}
 	// The first comparison needs the reports of all instances.
--- a/rollout/selection.go
+++ b/rollout/selection.go
@@ -141,7 +141,10 @@
 	if known.grant.To == g.To && known.grant.State.Final() && !g.State.Final() && g.To != "" && known.grantedAt+GrantLifetime > at {
 		return // from a coordinator that has not read the final status yet
 	}
-	if g.To != known.grant.To || g.Share > 0 && known.openedAt == 0 {
+	if g.To != known.grant.To {
+		known.openedAt = 0
+	}
+	if g.Share > 0 && known.openedAt == 0 {
 		known.openedAt = at
 	}
 	known.grant, known.grantedAt = g, at
