--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -120,6 +121,16 @@
 	return worst
 }
 
+// cleared reports whether the new version has enough responses without failures that it
+// hardly fails clearedRate of them. Streams that still run may fail and count half.
+func cleared(p pair) bool {
+	bad := float64(p.new.Failures)
+	good := max(0, float64(p.new.Responses)-bad-max(0, float64(p.new.Running))/2)
+	rate := rateOf(failures(p.old))
+	worse := min(max(clearedRate, minRatio*rate), 0.9)
+	return bad*math.Log(worse/rate)+good*math.Log((1-worse)/(1-rate)) <= clearing
+}
+
 // manyFailures returns a finding if the failures of the recent window alone revert the
 // new version.
 func (j *judge) manyFailures() (finding, bool) {
--- a/rollout/phases.go
+++ b/rollout/phases.go
@@ -28,10 +28,8 @@
 
 const (
 	// goodResponses and goodRouteResponses are the numbers of responses of the new
-	// version, in total and on each route, from which it is judged good. Of versions
-	// that fail 5%, one in 20 has no failure in 60 responses; 30 responses let one in 5
-	// pass.
-	goodResponses      = 60
+	// version, in total and on each route, from which it can be judged good.
+	goodResponses      = 30
 	goodRouteResponses = 5
 	// goodLatencies is the number of responses whose latency was counted.
 	goodLatencies = 10
@@ -121,7 +119,7 @@
 func (r *rollout) responsesSuffice() bool {
 	all := r.latest.byRoute[allRoutes]
 	waiting := grown(all.new.Sent, all.new.Responses+all.new.Crashed)
-	if all.new.Responses < goodResponses || all.new.begun() < goodLatencies+waiting {
+	if all.new.Responses < goodResponses || all.new.begun() < goodLatencies+waiting || !cleared(all) {
 		return false
 	}
 	sent := float64(all.new.Sent + all.old.Sent)
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -14,6 +14,11 @@
 	// probable is the sum that reverts a version for which there is no time left to find
 	// out more: a ratio of 400.
 	probable = 6.0
+	// clearing is the logarithm of the likelihood ratio between a version that fails
+	// clearedRate of its responses and one like the old version, below which the former
+	// is excluded. One in 20 of such versions passes.
+	clearing    = -3.0
+	clearedRate = 0.05
 	// maxScore bounds the sum, so that a version that was slow when cold recovers with
 	// a few good responses.
 	maxScore = convicted + 2
