--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -19,6 +20,9 @@
 	// controlShare is the share of the new version up to which latencies are compared.
 	// Above it the old version has too little load.
 	controlShare = 0.75
+	// latencyWeight makes the limits for slow responses and late gaps stricter: they
+	// are frequent, so that a test starts anew every few responses, and come in groups.
+	latencyWeight = 0.65
 	// manyBad bad responses at a rate above manyRatio times that of the old version
 	// revert at once.
 	manyBad   = 20
@@ -72,15 +76,15 @@
 	for route, p := range t.byRoute {
 		grown := p.new.minus(last.byRoute[route].new)
 		recent := p.old.minus(first.byRoute[route].old)
-		j.score(ReasonFailures, route).add(failures(grown).Bad, grown.Responses, worseRate(failures(p.old), failures(recent)), failureAlternatives)
+		j.score(ReasonFailures, route).add(failures(grown), worseRate(failures(p.old), failures(recent)), failureAlternatives, 1)
 		if !latency {
 			continue
 		}
 		bucket := slowBucket(p.old)
 		slowNew := slowSince(p.new, last.byRoute[route].new, bucket)
 		slowOld := worseRate(slow(p.old, bucket), slowSince(p.old, first.byRoute[route].old, bucket))
-		j.score(ReasonSlow, route).add(slowNew.Bad, slowNew.Responses, slowOld, latencyAlternatives)
-		j.score(ReasonLateGaps, route).add(grown.LateGaps, grown.Responses, worseRate(lateGaps(p.old), lateGaps(recent)), latencyAlternatives)
+		j.score(ReasonSlow, route).add(slowNew, slowOld, latencyAlternatives, latencyWeight)
+		j.score(ReasonLateGaps, route).add(lateGaps(grown), worseRate(lateGaps(p.old), lateGaps(recent)), latencyAlternatives, latencyWeight)
 	}
 	j.history = append(j.history, sample{at: now, totals: t})
 }
@@ -117,6 +121,16 @@
 	return worst
 }
 
+// cleared reports whether the new version has enough responses without failures that it
+// hardly fails clearedRate of them. Streams that still run may fail and count half.
+func cleared(p pair) bool {
+	bad := float64(p.new.Failures)
+	good := max(0, float64(p.new.Responses)-bad-max(0, float64(p.new.Running))/2)
+	rate := rateOf(failures(p.old))
+	worse := min(max(clearedRate, minRatio*rate), 0.9)
+	return bad*math.Log(worse/rate)+good*math.Log((1-worse)/(1-rate)) <= clearing
+}
+
 // manyFailures returns a finding if the failures of the recent window alone revert the
 // new version.
 func (j *judge) manyFailures() (finding, bool) {
--- a/rollout/phases.go
+++ b/rollout/phases.go
@@ -10,14 +10,17 @@
 	// canaryTime is the time for which the canary phase lasts at least. Versions that
 	// fail rarely, or that become bad late, are found at a small share or exceed the
 	// exposure bound.
-	canaryTime = 0.5
+	canaryTime = 0.55
 	// minStepTime is the time for which each share of the ramp is granted at least.
-	minStepTime = 0.12
-	// fewResponsesTime is when a version with few responses is completed.
-	fewResponsesTime = 0.75
+	minStepTime = 0.1
+	// rampTime is when the steps of the ramp end.
+	rampTime = 0.75
 	// drainTime is when the old version is given up although requests run on it. The
 	// rest is for the write of the status.
 	drainTime = 0.92
+	// fewResponsesTime is when a version with few responses is completed. What remains
+	// exposes less than the exposure share.
+	fewResponsesTime = 0.94
 	// lastStepTime is when a version that is still suspected is reverted. It leaves the
 	// time of the last steps.
 	lastStepTime = 0.85
@@ -25,7 +28,7 @@
 
 const (
 	// goodResponses and goodRouteResponses are the numbers of responses of the new
-	// version, in total and on each route, from which it is judged good.
+	// version, in total and on each route, from which it can be judged good.
 	goodResponses      = 30
 	goodRouteResponses = 5
 	// goodLatencies is the number of responses whose latency was counted.
@@ -54,11 +57,11 @@
 		r.suspected = suspicion.score >= probable
 	}
 	switch {
-	case r.suspected && passed >= lastStepTime && (r.status.Phase != PhaseDrained || r.unconfirmed):
+	case r.suspected && passed >= lastStepTime && r.status.Phase != PhaseDrained:
 		return r.revert(suspicion)
-	case passed >= drainTime && r.answers():
+	case passed >= fewResponsesTime && r.answers():
 		return r.finish(now, passed)
-	case r.suspected:
+	case r.suspected && (passed < drainTime || r.status.Phase != PhaseDrained):
 		return nil
 	}
 	switch r.status.Phase {
@@ -104,28 +107,19 @@
 
 func (r *rollout) leaveCanary(now time.Duration, passed float64) []Action {
 	switch {
-	case r.engines[r.order.To] == 0:
+	case r.engines[r.order.To] == 0 || passed < canaryTime || !r.responsesSuffice():
 		return nil
-	case r.responsesSuffice():
-		// After a long wait for the responses there is no time for the ramp.
-		if passed >= fewResponsesTime {
-			return r.enter(now, PhaseDrained, 1, ReasonGood)
-		}
-		if passed >= canaryTime {
-			return r.enter(now, PhaseRamp, rampShares[0], ReasonGood)
-		}
-	case passed >= fewResponsesTime && r.answers():
-		r.unconfirmed = true
-		return r.enter(now, PhaseDrained, 1, ReasonFewResponses)
+	case passed >= rampTime:
+		return r.enter(now, PhaseDrained, 1, ReasonGood)
 	}
-	return nil
+	return r.enter(now, PhaseRamp, rampShares[0], ReasonGood)
 }
 
 // responsesSuffice reports whether the new version has enough responses to be judged.
 func (r *rollout) responsesSuffice() bool {
 	all := r.latest.byRoute[allRoutes]
 	waiting := grown(all.new.Sent, all.new.Responses+all.new.Crashed)
-	if all.new.Responses < goodResponses || all.new.begun() < goodLatencies+waiting {
+	if all.new.Responses < goodResponses || all.new.begun() < goodLatencies+waiting || !cleared(all) {
 		return false
 	}
 	sent := float64(all.new.Sent + all.old.Sent)
@@ -145,12 +139,12 @@
 
 func (r *rollout) ramp(now time.Duration, passed float64) []Action {
 	stepTime := time.Duration(minStepTime * float64(r.order.Duration))
-	if passed < fewResponsesTime && now-r.steppedAt < stepTime {
+	if passed < rampTime && now-r.steppedAt < stepTime {
 		return nil
 	}
 	for _, share := range rampShares {
 		if share > r.status.Share {
-			if passed >= fewResponsesTime {
+			if passed >= rampTime {
 				share = 1
 			}
 			return r.enter(now, PhaseRamp, share, ReasonGood)
@@ -171,6 +165,9 @@
 			return nil
 		}
 		reason = ReasonDrained
+	} else if r.status.Phase == PhaseCanary {
+		reason = ReasonFewResponses
+		r.unconfirmed = true
 	}
 	r.status.State, r.status.Phase, r.status.Share = StateComplete, PhaseDrained, 1
 	r.status.GoodUntilUnixMS = r.unixMS(now)
@@ -180,10 +177,13 @@
 // share is the share that is granted.
 func (r *rollout) share() float64 {
 	stored := r.order.Status
-	if r.status.State == StateRunning && r.suspected {
-		return min(r.status.Share, canaryPart*r.options.ExposeShare)
+	switch {
+	case r.status.State == StateReverted:
+		return 0
+	case stored.State == StateComplete:
+		return 1
 	}
-	if r.unconfirmed && stored.Phase != PhaseDrained && stored.State != StateComplete {
+	if r.unconfirmed || r.suspected && r.status.State == StateRunning {
 		return min(r.status.Share, canaryPart*r.options.ExposeShare)
 	}
 	return r.status.Share
