--- a/balance/room.go
+++ b/balance/room.go
@@ -132,8 +132,9 @@
 // WithRoom returns the endpoints that have room for the request by a recent load report.
 func (c *Core) WithRoom(now time.Duration, request Request) []api.EndpointID {
 	var ids []api.EndpointID
+	request = c.resolveVersions(now, request)
 	for _, e := range c.byService[request.Service] {
-		if now-e.reportedAt >= recentReportTTL || e.Draining || e.blocks(now, request) || now < e.suspectUntil {
+		if now-e.reportedAt >= recentReportTTL || e.Draining || !e.admits(request) || e.blocks(now, request) || now < e.suspectUntil {
 			continue
 		}
 		if !c.exceedsCapacity(now, e, request) && !c.exceedsMaxDelay(now, e, request) && !c.exceedsRoom(now, e, request) {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -55,6 +55,8 @@
 	inFlight int
 	hedge    *time.Timer
 	held     *holding // for the bodies of all attempts
+	// lastVersion is the version of the endpoint of the last attempt.
+	lastVersion string
 }
 
 // servePlain serves a request whose response is forwarded as a whole.
@@ -81,7 +83,7 @@
 
 // run starts attempts until there is a final result.
 func (p *plainRequest) run() result {
-	if err := p.startAttempt(p.req.balanceRequest()); err != nil {
+	if err := p.startAttempt(p.h.balanceRequest(p.req)); err != nil {
 		return result{err: err}
 	}
 	p.hedge = time.NewTimer(p.hedgeDelay())
@@ -114,7 +116,8 @@
 	if p.h.crashRefusal(p.req) != nil || !p.tryRetry(reason.EngineSilent) {
 		return
 	}
-	request := p.req.balanceRequest()
+	p.req.recordFailedVersion(p.lastVersion)
+	request := p.h.balanceRequest(p.req)
 	request.OnlyUnlimited = true
 	_ = p.startAttempt(request)
 }
@@ -154,6 +157,9 @@
 		return false // there was no memory for the response
 	}
 	ran := r.err == nil || r.err.Run != reason.RunNo
+	if ran {
+		p.req.recordFailedVersion(r.lease.Endpoint.Version)
+	}
 	if ran && p.req.route.RetryPolicy != routing.RetryAlways {
 		return false
 	}
@@ -164,7 +170,7 @@
 	if p.h.startRefusal(p.req) != nil {
 		return false
 	}
-	return p.tryRetry(why) && p.startAttempt(p.req.balanceRequest()) == nil
+	return p.tryRetry(why) && p.startAttempt(p.h.balanceRequest(p.req)) == nil
 }
 
 // tryRetry reports whether a further attempt is allowed, and counts and logs it.
@@ -200,6 +206,8 @@
 		return refusal
 	}
 	tracked := p.h.attempts.add(lease.Endpoint, p.req.running())
+	counted := p.h.countAttempt(p.req, lease.Endpoint)
+	p.lastVersion = lease.Endpoint.Version
 	p.req.attempts++
 	p.req.tried = append(p.req.tried, lease.Endpoint.ID)
 	p.inFlight++
@@ -211,6 +219,7 @@
 	go func() {
 		r := p.h.sendPlain(p.ctx, p.req, lease, tracked, p.held)
 		p.h.concludeAttempt(p.req, lease, tracked, r.outcome)
+		counted.end(r.outcome, r.err)
 		p.h.logAttempt(p.req, number, r)
 		p.results <- r
 	}()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -47,6 +47,9 @@
 	callerWriteFailed bool          // a write to the caller failed
 	callerSlow        bool          // it failed because the caller does not read; see slowReaders
 	admittedAt        time.Duration // when the admission queue placed the stream; 0 if it did not
+	// version is the version on which the response runs, once it has begun.
+	version string
+	began   bool
 }
 
 // serveStream serves a request with a streamed response. If an engine is lost
@@ -79,6 +82,7 @@
 	for _, holder := range holders {
 		s.req.holders = append(s.req.holders, holder.Endpoint)
 	}
+	s.resumeVersion()
 	s.req.log.Info("caller resumes a stream", "after_event", s.lastEventID, "holders", s.req.holders)
 }
 
@@ -126,14 +130,15 @@
 		attempt.QueueRank = queueRank(s.req.priority)
 	}
 	if engine := s.req.service.Engine; engine != nil && engine.SupportsBackups && s.req.route.RetryPolicy == routing.RetryFromLastEvent {
-		if s.backup = h.o.Balance.ChooseBackup(s.req.balanceRequest(), lease.Endpoint); s.backup != nil {
+		if s.backup = h.o.Balance.ChooseBackup(s.backupRequest(lease.Endpoint), lease.Endpoint); s.backup != nil {
 			attempt.BackupTargetAddress = s.backup.Endpoint.Address
 		}
 	}
 	s.req.attempts++
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &streamAttempt{
-		lease: lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, held: h.slow.openEvents(), messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
+		counted: h.countAttempt(s.req, lease.Endpoint),
+		lease:   lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, held: h.slow.openEvents(), messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
 		stall: stallDetector{targetEventGap: s.req.route.TargetEventGap, targetLatency: s.req.route.TargetLatency, silentSince: now, prefilled: fromBackup, hasBackup: attempt.BackupTargetAddress != ""},
 	}
 	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
