balance: choose by zone shares and endpoint speed if zone overflow is on

Cause: a fixed cost of 0.25 for other failure domains is small beside the session affinity of up to 3.0, so most generations cross domains, and a count of requests doesn't tell a slow engine from a fast one.

Change: with CoreOptions.ZoneOverflow, each request is drawn to a zone by the shares of SetZoneShares, by the hash of its session. Another zone costs as much as one prefill, another region twice that; suspect endpoints and domains cost far more, as before. The time per prompt token and between events is averaged by endpoint, relative to the service and to the load known at the time, and weighs the load. Speed and error rate fade with a half-life of 8 s.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -122,6 +122,7 @@
 	refusedUntil        time.Duration // the endpoint is avoided until then after a refusal
 	rateLimit           rateLimit
 	deferredUntil       time.Duration // the endpoint takes no requests of this instance until then
+	speed               speed
 
 	// otherLoad is the part of the last load report that other instances cause.
 	otherLoad  Load
@@ -136,6 +137,9 @@
 	// OnSuspect is called when an endpoint fails and is put or kept under
 	// suspicion. It must not block.
 	OnSuspect func(registry.Endpoint)
+	// ZoneOverflow makes the shares of SetZoneShares decide which requests leave the zone, and
+	// the measured speed of the endpoints count. Without it, each zone has a fixed cost.
+	ZoneOverflow bool
 }
 
 // Core chooses endpoints, and keeps the load and the health of each. It is not
@@ -153,6 +157,9 @@
 	// prefillTime is the duration of one prefill, by service, as a moving average
 	// in nanoseconds.
 	prefillTime map[string]float64
+	// speeds is the average speed of the endpoints, by service.
+	speeds       map[string]*serviceSpeed
+	zoneOverflow zoneOverflow
 }
 
 type domainKey struct {
@@ -170,6 +177,8 @@
 		kvCapacity:         make(map[string]int),
 		memoryUse:          make(map[string]float64),
 		prefillTime:        make(map[string]float64),
+		speeds:             make(map[string]*serviceSpeed),
+		zoneOverflow:       newZoneOverflow(),
 	}
 }
 
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -151,6 +151,20 @@
 	return b.core.IsAvailable(b.options.Clock(), e)
 }
 
+// SetZoneShares sets the shares of this zone's requests for a service that go to other zones.
+func (b *Balancer) SetZoneShares(service string, shares map[api.FailureDomain]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetZoneShares(service, shares)
+}
+
+// ZoneLoads returns the load of each service in each zone with endpoints.
+func (b *Balancer) ZoneLoads() []ZoneLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.ZoneLoads(b.options.Clock())
+}
+
 // RecordResponse records that the endpoint of a lease has sent a response or an
 // event, which ends any suspicion.
 func (b *Balancer) RecordResponse(l *Lease) {
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -30,16 +30,16 @@
 )
 
 func (c *Core) cost(now time.Duration, e *endpoint, request Request) float64 {
-	cost := c.localityCost(e.Domain) + errorRateCost*e.errorRate
+	cost := c.zoneCost(e, request) + errorRateCost*c.currentErrorRate(now, e)
 	if slices.Contains(request.Prefer, e.ID) {
 		cost -= cachedPromptGain
 	}
 	load, _ := e.load(now)
-	cost += float64(load.Running) + prefillCost*float64(load.Prefilling)
+	cost += c.loadCost(now, e, load, request)
 	if request.Tokens > 0 {
 		cost += backupCost*float64(e.backups) + maxAffinityCost*e.affinityDistance(request.sessionHash)
 	} else {
-		cost += e.latencyMS / latencyPerRequestCostMS
+		cost += c.responseTimeCost(now, e)
 	}
 	if e.ColdRemaining > 0 {
 		cost += coldStartCost
--- a/balance/health.go
+++ b/balance/health.go
@@ -10,6 +10,7 @@
 	e.consecutiveFailures = 0
 	e.suspectUntil = 0
 	e.trialRunning = false
+	c.recordSpeed(now, l, l.prefilling)
 	if l.prefilling {
 		l.prefilling = false
 		e.prefilling--
@@ -26,8 +27,10 @@
 }
 
 func (c *Core) recordOutcome(now time.Duration, e *endpoint, l *Lease, outcome Outcome) {
+	c.ageErrorRate(now, e)
 	switch outcome {
 	case Completed:
+		c.recordCompletion(now, l)
 		e.consecutiveFailures, e.suspectUntil, e.trialRunning = 0, 0, false
 		e.lastResponseAt = now
 		e.errorRate *= 1 - outcomeWeight
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -17,6 +17,7 @@
 	endpoint     *endpoint
 	tokens       int
 	started      time.Duration
+	lastEventAt  time.Duration
 	prefilling   bool
 	promptCached bool // the endpoint holds the prompt's KV cache
 	backup       bool
@@ -44,6 +45,7 @@
 	if e.consecutiveFailures > 0 {
 		e.trialRunning = true
 	}
+	c.recordPlacement(request)
 	e.running++
 	e.tokens += request.Tokens
 	if request.Tokens > 0 {
--- a/balance/load.go
+++ b/balance/load.go
@@ -35,6 +35,7 @@
 		return
 	}
 	e.reportedAt = now
+	c.recordZoneReport(now, e, load)
 	if capacity := c.kvCapacity[e.Service]; capacity > 0 {
 		c.memoryUse[e.Service] += memoryUseWeight * (float64(load.Tokens)/float64(capacity) - c.memoryUse[e.Service])
 	}
