gateway: start zone overflow if the settings enable it

Cause: package overflow has to be reachable by the switch.

Change: Settings.overflows() creates the runner, adds it to the delta sources and turns on balance.CoreOptions.ZoneOverflow. The lowest latency target of the routes to a service gives the margin.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/forward"
 	"github.com/hibiscusstair/hibiscusstair/loadprobe"
+	"github.com/hibiscusstair/hibiscusstair/overflow"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
@@ -104,6 +105,7 @@
 	restartDetector *revive.RestartDetector
 	quarantine      *quarantine.Runner
 	limiter         *ratelimit.Limiter
+	overflow        *overflow.Runner // nil if requests don't leave the zone by need
 	loadProber      *loadprobe.Prober
 	relayCache      *relay.Cache
 	peerClients     *peer.Clients
@@ -126,7 +128,7 @@
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock})
 	g.balancer = balance.New(balance.Options{
-		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, OnSuspect: g.reportSuspectedEndpoint},
+		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, OnSuspect: g.reportSuspectedEndpoint, ZoneOverflow: s.overflows()},
 		Clock:       clock, Log: o.Log, Scope: scope.SubScope("balance"),
 	})
 	g.registry = registry.New(registry.Options{
@@ -144,6 +146,9 @@
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
 	})
 	g.limiter = g.newLimiter()
+	if s.overflows() {
+		g.overflow = g.newOverflow()
+	}
 	if err := g.buildFleet(); err != nil {
 		return nil, err
 	}
@@ -212,10 +217,14 @@
 		return nil
 	}
 	incarnation := uint64(time.Now().UnixMilli())
+	sources := []fleet.DeltaSource{g.limiter, g.quarantine}
+	if g.overflow != nil {
+		sources = append(sources, g.overflow)
+	}
 	g.fleet, err = fleet.New(fleet.Options{
 		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(), LinkMbps: s.LinkMbps,
 		SeedAddresses: g.seedAddresses(), Store: noRegistrations{}, Clients: g.peerClients, Tickets: configVersions{g}, ExpelMode: "manual",
-		DeltaSources: []fleet.DeltaSource{g.limiter, g.quarantine}, OnFullTable: func() { close(g.membersKnown) },
+		DeltaSources: sources, OnFullTable: func() { close(g.membersKnown) },
 		Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
 	})
 	return err
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -108,6 +108,9 @@
 	ratio, baseline := s.retryLimits()
 	g.retryBudget.SetLimits(ratio, baseline, s.RetryWindow)
 	g.balancer.SetRegions(s.Regions)
+	if g.overflow != nil {
+		g.overflow.SetRegions(s.Regions)
+	}
 	if g.fleet != nil {
 		g.fleet.ApplySettings(g.seedAddresses(), s.LinkMbps)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -24,6 +24,9 @@
 	g.addTask(&group, "restarted engines", g.restartDetector.Run)
 	g.addTask(&group, "quarantine", g.quarantine.Run)
 	g.addTask(&group, "rate limits", g.limiter.Run)
+	if g.overflow != nil {
+		g.addTask(&group, "zone overflow", g.overflow.Run)
+	}
 	g.addTask(&group, "newer configurations", g.fetchNewerTables)
 	g.addTask(&group, "housekeeping", g.runHousekeeping)
 	g.addTask(&group, "settings", g.followSettings)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -181,6 +181,20 @@
 	return total
 }
 
+// LatencyTarget returns the lowest latency target of the routes to a service; 0 is none.
+func (t *Table) LatencyTarget(service string) time.Duration {
+	lowest := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, route := range routes {
+			selects := slices.ContainsFunc(route.Services, func(w WeightedService) bool { return w.Service == service })
+			if selects && route.TargetLatency > 0 && (lowest == 0 || route.TargetLatency < lowest) {
+				lowest = route.TargetLatency
+			}
+		}
+	}
+	return lowest
+}
+
 // SelectService returns the service of the route for a request identifier. Every
 // instance selects the same service, so that a retry of the request goes to the
 // same one.
