overflow: use the usual demand after a crash and the true age of news

Cause: a crash ends the running requests of a zone, so its demand seemed to fall with its places and no requests left. Copies of news that were passed on looked new: after a partition, 86 instances sent to the other region for more than 6 s. Reports with an error of 30% started overflow between zones of the same demand.

Change: the demand from before the loss of places stands while they are missing. The age of news is measured from its version, against the shortest way from its instance. Leaving starts after 750 ms of need and only to zones whose utilization is lower by 0.15.

--- a/overflow/core.go
+++ b/overflow/core.go
@@ -26,6 +26,13 @@
 	// the effect comes with a delay of a second or two.
 	riseRate = 0.2
 	fallRate = 0.1
+	// minDifference is by how much the utilization of another zone by its own demand has to be
+	// lower. The estimates of the instances of a zone differ by less, so that two zones with
+	// about the same demand don't send to each other.
+	minDifference = 0.15
+	// startDelay is how long leaving has to pay off before the first requests leave. Loads are
+	// known from a few reports a second, and one that is wrong must not start it.
+	startDelay = 750 * time.Millisecond
 	// deadBand is the difference below which the share stays. Loads are counts that change
 	// with each request.
 	deadBand = 0.03
@@ -55,6 +62,8 @@
 	// placesWindow is how long a loss of places counts as a crash, whose share follows the
 	// places that are left at once.
 	placesWindow = 10 * time.Second
+	// minPlacesLeft is the part of the usual places below which places count as lost.
+	minPlacesLeft = 0.9
 	// crashUtilization is the utilization up to which the places that a crash has left are
 	// used.
 	crashUtilization = 0.7
@@ -102,13 +111,18 @@
 
 // decision is the state of one service.
 type decision struct {
-	at     time.Duration // last update
-	share  float64       // part of the zone's requests that goes to other zones, without crashes
-	shares map[api.FailureDomain]float64
+	at time.Duration // last update
+	// payingSince is when leaving began to pay off; negative: it doesn't.
+	payingSince time.Duration
+	share       float64 // part of the zone's requests that goes to other zones, without crashes
+	shares      map[api.FailureDomain]float64
 	// settled follows the shares with the time that running requests need to end. It says
 	// which part of the zone's running requests is in another zone.
 	settled map[api.FailureDomain]float64
 	places  []placesSample // places of the own zone within placesWindow
+	// usualDemand is the demand before places were lost. The requests that ran there are gone,
+	// but as many arrive.
+	usualDemand float64
 }
 
 type placesSample struct {
@@ -149,7 +163,7 @@
 	for service, zones := range byService {
 		d, ok := c.services[service]
 		if !ok {
-			d = &decision{at: now, settled: make(map[api.FailureDomain]float64)}
+			d = &decision{at: now, payingSince: -1, settled: make(map[api.FailureDomain]float64)}
 			c.services[service] = d
 		}
 		slices.SortFunc(zones, func(a, b ZoneLoad) int { return cmp.Compare(a.Zone, b.Zone) })
@@ -181,12 +195,25 @@
 	d.settle(elapsed, cmp.Or(own.Duration, settleTime))
 	demand := float64(own.Running) / (1 - min(sum(d.settled), maxShare))
 	if own.Places <= 0 {
-		d.share, d.places = 0, nil
+		demand = max(demand, d.usualDemand)
 		d.shares = c.spread(1, c.receiversWithoutOwn(d, others, demand), demand, own)
 		return
 	}
 	usual := d.usualPlaces(now, own.Places)
+	if lostPlaces(own.Places, usual) {
+		demand = max(demand, d.usualDemand)
+	} else {
+		d.usualDemand = demand
+	}
 	receivers, target := c.weigh(d, own, others, demand, usual)
+	if target == 0 {
+		d.payingSince = -1
+	} else if d.payingSince < 0 {
+		d.payingSince = now
+	}
+	if d.share == 0 && now-d.payingSince < startDelay {
+		target = 0
+	}
 	seconds := elapsed.Seconds()
 	if math.Abs(target-d.share) > deadBand || target == 0 {
 		d.share += min(max(target-d.share, -fallRate*seconds), riseRate*seconds)
@@ -199,9 +226,13 @@
 	d.shares = c.spread(total, receivers, demand, own)
 }
 
+// lostPlaces reports whether so many places are gone that endpoints have crashed. Places also
+// vary a little with the measured speed of the endpoints.
+func lostPlaces(places, usual int) bool { return float64(places) < minPlacesLeft*float64(usual) }
+
 // crashShare returns the share that has to leave at once because places were lost.
 func crashShare(demand float64, places, usual int) float64 {
-	if places >= usual || demand <= 0 {
+	if !lostPlaces(places, usual) || demand <= 0 {
 		return 0
 	}
 	lost := 1 - float64(places)/float64(usual)
@@ -227,6 +258,9 @@
 	// it receives less than that.
 	receivers := c.receivers(d, others, demand, func(z ZoneLoad) float64 {
 		without := max(0, float64(z.Running)-d.settled[z.Zone]*demand) / float64(z.Places)
+		if float64(z.Running)/float64(z.Places) > demand/float64(usual)-minDifference {
+			return 0
+		}
 		if stay-expectedDelay(z.Delay, base, without) <= c.pathDelay(z.Zone)+threshold {
 			return 0
 		}
--- a/overflow/news.go
+++ b/overflow/news.go
@@ -28,8 +28,8 @@
 	// that stay the same, so that news has to be passed on.
 	ownSends       = 8
 	forwardedSends = 4
-	// forwardedAge is the time after its arrival within which news is passed on.
-	forwardedAge = time.Second
+	// forwardedAge is the age below which news is passed on.
+	forwardedAge = 2 * time.Second
 	// versionTTL is how long the version of expired news is kept, so that a late copy does
 	// not count as new.
 	versionTTL = 30 * time.Second
@@ -44,13 +44,26 @@
 
 // newsItem is the load of a zone as one of its instances sees it.
 type newsItem struct {
-	running   uint32
-	delayMS   uint32
-	version   uint64
-	at        time.Duration // arrival
+	running uint32
+	delayMS uint32
+	version uint64
+	at      time.Duration // arrival
+	// offset is the least difference of arrival and version of the instance's news, which is
+	// the difference of the clocks and the shortest way. News that came by a longer way is
+	// older by what exceeds it.
+	offset    time.Duration
 	sendsLeft int
 }
 
+func versionTime(version uint64) time.Duration {
+	return time.Duration(version) * time.Millisecond
+}
+
+// age returns how long ago the instance sent the news, apart from the shortest way.
+func (i newsItem) age(now time.Duration) time.Duration {
+	return now - versionTime(i.version) - i.offset
+}
+
 // News is what the instances know of the load of the zones. Each instance reports the load of
 // its own zone; the averages of what they report are used. It has no I/O and no clock, and is
 // not safe for concurrent use.
@@ -72,6 +85,7 @@
 func (n *News) SetOwn(now time.Duration, wallMS uint64, service string, running float64, delay time.Duration) {
 	key := newsKey{serviceHash(service), n.zone, n.self}
 	next := newsItem{running: uint32(max(running, 0) + 0.5), delayMS: uint32(max(delay, 0).Milliseconds()), version: wallMS, at: now, sendsLeft: ownSends}
+	next.offset = now - versionTime(wallMS)
 	if known, ok := n.items[key]; ok {
 		age := now - known.at
 		if age < changeInterval || age < refreshInterval && !known.differsFrom(next) {
@@ -95,7 +109,7 @@
 func (n *News) HasDemand(now time.Duration, service string) bool {
 	hash := serviceHash(service)
 	for key, item := range n.items {
-		if key.service == hash && item.running > 0 && now-item.at < newsTTL {
+		if key.service == hash && item.running > 0 && item.age(now) < newsTTL {
 			return true
 		}
 	}
@@ -116,7 +130,7 @@
 	result := ZoneNews{Age: newsTTL}
 	running, delayMS, delays := 0.0, 0.0, 0
 	for key, item := range n.items {
-		age := now - item.at
+		age := item.age(now)
 		if key.service != hash || key.zone != zone || key.instance == n.self || age >= newsTTL {
 			continue
 		}
@@ -173,7 +187,7 @@
 			}
 			continue
 		}
-		if now-item.at >= forwardedAge || item.sendsLeft <= 0 {
+		if item.age(now) >= forwardedAge || item.sendsLeft <= 0 {
 			continue
 		}
 		zone := zoneKey{key.service, key.zone}
@@ -208,12 +222,16 @@
 		if key.instance == n.self || key.instance == "" || key.zone == "" {
 			continue
 		}
-		if known, ok := n.items[key]; ok && known.version >= m.GetVersion() {
-			continue
+		offset := now - versionTime(m.GetVersion())
+		if known, ok := n.items[key]; ok {
+			if known.version >= m.GetVersion() {
+				continue
+			}
+			offset = min(offset, known.offset)
 		}
 		added++
 		n.items[key] = &newsItem{
-			running: m.GetRunning(), delayMS: m.GetDelayMs(), version: m.GetVersion(), at: now, sendsLeft: forwardedSends,
+			running: m.GetRunning(), delayMS: m.GetDelayMs(), version: m.GetVersion(), at: now, offset: offset, sendsLeft: forwardedSends,
 		}
 	}
 	return added
--- a/overflow/runner.go
+++ b/overflow/runner.go
@@ -21,6 +21,9 @@
 	// concurrencyTime is the time constant of the average number of requests that this
 	// instance has running in its zone.
 	concurrencyTime = 2 * time.Second
+	// demandTime is the time constant of the average demand of the own zone. The few reports
+	// that its instances get in a second differ by a third.
+	demandTime = time.Second
 	// loggedChange is the change of a share that is logged.
 	loggedChange = 0.1
 )
@@ -56,15 +59,17 @@
 	news *News
 	// concurrency is the average number of own requests in the own zone, by service.
 	concurrency map[string]float64
-	stepAt      time.Duration
-	logged      map[string]map[api.FailureDomain]float64 // shares as last logged, by service
+	// demand is the average demand of the own zone, by service.
+	demand map[string]float64
+	stepAt time.Duration
+	logged map[string]map[api.FailureDomain]float64 // shares as last logged, by service
 }
 
 // NewRunner returns a runner that sends no requests away.
 func NewRunner(o RunnerOptions) *Runner {
 	r := &Runner{
 		o: o, core: NewCore(o.Options), news: NewNews(o.Self, o.Place.FailureDomain),
-		concurrency: make(map[string]float64), logged: make(map[string]map[api.FailureDomain]float64),
+		concurrency: make(map[string]float64), demand: make(map[string]float64), logged: make(map[string]map[api.FailureDomain]float64),
 	}
 	for _, change := range []string{"started", "changed", "stopped"} {
 		o.Scope.Tagged(map[string]string{"change": change}).Counter("decisions").Inc(0)
@@ -99,7 +104,7 @@
 	defer r.mu.Unlock()
 	now := r.o.Clock()
 	loads := r.o.Balance.ZoneLoads()
-	keep := math.Exp(-float64(now-r.stepAt) / float64(concurrencyTime))
+	elapsed := now - r.stepAt
 	r.stepAt = now
 	var zones []ZoneLoad
 	for _, load := range loads {
@@ -109,7 +114,7 @@
 		news := r.news.Zone(now, load.Service, load.Zone)
 		zone.Running, zone.Delay, zone.Age = int(news.Running+0.5), news.Delay, news.Age
 		if load.Zone == r.o.Place.FailureDomain {
-			r.addOwn(now, keep, load, news, &zone)
+			r.addOwn(now, elapsed, load, news, &zone)
 		}
 		zones = append(zones, zone)
 	}
@@ -129,7 +134,8 @@
 
 // addOwn fills in the load of the own zone, and reports it to other instances. It is the
 // average of what this instance and the others of the zone see.
-func (r *Runner) addOwn(now time.Duration, keep float64, load balance.ZoneLoad, news ZoneNews, zone *ZoneLoad) {
+func (r *Runner) addOwn(now, elapsed time.Duration, load balance.ZoneLoad, news ZoneNews, zone *ZoneLoad) {
+	keep := math.Exp(-float64(elapsed) / float64(concurrencyTime))
 	concurrency := keep*r.concurrency[load.Service] + (1-keep)*float64(load.OwnRunning)
 	r.concurrency[load.Service] = concurrency
 	demand, count := news.Running*float64(news.Instances), float64(news.Instances)
@@ -147,7 +153,9 @@
 		}
 	}
 	// The core derives the demand from what runs in the zone.
-	zone.Running = int(demand/count/r.core.Demand(load.Service, 1) + 0.5)
+	keep = math.Exp(-float64(elapsed) / float64(demandTime))
+	r.demand[load.Service] = keep*r.demand[load.Service] + (1-keep)*demand/count
+	zone.Running = int(r.demand[load.Service]/r.core.Demand(load.Service, 1) + 0.5)
 	zone.Age = 0
 	switch {
 	case load.Delay > 0 && news.Delay > 0:
