overflow: measure the age of news against the nearest instances

News of distant instances always comes by long ways, so it looked up to 3 s younger than it is.

Change: the age is measured against the lower quartile of all offsets if that is less than the instance's own. Sums and orders don't depend on the order of maps, so the simulations are repeatable.

--- a/overflow/core.go
+++ b/overflow/core.go
@@ -477,8 +477,8 @@
 
 func sum(shares map[api.FailureDomain]float64) float64 {
 	total := 0.0
-	for _, share := range shares {
-		total += share
+	for _, zone := range slices.Sorted(maps.Keys(shares)) {
+		total += shares[zone] // in a fixed order, so that the rounding is the same
 	}
 	return total
 }
--- a/overflow/news.go
+++ b/overflow/news.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -48,9 +49,8 @@
 	delayMS uint32
 	version uint64
 	at      time.Duration // arrival
-	// offset is the least difference of arrival and version of the instance's news, which is
-	// the difference of the clocks and the shortest way. News that came by a longer way is
-	// older by what exceeds it.
+	// offset is the least difference of arrival and version of the instance's news: the
+	// difference of the clocks, and the shortest way that news has come.
 	offset    time.Duration
 	sendsLeft int
 }
@@ -59,9 +59,26 @@
 	return time.Duration(version) * time.Millisecond
 }
 
-// age returns how long ago the instance sent the news, apart from the shortest way.
-func (i newsItem) age(now time.Duration) time.Duration {
-	return now - versionTime(i.version) - i.offset
+// age returns how long ago an instance sent its news. The clocks of the instances may differ,
+// so it is measured against the least offset of the instance, or that of the nearest instances
+// if it is less: all news of a distant one may have come by long ways.
+func (n *News) age(now time.Duration, i *newsItem) time.Duration {
+	return now - versionTime(i.version) - min(i.offset, n.nearOffset)
+}
+
+// updateNearOffset sets the lower quartile of the offsets, which a few wrong clocks don't move.
+func (n *News) updateNearOffset() {
+	offsets := make([]time.Duration, 0, len(n.items))
+	for key, item := range n.items {
+		if key.instance != n.self {
+			offsets = append(offsets, item.offset)
+		}
+	}
+	n.nearOffset = math.MaxInt64
+	if len(offsets) > 0 {
+		slices.Sort(offsets)
+		n.nearOffset = offsets[len(offsets)/4]
+	}
 }
 
 // News is what the instances know of the load of the zones. Each instance reports the load of
@@ -71,11 +88,13 @@
 	self  api.InstanceID
 	zone  api.FailureDomain
 	items map[newsKey]*newsItem
+	// nearOffset is the offset of the instances whose news comes by short ways.
+	nearOffset time.Duration
 }
 
 // NewNews returns the news of an instance that knows none.
 func NewNews(self api.InstanceID, zone api.FailureDomain) *News {
-	return &News{self: self, zone: zone, items: make(map[newsKey]*newsItem)}
+	return &News{self: self, zone: zone, items: make(map[newsKey]*newsItem), nearOffset: math.MaxInt64}
 }
 
 func serviceHash(service string) uint64 { return xxhash.Sum64String(service) }
@@ -109,7 +128,7 @@
 func (n *News) HasDemand(now time.Duration, service string) bool {
 	hash := serviceHash(service)
 	for key, item := range n.items {
-		if key.service == hash && item.running > 0 && item.age(now) < newsTTL {
+		if key.service == hash && item.running > 0 && n.age(now, item) < newsTTL {
 			return true
 		}
 	}
@@ -130,7 +149,7 @@
 	result := ZoneNews{Age: newsTTL}
 	running, delayMS, delays := 0.0, 0.0, 0
 	for key, item := range n.items {
-		age := item.age(now)
+		age := n.age(now, item)
 		if key.service != hash || key.zone != zone || key.instance == n.self || age >= newsTTL {
 			continue
 		}
@@ -187,11 +206,12 @@
 			}
 			continue
 		}
-		if item.age(now) >= forwardedAge || item.sendsLeft <= 0 {
+		if n.age(now, item) >= forwardedAge || item.sendsLeft <= 0 {
 			continue
 		}
 		zone := zoneKey{key.service, key.zone}
-		if known, ok := newest[zone]; !ok || n.items[known].version < item.version {
+		if known, ok := newest[zone]; !ok || n.items[known].version < item.version ||
+			n.items[known].version == item.version && key.instance < known.instance {
 			newest[zone] = key
 		}
 	}
@@ -202,7 +222,7 @@
 		}
 		x, y := n.items[a], n.items[b]
 		return cmp.Or(cmp.Compare(y.sendsLeft, x.sendsLeft), cmp.Compare(y.version, x.version),
-			cmp.Compare(a.zone, b.zone), cmp.Compare(a.service, b.service))
+			cmp.Compare(a.zone, b.zone), cmp.Compare(a.service, b.service), cmp.Compare(a.instance, b.instance))
 	})
 	return list
 }
@@ -237,7 +257,8 @@
 	return added
 }
 
-// Expire forgets news that is long out of date.
+// Expire forgets news that is long out of date. It has to be called regularly.
 func (n *News) Expire(now time.Duration) {
 	maps.DeleteFunc(n.items, func(_ newsKey, item *newsItem) bool { return now-item.at >= versionTTL })
+	n.updateNearOffset()
 }
