--- a/balance/overflow.go
+++ b/balance/overflow.go
@@ -19,6 +19,10 @@
 	leaveZoneCost = prefillCost
 	// leaveRegionCost is added in another region.
 	leaveRegionCost = prefillCost
+	// returnCost is the cost of an engine of the own zone for a request that the decision sends
+	// away. It exceeds most differences of the session affinity, which would else keep a fifth
+	// of these requests.
+	returnCost = leaveZoneCost / 2
 	// leaveZonePlainCost and leaveRegionPlainCost are the same for a plain service: 30 ms of
 	// response time, and 45 ms.
 	leaveZonePlainCost   = 0.5
@@ -165,7 +169,7 @@
 	case e.Domain == drawn:
 		return 0
 	case e.Domain == c.options.Place.FailureDomain:
-		return otherDomainCost
+		return returnCost
 	}
 	zone, region := leaveZoneCost, leaveRegionCost
 	if request.Tokens == 0 {
