balance: skip the speed of endpoints that were not measured

Cause: each choice computes the speed of all endpoints of a service, and most were never measured by the instance.

Change: an endpoint without measurements has the factor 1 without exponentials.

--- a/balance/speed.go
+++ b/balance/speed.go
@@ -74,12 +74,21 @@
 	return min(max(average, minSpeed), maxSpeed)
 }
 
+// factor returns the slowness that is left of a measured one. Most endpoints of a large service
+// are not measured by this instance.
+func factor(measured float64, age time.Duration) float64 {
+	if measured == 0 {
+		return 1
+	}
+	return math.Exp(measured * decay(age, speedHalfLife))
+}
+
 func (s *speed) prefillFactor(now time.Duration) float64 {
-	return math.Exp(s.prefill * decay(now-s.prefillAt, speedHalfLife))
+	return factor(s.prefill, now-s.prefillAt)
 }
 
 func (s *speed) decodeFactor(now time.Duration) float64 {
-	return math.Exp(s.decode * decay(now-s.decodeAt, speedHalfLife))
+	return factor(s.decode, now-s.decodeAt)
 }
 
 func (c *Core) serviceSpeed(service string) *serviceSpeed {
