--- a/overflow/runner.go
+++ b/overflow/runner.go
@@ -189,10 +189,19 @@
 		change = "stopped"
 	}
 	r.o.Scope.Tagged(map[string]string{"change": change}).Counter("decisions").Inc(1)
-	r.o.Log.Info("zone overflow changed", "service", service, "change", change, "shares", shares, "before", before)
+	r.o.Log.Info("zone overflow changed", "service", service, "change", change, "shares", rounded(shares), "before", rounded(before))
 	r.logged[service] = shares
 }
 
+// rounded returns shares with two decimals, for the log.
+func rounded(shares map[api.FailureDomain]float64) map[api.FailureDomain]float64 {
+	result := make(map[api.FailureDomain]float64, len(shares))
+	for zone, share := range shares {
+		result[zone] = math.Round(share*100) / 100
+	}
+	return result
+}
+
 // changed reports whether a zone gets requests that got none, or none any more, or whether a
 // share differs by loggedChange.
 func changed(before, after map[api.FailureDomain]float64) bool {
