overflow: count waiting requests as demand

Cause: with an admission queue, requests wait at the instances, and the running ones don't show how many engines are missing.

--- a/overflow/news.go
+++ b/overflow/news.go
@@ -97,12 +97,13 @@
 	return &News{self: self, zone: zone, items: make(map[newsKey]*newsItem), nearOffset: math.MaxInt64}
 }
 
-func serviceHash(service string) uint64 { return xxhash.Sum64String(service) }
+// ServiceHash identifies a service in the news.
+func ServiceHash(service string) uint64 { return xxhash.Sum64String(service) }
 
 // SetOwn sets the load of the own zone as this instance sees it. wallMS is the wall clock in
 // Unix milliseconds.
 func (n *News) SetOwn(now time.Duration, wallMS uint64, service string, running float64, delay time.Duration) {
-	key := newsKey{serviceHash(service), n.zone, n.self}
+	key := newsKey{ServiceHash(service), n.zone, n.self}
 	next := newsItem{running: uint32(max(running, 0) + 0.5), delayMS: uint32(max(delay, 0).Milliseconds()), version: wallMS, at: now, sendsLeft: ownSends}
 	next.offset = now - versionTime(wallMS)
 	if known, ok := n.items[key]; ok {
@@ -126,7 +127,7 @@
 
 // HasDemand reports whether there is news of running requests of a service.
 func (n *News) HasDemand(now time.Duration, service string) bool {
-	hash := serviceHash(service)
+	hash := ServiceHash(service)
 	for key, item := range n.items {
 		if key.service == hash && item.running > 0 && n.age(now, item) < newsTTL {
 			return true
@@ -145,7 +146,7 @@
 
 // Zone returns the average of what other instances report of a zone.
 func (n *News) Zone(now time.Duration, service string, zone api.FailureDomain) ZoneNews {
-	hash := serviceHash(service)
+	hash := ServiceHash(service)
 	result := ZoneNews{Age: newsTTL}
 	running, delayMS, delays := 0.0, 0.0, 0
 	for key, item := range n.items {
--- a/overflow/runner.go
+++ b/overflow/runner.go
@@ -41,6 +41,9 @@
 	Balance Balancer
 	// Target returns the latency target of a service; 0 is unknown.
 	Target func(service string) time.Duration
+	// Waiting returns the number of requests of a service that wait at this instance for an
+	// endpoint; nil: none wait.
+	Waiting func(service string) int
 	// ZoneInstances returns the number of live instances in the own zone, with this one.
 	ZoneInstances func() int
 	// WallMS returns the wall clock in Unix milliseconds.
@@ -146,7 +149,7 @@
 		running = concurrency * float64(r.o.ZoneInstances())
 	}
 	if load.Reported || !load.ReportsLoad || news.Instances == 0 {
-		own := r.core.Demand(load.Service, running)
+		own := r.core.Demand(load.Service, running) + r.waiting(load.Service)
 		demand, count = demand+own, count+1
 		if own > 0.5 || r.news.HasDemand(now, load.Service) {
 			r.news.SetOwn(now, r.o.WallMS(), load.Service, own, load.Delay)
@@ -165,6 +168,15 @@
 	}
 }
 
+// waiting returns the number of requests that wait at the instances of the zone. Callers are
+// spread evenly over them.
+func (r *Runner) waiting(service string) float64 {
+	if r.o.Waiting == nil {
+		return 0
+	}
+	return float64(r.o.Waiting(service) * r.o.ZoneInstances())
+}
+
 // apply passes the shares of a service to the balancer and records a change.
 func (r *Runner) apply(service string) {
 	shares := r.core.Shares(service)
