--- a/balance/overflow.go
+++ b/balance/overflow.go
@@ -166,6 +166,8 @@
 	}
 	drawn := c.drawZone(request)
 	switch {
+	case c.failedIn(e.Domain, request):
+		// The zone may have crashed, so that it isn't preferred.
 	case e.Domain == drawn:
 		return 0
 	case e.Domain == c.options.Place.FailureDomain:
@@ -175,12 +177,22 @@
 	if request.Tokens == 0 {
 		zone, region = leaveZonePlainCost, leaveRegionPlainCost
 	}
-	if c.options.Regions[e.Domain] == c.options.Place.Region {
+	if e.Domain == c.options.Place.FailureDomain || c.options.Regions[e.Domain] == c.options.Place.Region {
 		return zone
 	}
 	return zone + region
 }
 
+// failedIn reports whether an endpoint of a zone has failed the request and is suspect.
+func (c *Core) failedIn(zone api.FailureDomain, request Request) bool {
+	for _, id := range request.Exclude {
+		if tried, ok := c.endpoints[id]; ok && tried.Domain == zone && tried.consecutiveFailures > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // drawZone returns the zone that a request goes to by the shares. All requests of a session
 // go to the same zone, as its engines keep the KV cache of the earlier prompts.
 func (c *Core) drawZone(request Request) api.FailureDomain {
