--- a/balance/unchanged_test.go
+++ b/balance/overflow_off_test.go
@@ -14,12 +14,12 @@
 	"github.com/hibiscusstair/hibiscusstair/registry"
 )
 
-// choicesOfBcfe128 is the hash of the choices that commit bcfe128 makes in playChoices.
-const choicesOfBcfe128 = uint64(4829246939129730685)
+// choicesWithoutOverflow is the hash of the choices that commit bcfe128 makes in playChoicesWithoutOverflow.
+const choicesWithoutOverflow = uint64(4829246939129730685)
 
-// playChoices plays a fixed random load with failures, load reports and restarts on a core
+// playChoicesWithoutOverflow plays a fixed random load with failures, load reports and restarts on a core
 // and returns the hash of all its choices.
-func playChoices(seed uint64) uint64 {
+func playChoicesWithoutOverflow(seed uint64) uint64 {
 	core := newCore("i", 24)
 	for i := 100; i < 107; i++ {
 		plain := engine(i)
@@ -80,6 +80,6 @@
 var _ = Describe("Core without zone overflow", func() {
 	// Guards against a change of the choices when the feature is off.
 	It("chooses as commit bcfe128 does under random load, failures, reports and restarts", func() {
-		Expect(playChoices(20261206)).To(Equal(choicesOfBcfe128))
+		Expect(playChoicesWithoutOverflow(20261206)).To(Equal(choicesWithoutOverflow))
 	})
 })
