balance: bound the first event's delay by the engine's speed

Cause: MaxFirstEventDelay went by the service's average prefill, also for an engine that is known to be slow.

Change: with zone overflow the expected delay is multiplied by the engine's slowness. A test covers a zone whose engines are all 1.6 times slower.

--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -386,6 +386,18 @@
 		Expect(meanOf(on, func(r speedResult) float64 { return r.crossed })).To(BeNumerically("<", 0.6))
 	})
 
+	// Guards against a zone that keeps its requests although all of its engines are slow.
+	It("relieves a zone whose engines are all 1.6 times slower", func() {
+		off, on := compareSpeed(15, 30, 60, func(n int, _ time.Duration) float64 {
+			if n%6 == 0 {
+				return 1.6
+			}
+			return 1
+		})
+		Expect(meanOf(on, late)).To(BeNumerically("<=", meanOf(off, late)+0.01))
+		Expect(meanEnd(on)).To(BeNumerically("<", meanEnd(off)*102/100))
+	})
+
 	// Load: nine of ten engines of one zone crash for 1.2 s every 6 s. Guards against requests
 	// that follow their zone into a crash or wait at the engines that are left.
 	It("serves as many on time while the engines of a zone crash for 1.2 s every 6 s", func() {
--- a/balance/wait.go
+++ b/balance/wait.go
@@ -20,7 +20,11 @@
 	if request.MaxFirstEventDelay == 0 || load.Prefilling == 0 {
 		return false
 	}
-	return c.expectedFirstEventDelay(request.Service, load.Prefilling) > request.MaxFirstEventDelay
+	expected := c.expectedFirstEventDelay(request.Service, load.Prefilling)
+	if c.options.ZoneOverflow {
+		expected = time.Duration(float64(expected) * e.speed.prefillFactor(now))
+	}
+	return expected > request.MaxFirstEventDelay
 }
 
 // expectedFirstEventDelay returns the time until the first event of a new
