--- a/balance/balance.go
+++ b/balance/balance.go
@@ -134,6 +134,7 @@
 	refusedUntil        time.Duration // the endpoint is avoided until then after a refusal
 	rateLimit           rateLimit
 	deferredUntil       time.Duration // the endpoint takes no requests of this instance until then
+	speed               speed
 
 	// otherLoad is the part of the last load report that other instances cause.
 	otherLoad  Load
@@ -155,6 +156,9 @@
 	// LoadControl says that new generations are bounded by MaxGenerations, so that the
 	// engines have memory for backups.
 	LoadControl bool
+	// ZoneOverflow makes the shares of SetZoneShares decide which requests leave the zone, and
+	// the measured speed of the endpoints count. Without it, each zone has a fixed cost.
+	ZoneOverflow bool
 }
 
 // Core chooses endpoints, and keeps the load and the health of each. It is not
@@ -179,6 +183,9 @@
 	// prefillTime is the duration of one prefill, by service, as a moving average
 	// in nanoseconds.
 	prefillTime map[string]float64
+	// speeds is the average speed of the endpoints, by service.
+	speeds       map[string]*serviceSpeed
+	zoneOverflow zoneOverflow
 }
 
 type domainKey struct {
@@ -200,6 +207,8 @@
 		prefilling:         make(map[string]float64),
 		reportedAt:         make(map[string]time.Duration),
 		prefillTime:        make(map[string]float64),
+		speeds:             make(map[string]*serviceSpeed),
+		zoneOverflow:       newZoneOverflow(),
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/forward"
 	"github.com/hibiscusstair/hibiscusstair/loadprobe"
+	"github.com/hibiscusstair/hibiscusstair/overflow"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 	"github.com/hibiscusstair/hibiscusstair/prefixcache"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
@@ -107,6 +108,7 @@
 	restartDetector *revive.RestartDetector
 	quarantine      *quarantine.Runner
 	limiter         *ratelimit.Limiter
+	overflow        *overflow.Runner // nil if requests don't leave the zone by need
 	loadProber      *loadprobe.Prober
 	rollouts        *rollout.Runner // nil if the settings do not enable them
 	relayCache      *relay.Cache
@@ -131,7 +133,7 @@
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock, SocketBufferBytes: s.socketBufferBytes()})
 	g.balancer = balance.New(balance.Options{
-		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, Versioned: s.Rollouts.Enabled, OnSuspect: g.reportSuspectedEndpoint, LoadControl: s.LoadControl},
+		CoreOptions: balance.CoreOptions{Instance: s.Instance, Place: s.Place, Regions: s.Regions, Versioned: s.Rollouts.Enabled, OnSuspect: g.reportSuspectedEndpoint, LoadControl: s.LoadControl, ZoneOverflow: s.overflows()},
 		Clock:       clock, Log: o.Log, Scope: scope.SubScope("balance"),
 	})
 	g.registry = registry.New(registry.Options{
@@ -152,6 +154,9 @@
 	if s.Rollouts.Enabled {
 		g.rollouts = g.newRollouts()
 	}
+	if s.overflows() {
+		g.overflow = g.newOverflow()
+	}
 	if err := g.buildFleet(); err != nil {
 		return nil, err
 	}
@@ -224,10 +229,14 @@
 		return nil
 	}
 	incarnation := uint64(time.Now().UnixMilli())
+	sources := []fleet.DeltaSource{g.limiter, g.quarantine}
+	if g.overflow != nil {
+		sources = append(sources, g.overflow)
+	}
 	g.fleet, err = fleet.New(fleet.Options{
 		Instance: s.Instance, Incarnation: incarnation, Place: s.Place, Address: s.PeerListen.String(), LinkMbps: s.LinkMbps,
 		SeedAddresses: g.seedAddresses(), Store: noRegistrations{}, Clients: g.peerClients, Tickets: configVersions{g}, ExpelMode: "manual",
-		DeltaSources: []fleet.DeltaSource{g.limiter, g.quarantine}, OnFullTable: func() { close(g.membersKnown) },
+		DeltaSources: sources, OnFullTable: func() { close(g.membersKnown) },
 		Log: g.o.Log, Scope: g.o.Metrics.Scope.SubScope("fleet"), Clock: bootclock.Now, Seed: incarnation,
 	})
 	return err
