--- a/forward/plain.go
+++ b/forward/plain.go
@@ -203,7 +203,7 @@
 	p.req.tried = append(p.req.tried, lease.Endpoint.ID)
 	p.inFlight++
 	number := p.req.attempts
-	p.req.log.Info("attempt started", "attempt", number, "endpoint", lease.Endpoint.ID,
+	p.req.log.Info("attempt started", "attempt", number, "endpoint", lease.Endpoint.ID, "version", lease.Endpoint.Version,
 		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected,
 		"content_state", p.req.assessment.State, "content_crashes", p.req.assessment.Crashes, "in_flight", p.inFlight,
 		"age_ms", (p.h.o.Clock() - p.req.received).Milliseconds(), "configuration", p.req.tableVersion)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -139,7 +139,7 @@
 		lease:   lease, tracked: h.attempts.add(lease.Endpoint, s.req.running()), cancel: cancel, messages: make(chan attemptMessage, messageBuffer), fromBackup: fromBackup,
 		stall: stallDetector{targetEventGap: s.req.route.TargetEventGap, targetLatency: s.req.route.TargetLatency, silentSince: now, prefilled: fromBackup, hasBackup: attempt.BackupTargetAddress != ""},
 	}
-	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID,
+	s.req.log.Info("attempt started", "attempt", s.req.attempts, "endpoint", lease.Endpoint.ID, "version", lease.Endpoint.Version,
 		"failure_domain", lease.Endpoint.Domain, "suspected", lease.Suspected,
 		"content_state", s.req.assessment.State, "content_crashes", s.req.assessment.Crashes, "copied", fromBackup,
 		"engine_runs", lease.Load.Running, "engine_prompts", lease.Load.Prefilling, "engine_tokens", lease.Load.Tokens,
--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -22,6 +22,9 @@
 	engines := flag.Int("engines", 9, "number of engines")
 	callers := flag.Int("callers", 12, "number of concurrent callers")
 	directory := flag.String("logs", "out/soak-logs", "directory for the logs")
+	rollout := flag.Bool("rollout", false, "move the engines to another version meanwhile")
+	extra := flag.Bool("extra", true, "restore the store, let engines leave and pause desks too")
+	keep := flag.Bool("keep", false, "keep the logs and print the faults of seeds without violations too")
 	flag.Parse()
 	failedSeeds := 0
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
@@ -31,15 +34,18 @@
 			os.Exit(1)
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, Duration: *duration, Instances: *instances, Engines: *engines, Callers: *callers, LogDirectory: logs, ExtraFaults: true,
+			Seed: seed, Duration: *duration, Instances: *instances, Engines: *engines, Callers: *callers, LogDirectory: logs,
+			ExtraFaults: *extra, Rollout: *rollout,
 		})
 		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d guarantees violated\n",
 			seed, report.Requests, report.Served, len(report.Faults), len(report.Violations))
-		if err == nil && len(report.Violations) == 0 {
+		if err == nil && len(report.Violations) == 0 && !*keep {
 			_ = os.RemoveAll(logs)
 			continue
 		}
-		failedSeeds++
+		if err != nil || len(report.Violations) > 0 {
+			failedSeeds++
+		}
 		fmt.Printf("  error: %v\n  faults: %q\n", err, report.Faults)
 		for _, violation := range report.Violations[:min(10, len(report.Violations))] {
 			fmt.Println("  broken:", violation)
--- a/standins/platform/soak/soak.go
+++ b/standins/platform/soak/soak.go
@@ -33,6 +33,8 @@
 	NoFaults bool
 	// ExtraFaults adds the faults of injectExtraFaults.
 	ExtraFaults bool
+	// Rollout moves the engines to another version meanwhile, which is good or bad.
+	Rollout bool
 }
 
 // Report is the result of a soak run.
@@ -54,6 +56,7 @@
 	revokedKeys map[string]time.Time // by API key: when the store had the revocation
 	outcomes    []world.Outcome
 	faultLog    []string
+	rollout     *startedRollout // nil if there was none
 	lastRequest int
 }
 
@@ -61,7 +64,12 @@
 // of the fleet and the guarantees to callers.
 func Run(ctx context.Context, o Options) (Report, error) {
 	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), revokedKeys: make(map[string]time.Time)}
+	var contracts []string
+	if o.Rollout {
+		contracts = []string{deployment.ContractRollout}
+	}
 	d, err := deployment.Start(deployment.Options{
+		Contracts: contracts,
 		Instances: o.Instances, Engines: o.Engines, EngineParameters: world.FastEngine, LogDirectory: o.LogDirectory,
 		OnError: func(err error) { s.logFault("%s", err) },
 	})
@@ -80,7 +88,7 @@
 		return Report{Seed: o.Seed}, err
 	}
 	s.runLoad(ctx)
-	violations := s.checkRecovery(ctx)
+	violations := append(s.rolloutViolations(), s.checkRecovery(ctx)...)
 	cancel()
 	background.Wait()
 	return s.newReport(violations), nil
@@ -98,6 +106,9 @@
 	if !s.options.NoFaults {
 		group.Go(func() { s.injectFaults(ctx) })
 	}
+	if s.options.Rollout {
+		group.Go(func() { s.rollOut(ctx) })
+	}
 	if s.options.ExtraFaults {
 		group.Go(func() { s.injectExtraFaults(ctx) })
 	}
--- a/standins/platform/soak/soak_test.go
+++ b/standins/platform/soak/soak_test.go
@@ -54,4 +54,18 @@
 		Entry("seed 20285", 20285, false),
 		Entry("seed 3, with a store that is restored", 3, true),
 	)
+
+	// Guards against requests that are lost, or a bad version that gets too many, when the
+	// engines are moved to another version amid faults.
+	DescribeTable("keep their guarantees during a rollout under overlapping faults",
+		func(seed int) {
+			report := run(soak.Options{
+				Seed: uint64(seed), Duration: 12 * time.Second, Instances: 4, Engines: 9, Callers: 10, Rollout: true,
+			})
+			Expect(report.Requests).To(BeNumerically(">", 50))
+		},
+		Entry("seed 11", 11),
+		Entry("seed 12", 12),
+		Entry("seed 13", 13),
+	)
 })
