End streams whose slow callers block their engines

Cause: a caller that reads a little again and again was kept, but the kernels let a blocked writer go on only after a good part of a buffer was read: with a caller that reads 5 KB/s the engine's writes paused for 4.8 s, and an engine cuts such a response off.

Change: while a stream waits for its caller, at least 64 KiB have to arrive from the engine within 3 s as long as something from it is unread. Otherwise the stream ends after a whole event, as for a caller that reads nothing.

--- a/forward/hold.go
+++ b/forward/hold.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hibiscusstair/hibiscusstair/reason"
+	"github.com/hibiscusstair/hibiscusstair/upstream"
 )
 
 const (
@@ -290,10 +292,42 @@
 	return queued, err == nil && queryErr == nil
 }
 
+// engineProgress tells whether an engine can send while its stream waits for the caller. The kernels
+// on both sides let a blocked writer go on only after a good part of a buffer was read, so that an
+// engine may send nothing for seconds although its caller reads a little.
+type engineProgress struct {
+	conn     atomic.Pointer[upstream.Conn] // nil before it is connected
+	received uint64
+	since    time.Time // when received was taken
+	checked  time.Time // last call of blocked
+}
+
+// blocked reports whether the engine's response has been unread for slowCallerTimeout, while less
+// arrived of it than a buffer holds.
+func (p *engineProgress) blocked(now time.Time) bool {
+	conn := p.conn.Load()
+	if conn == nil {
+		return false
+	}
+	received, unread, known := conn.Received()
+	keptUp := now.Sub(p.checked) > maxBehindGap
+	p.checked = now
+	if !known || unread == 0 || keptUp || received >= p.received+SocketBufferBytes {
+		p.received, p.since = received, now
+		return false
+	}
+	return now.Sub(p.since) >= slowCallerTimeout
+}
+
+// maxBehindGap is how long a stream that is behind its engine may go on without waiting for its
+// caller: the kernel takes several events at a time.
+const maxBehindGap = 500 * time.Millisecond
+
 // awaitCaller waits until the kernel takes n bytes for the caller at once, so that an event is
 // written whole or not at all. It returns errSlowCaller if the caller reads nothing for
-// slowCallerTimeout, or if it has to make room for others and mayEvict is true.
-func (s *slowReaders) awaitCaller(ctx context.Context, inbound *http.Request, n int, mayEvict bool) error {
+// slowCallerTimeout, or if the engine, which is nil for a plain body, can send nothing for as long,
+// or if a stream has to make room for others.
+func (s *slowReaders) awaitCaller(ctx context.Context, inbound *http.Request, n int, engine *engineProgress) error {
 	if s == nil {
 		return nil
 	}
@@ -313,12 +347,12 @@
 				s.events.removeStalled(stalled)
 			}
 			stalled = &stalledRead{since: progress, evicted: make(chan struct{})}
-			if mayEvict {
+			if engine != nil {
 				s.events.addStalled(stalled)
 			}
 		}
 		last = queued
-		if time.Since(progress) >= slowCallerTimeout {
+		if time.Since(progress) >= slowCallerTimeout || engine != nil && engine.blocked(time.Now()) {
 			s.events.removeStalled(stalled)
 			return errSlowCaller
 		}
@@ -440,7 +474,7 @@
 	defer cancel()
 	controller := http.NewResponseController(w)
 	for piece := range slices.Chunk(body, sendQueueBytes) {
-		if err := h.slow.awaitCaller(ctx, req.inbound, len(piece), false); err != nil {
+		if err := h.slow.awaitCaller(ctx, req.inbound, len(piece), nil); err != nil {
 			return err
 		}
 		_ = controller.SetWriteDeadline(time.Now().Add(slowCallerTimeout))
--- a/forward/hold_test.go
+++ b/forward/hold_test.go
@@ -46,6 +46,7 @@
 	*fixture
 	scope   tally.TestScope
 	address string
+	onEvent func()       // called after each event that the endpoint has sent; nil is none
 	sent    atomic.Int64 // bytes of events and bodies that endpoints wrote
 	asked   atomic.Int64 // requests to endpoints
 }
@@ -119,6 +120,9 @@
 	for id := last + 1; r.Context().Err() == nil && id <= last+1000; id++ {
 		n, err := fmt.Fprintf(w, "id: %d\ndata: %0*d\n\n", id, size, id)
 		s.sent.Add(int64(n))
+		if s.onEvent != nil {
+			s.onEvent()
+		}
 		if err != nil || http.NewResponseController(w).Flush() != nil {
 			return
 		}
@@ -211,7 +215,12 @@
 func cutEvents(conn *net.TCPConn, first int) int {
 	GinkgoHelper()
 	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return countCut(conn, first)
+}
+
+func countCut(sent io.Reader, first int) int {
+	GinkgoHelper()
+	response, err := http.ReadResponse(bufio.NewReader(sent), nil)
 	Expect(err).NotTo(HaveOccurred())
 	body, err := io.ReadAll(response.Body)
 	Expect(err).To(MatchError(io.ErrUnexpectedEOF))
@@ -266,6 +275,38 @@
 		})
 	})
 
+	// Guards against an engine that cuts off the response to a caller that reads too little (the engine
+	// may send nothing for 3 s), and against streams that end although their engine can send.
+	DescribeTable("of streams but a part at a time are cut off if that blocks their engine", func(pieceBytes int, cut bool) {
+		s := newSlowFixture(memoryBytes)
+		var last, longest atomic.Int64 // time of the engine's last write, longest pause
+		s.onEvent = func() {
+			now := time.Now().UnixNano()
+			if before := last.Swap(now); before > 0 && now-before > longest.Load() {
+				longest.Store(now - before)
+			}
+		}
+		conn := s.stalledCall(requestHead("GET", "/stream/flood", ""))
+		all, piece := bytes.Buffer{}, make([]byte, pieceBytes)
+		for began := time.Now(); s.refused(reason.SlowCaller) == 0 && time.Since(began) < 8*time.Second; time.Sleep(200 * time.Millisecond) {
+			n, err := io.ReadAtLeast(conn, piece, pieceBytes/2)
+			Expect(err).NotTo(HaveOccurred())
+			all.Write(piece[:n])
+		}
+		longest.Store(max(longest.Load(), time.Now().UnixNano()-last.Load()))
+		AddReportEntry("longest pause of the engine", time.Duration(longest.Load()).String())
+		Expect(time.Duration(longest.Load())).To(BeNumerically("<", 4*time.Second))
+		Expect(s.asked.Load()).To(BeEquivalentTo(1))
+		Expect(s.refused(reason.SlowCaller) > 0).To(Equal(cut))
+		if cut {
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			Expect(countCut(io.MultiReader(&all, conn), 1)).To(BeNumerically(">", 0))
+		}
+	},
+		Entry("5 KB/s", 1<<10, true),
+		Entry("100 KB/s", 20<<10, false),
+	)
+
 	// Guards against stalled streams that together take the memory of all others.
 	It("of streams leave room for others when there is little memory", func() {
 		s := newSlowFixture(16 << 20) // 0.8 MB for events
--- a/forward/run.go
+++ b/forward/run.go
@@ -38,6 +38,7 @@
 	endsWithConnection bool
 	hasEvent           bool // an event was received, with an ID or without
 	held               *holding
+	engine             engineProgress
 }
 
 // executeAttempt sends the request and passes the response to r.messages event
@@ -58,6 +59,7 @@
 		return
 	}
 	defer conn.Close()
+	r.engine.conn.Store(conn)
 	h.attempts.markSent(r.tracked)
 	response, err := conn.RoundTrip(out)
 	if err != nil {
@@ -250,7 +252,7 @@
 	}
 	s.writeHeader(r, now)
 	s.recordResume(r, e, now)
-	if err := s.writeEvent(e.raw); err != nil {
+	if err := s.writeEvent(r, e.raw); err != nil {
 		if s.ctx.Err() != nil {
 			return &attemptResult{finalError: s.contextError(), outcome: balance.Cancelled}
 		}
@@ -307,8 +309,8 @@
 }
 
 // writeEvent writes an event to the caller and flushes it.
-func (s *stream) writeEvent(raw []byte) error {
-	if err := s.h.slow.awaitCaller(s.ctx, s.req.inbound, len(raw), true); err != nil {
+func (s *stream) writeEvent(r *streamAttempt, raw []byte) error {
+	if err := s.h.slow.awaitCaller(s.ctx, s.req.inbound, len(raw), &r.engine); err != nil {
 		return err
 	}
 	s.extendWriteDeadline()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -135,6 +135,27 @@
 	return unacknowledged, open
 }
 
+// Received returns how many bytes have arrived on the connection, and how many of them wait to be
+// read; false if it is unknown.
+func (c *Conn) Received() (total uint64, unread int, known bool) {
+	control, ok := c.net.Conn.(syscall.Conn)
+	if !ok {
+		return 0, 0, false
+	}
+	raw, err := control.SyscallConn()
+	if err != nil {
+		return 0, 0, false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		queued, queueErr := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		if infoErr == nil && queueErr == nil {
+			total, unread, known = info.Bytes_received, queued, true
+		}
+	})
+	return total, unread, known
+}
+
 // uploaded reports whether the request was written to its end. The header has at least one
 // byte, and net/http writes it together with a body that fits into its buffer.
 func (c *netConn) uploaded() bool {
