Compare latencies route by route, and measure them better

Comparing all routes together reverted good versions that happened to get more requests of a slower route.

--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -33,7 +33,8 @@
 		return 0
 	}
 	share := canaryPart * r.options.ExposeShare
-	if now-r.joinedAt < joinTime || r.seen.perSecond <= 0 {
+	// While the endpoints may be cold, responses say little.
+	if now-r.joinedAt < joinTime || now-r.startedAt < coldTime || r.seen.perSecond <= 0 {
 		return share
 	}
 	spare := max(0, share*requests+slack-sent)
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -13,7 +13,7 @@
 	recentWindow = 5 * time.Second
 	// maxSlowRate is the rate of slow responses that the old version has at most, by
 	// the bound that separates slow responses from others.
-	maxSlowRate = 0.25
+	maxSlowRate = 0.15
 	// minControl is the number of responses of the old version from which its
 	// latencies say which responses are slow.
 	minControl = 20
@@ -22,18 +22,19 @@
 	controlShare = 0.75
 	// latencyWeight makes the limits for slow responses and late gaps stricter: they
 	// are frequent, so that a test starts anew every few responses, and come in groups.
-	latencyWeight = 0.65
+	latencyWeight = 0.5
 	// manyBad bad responses at a rate above manyRatio times that of the old version
 	// revert at once.
 	manyBad   = 20
 	manyRatio = 3.0
 )
 
-// Alternative rates of failures, and of slow responses and late gaps. Latencies differ
-// between sound versions too, so only large changes count.
+// Alternative rates of failures, and of slow responses and late gaps. Endpoints of a
+// sound version with somewhat more load than the others can have four times as many
+// responses above a bound, so only large rates count.
 var (
 	failureAlternatives = []float64{0.04, 0.15, 0.5}
-	latencyAlternatives = []float64{0.3, 0.6}
+	latencyAlternatives = []float64{0.5, 0.8}
 )
 
 // finding is evidence against the new version.
@@ -73,17 +74,26 @@
 	if len(j.history) > 0 {
 		last, first = j.history[len(j.history)-1], j.history[0]
 	}
-	for route, p := range t.byRoute {
+	for _, route := range slices.Sorted(maps.Keys(t.byRoute)) {
+		p := t.byRoute[route]
 		grown := p.new.minus(last.byRoute[route].new)
 		recent := p.old.minus(first.byRoute[route].old)
 		j.score(ReasonFailures, route).add(failures(grown), worseRate(failures(p.old), failures(recent)), failureAlternatives, 1)
 		if !latency {
 			continue
 		}
+		if route == allRoutes {
+			j.score(ReasonLateGaps, route).add(lateGaps(grown), worseRate(lateGaps(p.old), lateGaps(recent)), latencyAlternatives, latencyWeight)
+			continue
+		}
 		bucket := slowBucket(p.old)
 		slowNew := slowSince(p.new, last.byRoute[route].new, bucket)
 		slowOld := worseRate(slow(p.old, bucket), slowSince(p.old, first.byRoute[route].old, bucket))
-		j.score(ReasonSlow, route).add(slowNew, slowOld, latencyAlternatives, latencyWeight)
+		// Routes differ in latency, so that all together are only compared route by route:
+		// otherwise a version that happens to get more requests of a slow route is slow.
+		for _, key := range []string{route, allRoutes} {
+			j.score(ReasonSlow, key).add(slowNew, slowOld, latencyAlternatives, latencyWeight)
+		}
 		j.score(ReasonLateGaps, route).add(lateGaps(grown), worseRate(lateGaps(p.old), lateGaps(recent)), latencyAlternatives, latencyWeight)
 	}
 	j.history = append(j.history, sample{at: now, totals: t})
@@ -109,7 +119,7 @@
 		p := latest.byRoute[route]
 		for _, reason := range []Reason{ReasonFailures, ReasonSlow, ReasonLateGaps} {
 			f := finding{reason: reason, route: route, score: j.score(reason, route).max()}
-			f.old, f.new = evidence(reason, p.old, slowBucket(p.old)), evidence(reason, p.new, slowBucket(p.old))
+			f.old, f.new = latest.evidence(reason, route)
 			if reason == ReasonFailures {
 				f.new.Bad = p.new.Failures
 			}
@@ -150,15 +160,26 @@
 	return finding{}, false
 }
 
-func evidence(reason Reason, c RouteCounts, bucket int) Evidence {
-	switch reason {
-	case ReasonFailures:
-		return failures(c)
-	case ReasonSlow:
-		return slow(c, bucket)
-	default:
-		return lateGaps(c)
+// evidence returns the counts that a finding is about.
+func (t totals) evidence(reason Reason, route string) (old, new Evidence) {
+	p := t.byRoute[route]
+	switch {
+	case reason == ReasonFailures:
+		return failures(p.old), failures(p.new)
+	case reason == ReasonLateGaps:
+		return lateGaps(p.old), lateGaps(p.new)
 	}
+	for name, p := range t.byRoute {
+		if name != allRoutes && (name == route || route == allRoutes) {
+			bucket := slowBucket(p.old)
+			old, new = old.plus(slow(p.old, bucket)), new.plus(slow(p.new, bucket))
+		}
+	}
+	return old, new
+}
+
+func (e Evidence) plus(other Evidence) Evidence {
+	return Evidence{Responses: e.Responses + other.Responses, Bad: e.Bad + other.Bad}
 }
 
 // failures leaves out as many failures as there were crashed requests: when a failure
--- a/rollout/phases.go
+++ b/rollout/phases.go
@@ -36,6 +36,9 @@
 	// minRouteShare is the share of the requests of a route from which it has to have
 	// goodRouteResponses. Others have too few requests to wait for them.
 	minRouteShare = 0.05
+	// canaryGrowthTime is the time from a report until the grant that follows from it
+	// has reached all instances.
+	canaryGrowthTime = 2 * ReportInterval
 	// settleTime is the time after a change of the share until all instances have it
 	// and have reported what runs since. Grants of other coordinators have then expired.
 	settleTime = GrantLifetime + 2*ReportInterval
@@ -222,9 +225,15 @@
 	if old == 0 || share >= 1 {
 		return 0
 	}
-	n := max(1, int(math.Floor(share/(1-share)*float64(old))))
-	if n >= all {
+	n := math.Floor(share / (1 - share) * float64(old))
+	// Streams take some seconds to accumulate on the new endpoints. Until then fewer
+	// endpoints have the load of an old one, with what arrives before the next grant.
+	if load := float64(r.latest.running) / float64(old); load > 0 {
+		arriving := r.seen.perSecond * share * canaryGrowthTime.Seconds()
+		n = min(n, math.Ceil((float64(max(0, r.latest.runningNew))+arriving)/load))
+	}
+	if n = max(n, 1); int(n) >= all {
 		return 0
 	}
-	return n
+	return int(n)
 }
--- a/rollout/reports.go
+++ b/rollout/reports.go
@@ -87,7 +87,9 @@
 // others.
 type totals struct {
 	byRoute map[string]pair
-	running int64 // on the others, at the instances that report
+	// running and runningNew are the requests that run on the other versions and on the
+	// new one, at the instances that report.
+	running, runningNew int64
 }
 
 // pair holds the counts of the new version and of the others. The fields Route and
@@ -102,7 +104,11 @@
 	for key, report := range r.last {
 		before := r.before[key]
 		for _, c := range report.counts {
-			if c.Version != to && now-report.at <= reportLifetime {
+			switch {
+			case now-report.at > reportLifetime:
+			case c.Version == to:
+				t.runningNew += c.Running
+			default:
 				t.running += c.Running
 			}
 			c = c.since(before)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -58,6 +58,9 @@
 	if r.known && now > r.at {
 		elapsed := (now - r.at).Seconds()
 		weight := 1 - math.Exp(-elapsed/rateWindow.Seconds())
+		if r.perSecond == 0 {
+			weight = 1 // the first interval
+		}
 		r.perSecond += weight * (float64(grown(sent, r.sent))/elapsed - r.perSecond)
 	}
 	r.sent, r.at, r.known = sent, now, true
--- a/rollout/selection.go
+++ b/rollout/selection.go
@@ -69,10 +69,12 @@
 		}
 		s.endpoints[e.ID] = e
 		byService[e.Service] = append(byService[e.Service], e)
-		if e.ColdRemaining > 0 {
+		// The registration is not renewed while the endpoint becomes warm, so the first
+		// one of an incarnation counts.
+		if old, ok := before[e.ID]; !ok || old.Incarnation != e.Incarnation {
 			s.coldUntil[e.ID] = now + e.ColdRemaining
 		} else {
-			delete(s.coldUntil, e.ID)
+			s.coldUntil[e.ID] = min(s.coldUntil[e.ID], now+e.ColdRemaining)
 		}
 	}
 	for id := range before {
--- a/rollout/selection_test.go
+++ b/rollout/selection_test.go
@@ -172,11 +172,11 @@
 	s.Record(0, "s", "route", "v2", out)
 	out.Kind = OutcomeRefused
 	s.Record(0, "s", "route", "v2", out)
-	c := s.Reports(5 * time.Second)[0].Counts[0]
+	c := s.Reports(2 * time.Second)[0].Counts[0]
 	if c.Latency != [latencyBuckets]uint64{5: 1} || c.Responses != 0 || c.Failures != 0 || c.Running != 1 {
 		t.Fatalf("counts: %+v", c)
 	}
-	s.Record(9*time.Second, "s", "route", "v2", Outcome{Kind: OutcomeStarted, Request: "slow"})
+	s.Record(4*time.Second, "s", "route", "v2", Outcome{Kind: OutcomeStarted, Request: "slow"})
 	c = s.Reports(20 * time.Second)[0].Counts[0]
 	if c.Latency != [latencyBuckets]uint64{6: 1} || c.Responses != 1 {
 		t.Fatalf("counts: %+v", c)
