Use all endpoints of the new version once its share grows

Cause: when the share grows in steps, a part of the endpoints has more load than the old ones for a while.

--- a/rollout/phases.go
+++ b/rollout/phases.go
@@ -206,7 +206,9 @@
 	if g.State == StateComplete && r.order.Status.State != StateComplete {
 		g.State = StateRunning
 	}
-	if g.State == StateRunning && g.Phase != PhaseDrained && g.Share < 1 {
+	// Afterwards all endpoints are used: when the share grows in steps, a part of them
+	// would for a while have more load than the old ones, and be slower.
+	if g.State == StateRunning && g.Phase == PhaseCanary {
 		g.CanaryEngines = r.canaryEngines(g.Share)
 	}
 	return g
