Do not mix evidence about different bounds of slow responses

Change: a new bound starts a new score; slow responses are compared with the responses of the same time.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -49,6 +49,7 @@
 type judge struct {
 	history []sample // the oldest first, within recentWindow
 	scores  map[judgedKey]*score
+	buckets map[string]int // of slow responses, by route
 }
 
 type judgedKey struct {
@@ -62,7 +63,7 @@
 	totals
 }
 
-func newJudge() *judge { return &judge{scores: make(map[judgedKey]*score)} }
+func newJudge() *judge { return &judge{scores: make(map[judgedKey]*score), buckets: make(map[string]int)} }
 
 // observe applies the totals at a time. latency says whether slow responses and late
 // gaps are judged now.
@@ -87,7 +88,16 @@
 			continue
 		}
 		bucket := slowBucket(p.old)
+		if j.buckets[route] != bucket {
+			// Evidence about another bound says nothing about this one.
+			j.buckets[route] = bucket
+			clear(*j.score(ReasonSlow, route))
+			clear(*j.score(ReasonSlow, allRoutes))
+		}
 		slowNew := slowSince(p.new, last.byRoute[route].new, bucket)
+		// When the share falls, the responses that become slow belong to more requests than
+		// have been sent since.
+		slowNew.Responses = max(slowNew.Responses, grown.Responses)
 		slowOld := worseRate(slow(p.old, bucket), slowSince(p.old, first.byRoute[route].old, bucket))
 		// Routes differ in latency, so that all together are only compared route by route:
 		// otherwise a version that happens to get more requests of a slow route is slow.
