Leave zone overflow off unless it is asked for

Cause: on both new deployments callers are served worse with it; with the admission queue most streams lose their backup.

--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -71,9 +71,9 @@
 func overflowFlag() cli.Flag {
 	return &cli.StringFlag{
 		Name:    flagOverflow,
-		Usage:   "whether requests leave the failure domain by need: auto (if the deployment asks for load control), on or off",
+		Usage:   "whether requests leave the failure domain by need: on or off",
 		Sources: cli.EnvVars("HIBISCUSSTAIR_ZONE_OVERFLOW"),
-		Value:   string(gateway.OverflowAuto),
+		Value:   string(gateway.OverflowOff),
 	}
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -76,23 +76,20 @@
 
 // Overflow modes.
 const (
-	OverflowAuto OverflowMode = "auto" // as LoadControl
-	OverflowOn   OverflowMode = "on"
-	OverflowOff  OverflowMode = "off"
+	OverflowOff OverflowMode = "off"
+	OverflowOn  OverflowMode = "on"
 )
 
-// ParseOverflowMode checks the name of a mode; "" is OverflowAuto.
+// ParseOverflowMode checks the name of a mode; "" is OverflowOff.
 func ParseOverflowMode(text string) (OverflowMode, error) {
 	switch mode := OverflowMode(text); mode {
 	case "":
-		return OverflowAuto, nil
-	case OverflowAuto, OverflowOn, OverflowOff:
+		return OverflowOff, nil
+	case OverflowOn, OverflowOff:
 		return mode, nil
 	}
-	return "", fmt.Errorf("zone overflow: %q is none of auto, on, off", text)
+	return "", fmt.Errorf("zone overflow: %q is neither on nor off", text)
 }
 
 // overflows reports whether requests leave the failure domain by need.
-func (s Settings) overflows() bool {
-	return s.ZoneOverflow == OverflowOn || s.LoadControl && s.ZoneOverflow != OverflowOff
-}
+func (s Settings) overflows() bool { return s.ZoneOverflow == OverflowOn }
