--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -63,7 +63,9 @@
 	totals
 }
 
-func newJudge() *judge { return &judge{scores: make(map[judgedKey]*score), buckets: make(map[string]int)} }
+func newJudge() *judge {
+	return &judge{scores: make(map[judgedKey]*score), buckets: make(map[string]int)}
+}
 
 // observe applies the totals at a time. latency says whether slow responses and late
 // gaps are judged now.
