Give a coordinator 400 ms to respond to a report

Cause: an instance with a fifth of a core that gets two reports a second from each of 300 instances can take longer than 250 ms, after which its reporters turn to another instance and the counts are split. Change: the timeout is 400 ms; two reports in a row take less than half of the lifetime of a grant.

--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -20,8 +20,9 @@
 
 const (
 	// reportTimeout bounds the report to one instance. A round trip between regions
-	// takes 16 ms; an instance with a fifth of a core may respond late.
-	reportTimeout = 250 * time.Millisecond
+	// takes 16 ms; an instance with a fifth of a core may respond late. Two reports in a
+	// row take less than half of the lifetime of a grant.
+	reportTimeout = 400 * time.Millisecond
 	// coordinatorBackoff is how long an instance gets no reports after a failed one.
 	coordinatorBackoff = 2 * time.Second
 	// maxCoordinatorsAsked is the number of instances that one report is sent to.
