--- a/rollout/core.go
+++ b/rollout/core.go
@@ -86,7 +86,10 @@
 func (c *Core) tick(now time.Duration) []Action {
 	var actions []Action
 	for _, service := range slices.Sorted(maps.Keys(c.services)) {
-		actions = append(actions, c.services[service].tick(now)...)
+		// A former coordinator has old reports, by which it must not decide.
+		if r := c.services[service]; now-r.reportedAt <= reportLifetime {
+			actions = append(actions, r.tick(now)...)
+		}
 	}
 	return actions
 }
--- a/rollout/runner_test.go
+++ b/rollout/runner_test.go
@@ -286,3 +286,17 @@
 		t.Errorf("requests are restricted to %v by an endpoint of an unknown version", allowed)
 	}
 }
+
+// Guards against a former coordinator that completes a version by the few responses that
+// it knew of, while another instance coordinates.
+func TestFormerCoordinatorDecidesNothing(t *testing.T) {
+	core := rollout.NewCore(rollout.CoreOptions{ExposeShare: 0.1, ExposeSlack: 50, RollbackTimeout: 5 * time.Second})
+	core.Step(0, rollout.EndpointsCounted{Service: "s", Engines: map[rollout.Version]int{"v1": 4, "v2": 4}})
+	core.Step(0, rollout.ReportReceived{Report: rollout.Report{Instance: "i", Service: "s"}})
+	core.Step(0, rollout.OrderRead{Order: rollout.Order{Service: "s", To: "v2", Duration: 8 * time.Second, Revision: 3}})
+	for now := 2 * time.Second; now < 20*time.Second; now += 100 * time.Millisecond {
+		if actions := core.Step(now, rollout.Tick{}); len(actions) > 0 {
+			t.Fatalf("after %s: %+v", now, actions)
+		}
+	}
+}
