Wait for the line of a reload in its test

Cause: the test read the log as soon as the store's address had changed; the line is written after that, so the test failed in 1 of 4 runs beside load. Change: the test waits for the same line for up to 5 s.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -291,7 +291,8 @@
 		changed.Store = netip.MustParseAddrPort("127.0.0.1:7001")
 		file.write("second", changed)
 		Eventually(store.lastAddress, "5s").Should(Equal(changed.Store))
-		Expect(logged.String()).To(ContainSubstring(`"signal":false`))
+		// The line is written after the settings are passed on.
+		Eventually(logged.String, "5s").Should(ContainSubstring(`"signal":false`))
 	})
 
 	// Guards against an instance that stops serving because of a mistake in a file.
