Let a generation consider six engines for its backup

Cause: of two engines that the session prefers, often neither had room, so 4 in 10 streams had no backup. Change: six engines are considered, and room is kept for 1.75 times the average number of prefills (before two and 2.0); the limits rise from 0.82 and 0.68, the second prefill comes from 0.53 of the target left.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -8,15 +8,15 @@
 	// pressedSlackShare. It should not be held for longer than an eighth of its target, so
 	// the limits rise soon. They rise further until the slack is small, so that the oldest
 	// requests of all instances find room first.
-	relaxedSlackShare = 0.80
-	raisedSlackShare  = 0.65
+	relaxedSlackShare = 0.82
+	raisedSlackShare  = 0.68
 	pressedSlackShare = 0.30
 	// minGenerations is the least limit of generations. An engine whose load is unknown
 	// counts as having one.
 	minGenerations = 2
 	// prefillSlackShare is the slack from which on a request may be the second prefill of an
 	// engine.
-	prefillSlackShare = 0.50
+	prefillSlackShare = 0.53
 	// Shares of an engine's memory that generations fill at the base, raised and upper
 	// limit. The rest is for backups.
 	baseMemoryShare   = 0.5
--- a/balance/room.go
+++ b/balance/room.go
@@ -18,12 +18,12 @@
 	// pendingBackupFactor times the average number of prefills of an engine is the number
 	// of backups that are expected to come to it. Instances choose independently, so some
 	// engines get more than the average.
-	pendingBackupFactor = 2.0
+	pendingBackupFactor = 1.75
 	// loadWeight is the weight of one report in the average load of an engine. A burst
 	// changes it within a few seconds.
 	loadWeight = 0.25
 	// maxBackupTries is the number of engines that one generation considers for its backup.
-	maxBackupTries = 2
+	maxBackupTries = 6
 	// generationTokensWeight is the weight of one generation in their average size.
 	generationTokensWeight = 0.05
 	// recentReportTTL is how long a load report is as good as a new query. All instances
