Keep removed orders, late answers of the store and crash loops from granting a version

After a break without reports an order that had been removed was granted again; a refused or answered status write that came late brought back an older or removed order; a version that crashed its only endpoint at each request lost its counts and was completed; eight failovers were used up at stopped engines that were still registered. Change: nothing but a revert is granted before the orders are read again, and a list ends orders that it lacks; a conflict is compared with the revision that the write was based on; counts are kept for a minute after a version is gone; after four engines in a row that accept no connection a stream may leave its version if new requests go to another one.

--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -32,6 +32,11 @@
 	}
 }
 
+// maxUnreachableOfVersion is the number of engines in a row that accept no connection after
+// which a stream leaves its version, if new requests go to another one. It leaves half of
+// maxFailovers for that one.
+const maxUnreachableOfVersion = maxFailovers / 2
+
 // restrictVersions restricts the next attempt of a stream: to the version on which it
 // began, as long as one of its engines takes the stream, and otherwise to the allowed
 // ones.
@@ -46,7 +51,12 @@
 		request.Versions, request.PreferVersions, request.HeldBack = nil, nil, nil
 		return
 	}
-	if slices.Contains(continued, s.version) {
+	switch {
+	case !slices.Contains(continued, s.version):
+	case s.unreachable >= maxUnreachableOfVersion && allowed[0] != s.version:
+		// The engines of the version have stopped but are still registered.
+		request.PreferVersions = allowed[:1]
+	default:
 		request.PreferVersions = []string{s.version}
 		request.HeldBack = nil
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -50,6 +50,8 @@
 	// version is the version on which the response runs, once it has begun.
 	version string
 	began   bool
+	// unreachable is the number of engines in a row that accepted no connection.
+	unreachable int
 }
 
 // serveStream serves a request with a streamed response. If an engine is lost
@@ -165,6 +167,9 @@
 func (s *stream) recordInterruption(r *streamAttempt, why *reason.Error) {
 	now := s.h.o.Clock()
 	s.interruption = why
+	if s.unreachable++; why.Reason != reason.ConnectFailed {
+		s.unreachable = 0
+	}
 	s.req.tried = append(s.req.tried, r.lease.Endpoint.ID)
 	if s.interruptedAt == 0 && s.headerWritten {
 		s.interruptedAt = r.stall.silentSince
--- a/rollout/core.go
+++ b/rollout/core.go
@@ -58,12 +58,19 @@
 	case StatusWritten:
 		r := c.of(ev.Order.Service)
 		r.writing = false
+		if !r.ordered {
+			return nil // the order was removed since
+		}
 		return r.orderRead(now, OrderRead{Order: ev.Order, UnixMS: ev.UnixMS})
 	case StatusConflict:
-		// The store has this order, even if it is older than the one known.
 		r := c.of(ev.Order.Service)
 		r.writing = false
-		return r.orderRead(now, OrderRead{Order: ev.Order, UnixMS: ev.UnixMS, Restored: ev.Order.Revision < r.order.Revision})
+		if !r.ordered {
+			return nil
+		}
+		// The store was restored if it has an older order than the write was based on. An
+		// order between that one and the one known was read meanwhile.
+		return r.orderRead(now, OrderRead{Order: ev.Order, UnixMS: ev.UnixMS, Restored: ev.Order.Revision < ev.Based})
 	case StatusFailed:
 		if r := c.services[ev.Service]; r != nil {
 			r.writing, r.failedAt = false, now
@@ -107,6 +114,18 @@
 	return services
 }
 
+// Ordered returns the services with a known order, sorted.
+func (c *Core) Ordered() []string {
+	var services []string
+	for service, r := range c.services {
+		if r.ordered {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 // coordinatingTime is the time without reports after which an instance no longer
 // coordinates a service. Its reports are then older than those of another coordinator.
 const coordinatingTime = 5 * time.Second
--- a/rollout/events.go
+++ b/rollout/events.go
@@ -37,10 +37,11 @@
 	UnixMS int64
 }
 
-// StatusConflict reports that the order had another revision. Order is the order as it
-// is now.
+// StatusConflict reports that the order had another revision than Based, on which the
+// write was based. Order is the order as it was then.
 type StatusConflict struct {
 	Order  Order
+	Based  uint64
 	UnixMS int64
 }
 
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -335,6 +335,11 @@
 		r.perform(action)
 	}
 	if r.orders == nil {
+		// An order that was read while this instance coordinated before may have changed or
+		// be gone. A revert stands.
+		if grant.State != StateReverted {
+			grant = Grant{Service: service, ValidFor: grant.ValidFor}
+		}
 		select {
 		case r.asked <- struct{}{}:
 		default:
@@ -411,7 +416,7 @@
 	var event Event = StatusWritten{Order: order, UnixMS: time.Now().UnixMilli()}
 	switch {
 	case errors.Is(err, ErrConflict):
-		result, event = "conflict", StatusConflict{Order: order, UnixMS: time.Now().UnixMilli()}
+		result, event = "conflict", StatusConflict{Order: order, Based: a.Revision, UnixMS: time.Now().UnixMilli()}
 	case err != nil:
 		result, event = "failed", StatusFailed{Service: a.Service}
 	}
@@ -500,6 +505,11 @@
 	}
 	if r.orders == nil {
 		r.orders = make(map[string]Order)
+		for _, service := range r.core.Ordered() {
+			if !slices.ContainsFunc(orders, func(o Order) bool { return o.Service == service }) {
+				orders = append(orders, Order{Service: service})
+			}
+		}
 	}
 	r.applyOrders(orders)
 	r.restored = false
--- a/rollout/selection.go
+++ b/rollout/selection.go
@@ -30,6 +30,8 @@
 	versions []Version
 	// several says that several versions are registered, also if one is draining.
 	several bool
+	// singleAt is when the second version was last removed, if several is false.
+	singleAt time.Duration
 	// base is the version that is used without a valid grant.
 	base      Version
 	grant     Grant
@@ -44,6 +46,11 @@
 // not say so.
 const coldTime = 3 * time.Second
 
+// countsLifetime is how long the counts are kept after a second version was removed. The
+// endpoints of a version that crashes them all are back after some seconds, and its
+// failures must not be lost.
+const countsLifetime = time.Minute
+
 // NewSelection returns a selection of an instance without endpoints. A restarted
 // instance has a higher incarnation.
 func NewSelection(instance api.InstanceID, incarnation uint64) *Selection {
@@ -83,7 +90,7 @@
 		}
 	}
 	for service, list := range byService {
-		s.setVersions(service, list)
+		s.setVersions(now, service, list)
 	}
 	for service := range s.services {
 		if byService[service] == nil {
@@ -93,19 +100,23 @@
 }
 
 // setVersions updates a service with its endpoints.
-func (s *Selection) setVersions(service string, endpoints []Endpoint) {
+func (s *Selection) setVersions(now time.Duration, service string, endpoints []Endpoint) {
 	usable := slices.DeleteFunc(slices.Clone(endpoints), func(e Endpoint) bool { return e.Draining })
 	versions := versionsOf(usable)
 	known := s.services[service]
 	several := len(versionsOf(endpoints)) > 1
 	if !several {
 		// The base version is remembered, so that a second version is recognized as new.
-		s.outcomes.forget(service)
+		singleAt := now
+		if known != nil && !known.several {
+			singleAt = known.singleAt
+		}
 		if known == nil || len(versions) > 0 && !slices.Contains(versions, known.base) {
 			known = &selected{base: earliestVersion(endpoints, "")}
 			s.services[service] = known
 		}
 		known.versions, known.several, known.excluded, known.grant = versions, false, nil, Grant{}
+		known.singleAt = singleAt
 		return
 	}
 	if known == nil {
@@ -200,6 +211,8 @@
 	switch {
 	case known == nil || len(known.versions) < 2:
 		return nil
+	case known.grant.State == StateComplete && slices.Contains(known.versions, known.grant.To):
+		return []string{string(known.base)} // the endpoints of the old version stop at once
 	case slices.Contains(known.versions, Version(version)):
 		return []string{version}
 	}
@@ -285,7 +298,10 @@
 	})
 	s.crashes.expire(now)
 	var reports []Report
-	for service := range s.services {
+	for service, known := range s.services {
+		if !known.several && now-known.singleAt > countsLifetime {
+			s.outcomes.forget(service)
+		}
 		if s.Reporting(service) {
 			reports = append(reports, Report{
 				Instance: s.instance, Incarnation: s.incarnation, Service: service, Counts: s.outcomes.report(now, service),
