--- a/admission/core.go
+++ b/admission/core.go
@@ -4,6 +4,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -260,13 +261,27 @@
 		})
 		anyOnTime = anyOnTime || onTime(account.requests[0])
 	}
+	mayPlace := func(a *accountQueue) bool { return !anyOnTime || onTime(a.requests[0]) }
+	// Turns after which no account could place its request yet are given at once: a request
+	// may declare any size.
+	turns := math.MaxInt
+	for _, account := range q.accounts {
+		if mayPlace(account) {
+			turns = min(turns, max(0, account.requests[0].Tokens-account.deficit-1)/quantumTokens)
+		}
+	}
+	for _, account := range q.accounts {
+		if mayPlace(account) {
+			account.deficit += turns * quantumTokens
+		}
+	}
 	for {
 		first := q.accounts[0]
 		head := first.requests[0]
-		if (!anyOnTime || onTime(head)) && first.deficit >= head.Tokens {
-			return head
-		}
-		if !anyOnTime || onTime(head) {
+		if mayPlace(first) {
+			if first.deficit >= head.Tokens {
+				return head
+			}
 			first.deficit += quantumTokens
 			if first.deficit >= head.Tokens && len(q.accounts) == 1 {
 				return head
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -37,6 +37,9 @@
 		Received: s.req.received, Target: s.req.route.TargetLatency, Deadline: s.req.deadline,
 		Tokens: max(1, s.req.info.TotalTokens()),
 	}
+	if capacity := s.req.service.Engine.KVCapacity; capacity > 0 && request.Tokens > capacity {
+		return nil, reason.New(reason.Overloaded, "the generation needs more memory than an engine has")
+	}
 	var lease *balance.Lease
 	placed, err := h.o.Admission.Admit(s.ctx, s.req.service.Name, request, s.req.service.Engine.KVCapacity,
 		func(ctx context.Context, trial admission.Trial) (result admission.Result) {
--- a/forward/admit_test.go
+++ b/forward/admit_test.go
@@ -129,6 +129,16 @@
 		}
 	})
 
+	// Guards against a generation that no engine can hold and that keeps the others waiting.
+	It("is refused at once if it is larger than an engine's memory", func() {
+		services := []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 8, KVCapacity: 100}}}
+		accounts := []routing.Account{{ID: "acme", Keys: []string{"key"}}}
+		f.table.Apply(routing.New(f.table.Version()+1, []routing.Route{route}, services, accounts, routing.Limits{}))
+		done := make(chan string, 8)
+		call("r1", "key", done)
+		Eventually(done, time.Second).Should(Receive(HavePrefix("r1 503 ")))
+	})
+
 	// Guards against callers that wait for an instance that stops.
 	It("is refused at once when the instance stops", func() {
 		done := make(chan string, 8)
--- a/forward/hold.go
+++ b/forward/hold.go
@@ -45,6 +45,9 @@
 	// minEvictStall is how long a caller must have read nothing before its stream is ended for
 	// want of memory. A lost packet is sent again after 200 ms.
 	minEvictStall = 500 * time.Millisecond
+	// minEvictInterval is the time in which an evicted stream releases its memory. Without it all
+	// streams that wait for memory would each evict one.
+	minEvictInterval = 20 * time.Millisecond
 	// minCallerPoll and maxCallerPoll bound the interval between two looks at the send queue of
 	// a caller that is not written to.
 	minCallerPoll = 5 * time.Millisecond
@@ -107,6 +110,7 @@
 	used    int64
 	waiting []*holding     // for memory, in the order in which they came
 	stalled []*stalledRead // callers that do not read
+	evicted time.Time      // when the last stream was evicted
 }
 
 func newResponseMemory(limit func() int64, waits tally.Counter) *responseMemory {
@@ -120,6 +124,7 @@
 	max    int64 // bytes at a time, except for a single larger piece; 0 is no bound
 	wake   chan struct{}
 	held   int64
+	wants  int64 // bytes that it waits for, while it is in memory.waiting
 	closed bool
 }
 
@@ -137,6 +142,7 @@
 	case h.closed || h.held > 0 && h.held+n > h.allowed(limit):
 		return false, false
 	case limit > 0 && m.used+n > limit && !(h.max > 0 && h.held == 0 && n <= alwaysHeldBytes):
+		h.wants = n
 		if !slices.Contains(m.waiting, h) {
 			m.waiting = append(m.waiting, h)
 		}
@@ -200,13 +206,23 @@
 	n = min(n, h.held)
 	h.held -= n
 	h.memory.used -= n
-	for _, waiting := range append(h.memory.waiting, h) {
-		select {
-		case waiting.wake <- struct{}{}:
-		default:
-		}
+	h.signal()
+	// Wakes only those that now have room. Small events of other streams release memory many
+	// times a second, and hundreds may wait.
+	m := h.memory
+	free := m.limit() - m.used
+	for len(m.waiting) > 0 && m.waiting[0].wants <= free {
+		free -= m.waiting[0].wants
+		m.waiting[0].signal()
+		m.waiting = m.waiting[1:]
+	}
+}
+
+func (h *holding) signal() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
 	}
-	h.memory.waiting = nil
 }
 
 // close releases all; nothing can be reserved afterwards.
@@ -236,9 +252,10 @@
 		return
 	}
 	longest := slices.MinFunc(m.stalled, func(a, b *stalledRead) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
-	if time.Since(longest.since) < minEvictStall {
+	if time.Since(longest.since) < minEvictStall || time.Since(m.evicted) < minEvictInterval {
 		return
 	}
+	m.evicted = time.Now()
 	m.removeStalledLocked(longest)
 	close(longest.evicted)
 	s.evictions.Inc(1)
@@ -302,6 +319,10 @@
 	checked  time.Time // last call of blocked
 }
 
+// minBlockedBytes is what waits at least to be read from an engine that can send no more. With a
+// smaller receive buffer in use the engine may also have sent everything.
+const minBlockedBytes = SocketBufferBytes / 2
+
 // blocked reports whether the engine's response has been unread for slowCallerTimeout, while less
 // arrived of it than a buffer holds.
 func (p *engineProgress) blocked(now time.Time) bool {
@@ -312,7 +333,7 @@
 	received, unread, known := conn.Received()
 	keptUp := now.Sub(p.checked) > maxBehindGap
 	p.checked = now
-	if !known || unread == 0 || keptUp || received >= p.received+SocketBufferBytes {
+	if !known || unread < minBlockedBytes || keptUp || received >= p.received+SocketBufferBytes {
 		p.received, p.since = received, now
 		return false
 	}
--- a/forward/hold_test.go
+++ b/forward/hold_test.go
@@ -117,7 +117,11 @@
 	if r.URL.Path == "/stream/large" {
 		size = 48 << 10
 	}
-	for id := last + 1; r.Context().Err() == nil && id <= last+1000; id++ {
+	count := 1000
+	if n, ok := strings.CutPrefix(r.URL.Path, "/stream/finite"); ok {
+		count, _ = strconv.Atoi(n)
+	}
+	for id := last + 1; r.Context().Err() == nil && id <= last+count; id++ {
 		n, err := fmt.Fprintf(w, "id: %d\ndata: %0*d\n\n", id, size, id)
 		s.sent.Add(int64(n))
 		if s.onEvent != nil {
@@ -307,6 +311,22 @@
 		Entry("100 KB/s", 20<<10, false),
 	)
 
+	// Guards against a stream that ends although its engine has sent all of it and its caller reads.
+	DescribeTable("that read steadily are not cut once their engine has finished", func(events int) {
+		s := newSlowFixture(memoryBytes)
+		conn := s.stalledCall(requestHead("GET", fmt.Sprint("/stream/finite", events), ""))
+		piece := make([]byte, 1<<10)
+		received, began := 0, time.Now()
+		for s.refused(reason.SlowCaller) == 0 && received < events*eventBytes {
+			n, err := io.ReadAtLeast(conn, piece, 1)
+			Expect(err).NotTo(HaveOccurred(), "after %v", time.Since(began))
+			received += n
+			time.Sleep(100 * time.Millisecond)
+		}
+		AddReportEntry("engine wrote", fmt.Sprint(s.sent.Load(), " of ", events*1042, "; caller read ", received, " in ", time.Since(began)))
+		Expect(s.refused(reason.SlowCaller)).To(BeZero())
+	}, Entry("60 events", 60), Entry("90 events", 90))
+
 	// Guards against stalled streams that together take the memory of all others.
 	It("of streams leave room for others when there is little memory", func() {
 		s := newSlowFixture(16 << 20) // 0.8 MB for events
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -35,6 +35,7 @@
 	closed  bool
 
 	// The exchange in progress, or the last one.
+	began        bool  // there was an exchange
 	length       int64 // of the request's body
 	written      int64 // bytes of the request, with its header
 	bodyRead     bool  // the request's body was read to its end, to be written
@@ -51,6 +52,7 @@
 func (c *netConn) begin(request *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.began = true
 	c.length, c.written = max(0, request.ContentLength), 0
 	c.bodyRead, c.responseRead = request.Body == nil || request.Body == http.NoBody, false
 }
@@ -99,18 +101,22 @@
 // The end of the data of an endpoint that received the whole request acknowledges it, so that
 // there is usually no wait.
 func (c *netConn) awaitAcknowledged() bool {
-	for {
+	for poll := minAcknowledgedPoll; ; poll = min(2*poll, maxAcknowledgedPoll) {
 		unacknowledged, open := c.sendQueue()
 		if unacknowledged == 0 || !open {
 			return unacknowledged == 0
 		}
-		time.Sleep(acknowledgedPollInterval)
+		time.Sleep(poll)
 	}
 }
 
-// acknowledgedPollInterval is how often the kernel is asked whether the rest of a request was
-// acknowledged. A round trip between regions takes 16 ms.
-const acknowledgedPollInterval = 5 * time.Millisecond
+// minAcknowledgedPoll and maxAcknowledgedPoll bound the interval at which the kernel is asked
+// whether the rest of a request was acknowledged. A round trip between regions takes 16 ms; an
+// endpoint that reads nothing keeps the request unacknowledged for userTimeout.
+const (
+	minAcknowledgedPoll = 5 * time.Millisecond
+	maxAcknowledgedPoll = 80 * time.Millisecond
+)
 
 // sendQueue returns the number of bytes that the endpoint has not acknowledged, and whether
 // it still can.
@@ -159,10 +165,10 @@
 	return total, unread, known
 }
 
-// uploaded reports whether the request was written to its end. The header has at least one
+// uploaded reports whether no request remains to be written. The header has at least one
 // byte, and net/http writes it together with a body that fits into its buffer.
 func (c *netConn) uploaded() bool {
-	return c.bodyRead && !c.writing && !c.failed && c.written > c.length
+	return !c.began || c.bodyRead && !c.writing && !c.failed && c.written > c.length
 }
 
 // exchangeEnded reports whether the request was written and the response read to its end.
--- a/upstream/reuse_test.go
+++ b/upstream/reuse_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -25,8 +24,12 @@
 		endpoint registry.Endpoint
 	)
 
-	// serve starts an endpoint that answers each connection's first header at once.
+	// serve starts an endpoint that answers each connection's first header at once and reads
+	// nothing else until the test ends. If it read on, a delayed test could see an exchange that
+	// has ended in the meantime.
 	serve := func(response string) {
+		ended := make(chan struct{})
+		DeferCleanup(func() { close(ended) })
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(listener.Close)
@@ -44,8 +47,7 @@
 						}
 					}
 					_, _ = io.WriteString(conn, response)
-					time.Sleep(100 * time.Millisecond)
-					_, _ = io.Copy(io.Discard, conn)
+					<-ended
 				}()
 			}
 		}()
