--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -80,9 +80,6 @@
 	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, values...))
 }
 
-// at returns a time as seconds since the start.
-func (r *record) at(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(r.start).Seconds()) }
-
 // setting is what all cases get.
 type setting struct {
 	rec       *record
