--- a/review/lab2/caller.go
+++ b/review/lab2/caller.go
@@ -30,7 +30,7 @@
 	header.Set(name("usage"), fmt.Sprintf("400,%d", events*tokensPerEvent))
 	header.Set(name("prefix"), fmt.Sprintf("%x:400", attempt))
 	header.Set(name("model"), "m")
-	o, response, cancel := send(in, http.MethodPost, attempt, path, header, strings.NewReader("prompt of "+attempt), limit)
+	o, response, cancel := send(in, apiKey, http.MethodPost, attempt, path, header, strings.NewReader("prompt of "+attempt), limit)
 	defer cancel()
 	if response == nil {
 		return o
@@ -54,11 +54,16 @@
 
 // sendPlain sends a plain request on a channel of its own and reads the answer.
 func sendPlain(in *instance, method, attempt, path string, limit time.Duration) outcome {
+	return sendPlainAs(in, apiKey, method, attempt, path, limit)
+}
+
+// sendPlainAs is sendPlain with the key of a tenant.
+func sendPlainAs(in *instance, key, method, attempt, path string, limit time.Duration) outcome {
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader("order " + attempt)
 	}
-	o, response, cancel := send(in, method, attempt, path, http.Header{}, body, limit)
+	o, response, cancel := send(in, key, method, attempt, path, http.Header{}, body, limit)
 	defer cancel()
 	if response == nil {
 		return o
@@ -70,7 +75,7 @@
 	return o
 }
 
-func send(in *instance, method, attempt, path string, header http.Header, body io.Reader, limit time.Duration) (outcome, *http.Response, context.CancelFunc) {
+func send(in *instance, key, method, attempt, path string, header http.Header, body io.Reader, limit time.Duration) (outcome, *http.Response, context.CancelFunc) {
 	o := outcome{attempt: attempt, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+in.front+path, body)
@@ -79,12 +84,12 @@
 		return o, nil, cancel
 	}
 	request.Host = host
-	for key, values := range header {
-		request.Header[key] = values
+	for field, values := range header {
+		request.Header[field] = values
 	}
 	request.Header.Set(name("attempt"), attempt)
 	request.Header.Set(name("deadline"), strconv.FormatInt(limit.Milliseconds(), 10))
-	request.Header.Set(name("key"), apiKey)
+	request.Header.Set(name("key"), key)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
--- a/review/lab2/engine.go
+++ b/review/lab2/engine.go
@@ -89,6 +89,7 @@
 	arrivals   []arrival
 	drainingAt time.Time // when the store had accepted that it leaves; zero: it does not
 	running    int
+	begun      map[string]time.Time // when the engine last began to work for a target
 }
 
 // startEngine starts an engine and registers it. If address is "", it chooses a port.
@@ -104,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, service: service, zone: zone, address: listener.Addr().String(), born: born, fleet: f, copies: kept, workTime: 15 * time.Millisecond}
+	e := &engine{id: id, service: service, zone: zone, address: listener.Addr().String(), born: born, fleet: f, copies: kept, workTime: 15 * time.Millisecond, begun: make(map[string]time.Time)}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = e.server.Serve(listener) }()
 	e.register("ready")
@@ -173,6 +174,7 @@
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, a)
 	e.running++
+	e.begun[r.RequestURI] = a.at
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
@@ -242,6 +244,14 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// isAmid reports whether the engine is in the first half of its work on a request for the
+// target.
+func (e *engine) isAmid(target string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.begun[target]) < e.workTime/2
+}
+
 // taken returns the requests that the engine ran.
 func (e *engine) taken() []arrival {
 	e.mu.Lock()
--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -43,8 +43,9 @@
 	// staleSeeds says that the seeds in the settings are addresses that nobody has any more.
 	staleSeeds bool
 	instances  []*instance
-	// services are further services of model engines.
+	// services are further services of model engines, and tenants further ones with their keys.
 	services []string
+	tenants  map[string]string
 	rec      *record
 }
 
@@ -258,12 +259,16 @@
 			"models": []map[string]any{{"name": "m"}},
 		}})
 	}
+	tenants := []map[string]any{{"name": account, "api-keys": []string{apiKey}}}
+	for tenant, key := range f.tenants {
+		tenants = append(tenants, map[string]any{"name": tenant, "api-keys": []string{key}})
+	}
 	f.store.Put("config", "main", map[string]any{
 		"version":  version,
 		"routes":   routes,
 		"services": services,
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000},
-		"tenants":  []map[string]any{{"name": account, "api-keys": []string{apiKey}}},
+		"tenants":  tenants,
 	})
 	f.rec.line("manifest %d accepted by the store", version)
 }
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -92,6 +92,8 @@
 	"leaving-backup": leavingBackup,
 	"stepped-clock":  steppedClock,
 	"reused-address": reusedAddress,
+	"banned-tenant":  bannedTenant,
+	"other-writer":   otherWriter,
 }
 
 func main() {
