--- a/review/lab2/case_reused.go
+++ b/review/lab2/case_reused.go
@@ -14,7 +14,7 @@
 	otherService    = "annex-pool"
 	reusedInstances = 3 // of which the store turns one away
 	reusedEngines   = 7 // of which one crashes for good
-	rejectTime      = 9 * time.Second
+	rejectTime      = 8900 * time.Millisecond // at most 9 s
 	crashDelay      = 3 * time.Second         // the instance notices after 2.4 s that the store is away
 	reuseDelay      = 2500 * time.Millisecond // reuse-after-s is 2
 	entryLifetime   = 3600 * time.Millisecond // three pings of 1.2 s
