--- a/review/lab2/case_reused.go
+++ b/review/lab2/case_reused.go
@@ -12,8 +12,8 @@
 // Names and times of the case reusedAddress.
 const (
 	otherService    = "annex-pool"
-	reusedInstances = 3 // of which the store turns one away
-	reusedEngines   = 7 // of which one crashes for good
+	reusedInstances = 3                       // of which the store turns one away
+	reusedEngines   = 7                       // of which one crashes for good
 	rejectTime      = 8900 * time.Millisecond // at most 9 s
 	crashDelay      = 3 * time.Second         // the instance notices after 2.4 s that the store is away
 	reuseDelay      = 2500 * time.Millisecond // reuse-after-s is 2
