Treat an endpoint whose service changes as a new one

Cause: the registry reported a corrected service as `updated`, and the balancer kept the engine in the list of its former service (balance.Core.Apply). In the other direction an answer at an address could change the service that a registration names. Before the change TestRequestsGoToEndpointsOfTheirService fails after 14 or 30 random cases ("requests of s1 are sent to [e1], registered are []"), as do "replaces an endpoint whose registration names another service" and "keeps the registered service of an endpoint that was observed at the address of another". Change: registry.Endpoint.Same compares id, start, address and service. Another service is reported as gone and added, so that all components that keep state of endpoints follow. TestIndexesFollowTheTable holds the registry's indexes against ones built anew. Measured: go test ./registry ./balance passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -228,7 +228,7 @@
 			c.removeFromService(known)
 		}
 	default:
-		if ok && known.Incarnation == change.Endpoint.Incarnation && known.Address == change.Endpoint.Address {
+		if ok && known.Same(change.Endpoint) {
 			known.Endpoint = change.Endpoint
 			return
 		}
@@ -320,9 +320,9 @@
 	return e.running+e.backups >= e.Slots || (capacity > 0 && c.knownTokens(now, e)+request.Tokens > capacity)
 }
 
-// IsAvailable reports whether the endpoint is registered with the same
-// incarnation and address, takes requests of this instance and is not suspect.
+// IsAvailable reports whether the same endpoint is registered, takes requests of this
+// instance and is not suspect.
 func (c *Core) IsAvailable(now time.Duration, e registry.Endpoint) bool {
 	known, ok := c.endpoints[e.ID]
-	return ok && known.Incarnation == e.Incarnation && known.Address == e.Address && now >= known.suspectUntil && now >= known.deferredUntil
+	return ok && known.Same(e) && now >= known.suspectUntil && now >= known.deferredUntil
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -46,6 +46,13 @@
 	ColdRemaining time.Duration
 }
 
+// Same reports whether both are the same start of the same endpoint at the same address, in
+// the same service. What an endpoint has shown, such as its load, holds for another one only
+// if they are the same.
+func (e Endpoint) Same(other Endpoint) bool {
+	return e.ID == other.ID && e.Incarnation == other.Incarnation && e.Address == other.Address && e.Service == other.Service
+}
+
 // Event is an input of the core.
 type Event interface{ event() }
 
@@ -107,15 +114,15 @@
 
 // Kinds of change.
 const (
-	// Added means that the endpoint is new, or has a new incarnation or address.
+	// Added means that the endpoint is new, or has a new incarnation, address or service.
 	Added ChangeKind = "added"
-	// Updated means that other properties of the endpoint have changed.
+	// Updated means that properties have changed that no index of the endpoints contains.
 	Updated ChangeKind = "updated"
 	// StartedDraining means that the endpoint accepts no new requests from now on.
 	StartedDraining ChangeKind = "leaving"
 	// Restored means that a lapsed registration is back.
 	Restored ChangeKind = "restored"
-	// Gone means that the endpoint, or its earlier incarnation, was removed.
+	// Gone means that the endpoint was removed, or was replaced by the one that is added next.
 	Gone ChangeKind = "gone"
 	// Lapsed means that the registration is missing after an outage of the store.
 	// The endpoint stays in use until reregistrationGrace after the store's
@@ -183,10 +190,7 @@
 		c.recordStoreResponse(now)
 		c.recoveredAt, c.restoredAt = now, now
 	case ReplacementObserved:
-		if known, ok := c.entries[e.Replaces]; ok && known.endpoint.Address == e.Endpoint.Address {
-			c.remove(now, known)
-			c.applyRegistration(now, e.Endpoint)
-		}
+		c.applyReplacement(now, e)
 	case LeavingObserved:
 		if known, ok := c.entries[e.ID]; ok && known.endpoint.Incarnation == e.Incarnation && !known.endpoint.Draining {
 			known.endpoint.Draining = true
@@ -277,7 +281,7 @@
 	c.indexAddress(endpoint)
 	known.endpoint = endpoint
 	switch {
-	case endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address:
+	case !endpoint.Same(before):
 		c.recordDeparture(now, before)
 		c.appendChange(before, Gone)
 		c.appendChange(endpoint, Added)
@@ -290,6 +294,19 @@
 	}
 }
 
+// applyReplacement replaces an endpoint by the one that has its address now. A registration
+// of that one stays as it is, because only a registration names the service.
+func (c *Core) applyReplacement(now time.Duration, observed ReplacementObserved) {
+	replaced, ok := c.entries[observed.Replaces]
+	if !ok || replaced.endpoint.Address != observed.Endpoint.Address || observed.Replaces == observed.Endpoint.ID {
+		return
+	}
+	c.remove(now, replaced)
+	if c.entries[observed.Endpoint.ID] == nil {
+		c.applyRegistration(now, observed.Endpoint)
+	}
+}
+
 // removeOlderAtAddress removes endpoints with a lower incarnation at the endpoint's
 // address, and reports whether the table has one there with a higher incarnation,
 // in which case the endpoint itself is outdated. An address has one endpoint, but
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -130,6 +130,27 @@
 		Expect(core.Step(steadyTime, registry.ReplacementObserved{Endpoint: elsewhere, Replaces: "b"})).To(BeEmpty())
 	})
 
+	// Guards against components that keep an endpoint for its former service: a corrected
+	// service is a new endpoint for them.
+	It("replaces an endpoint whose registration names another service", func() {
+		corrected := endpoint("a", 1)
+		corrected.Service = "t"
+		Expect(kinds(core.Step(steadyTime, registry.EndpointChanged{Endpoint: corrected}))).
+			To(Equal([]registry.ChangeKind{registry.Gone, registry.Added}))
+	})
+
+	// Guards against requests of a replaced endpoint's service to one that has registered
+	// itself for another service.
+	It("keeps the registered service of an endpoint that was observed at the address of another", func() {
+		known := endpoint("c", 1)
+		known.Address, known.Service = "a:1", "t"
+		core.Step(steadyTime, registry.EndpointChanged{Endpoint: known})
+		observed := endpoint("c", 1)
+		observed.Address = "a:1"
+		core.Step(steadyTime, registry.ReplacementObserved{Endpoint: observed, Replaces: "a"})
+		Expect(core.Endpoints()).To(Equal([]registry.Endpoint{endpoint("b", 1), known}))
+	})
+
 	// Guards against an older list of another instance that overwrites the table.
 	It("uses the list of another instance only while the table is empty", func() {
 		Expect(core.Step(steadyTime, registry.PeerListReceived{Endpoints: []registry.Endpoint{endpoint("z", 1)}})).To(BeEmpty())
