Use a restarted engine only by a configuration that is the newest

Cause: revive.belongsToService tells the service of an engine by the models of the configuration in use. That one may be out of date while the store is away for this instance alone. Evidence: "restarted endpoint used" (new) names i-9 for narrator-pool by configuration 1, 3.3 s before version 2 is activated. "uses a restarted engine only once the configuration is confirmed" fails without the check. Change: without recent contact the configuration counts as the newest if most instances of late are alive and most ring neighbours in contact; this instance reads through them. Until then the search goes on for as long as before. fleet.RecentMembers is what the quorum of rollouts had for itself.

--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -24,6 +24,9 @@
 	Leaving     bool
 	// WatchesStore reports whether this instance watches the store for its failure domain.
 	WatchesStore bool
+	// NeighboursInContact reports whether most ring neighbours were in contact within
+	// contactTimeout. Without neighbours it is false.
+	NeighboursInContact bool
 }
 
 // Status returns the current status.
@@ -36,7 +39,22 @@
 		DuplicateID:  c.duplicateID,
 		Leaving:      c.leaving,
 		WatchesStore: c.watchesStore(now),
+
+		NeighboursInContact: c.neighboursInContact(now),
+	}
+}
+
+// neighboursInContact reports whether more than half of the ring neighbours were in
+// contact within contactTimeout.
+func (c *Core) neighboursInContact(now time.Duration) bool {
+	neighbours := c.neighbours()
+	inContact := 0
+	for _, id := range neighbours {
+		if now-c.members[id].lastContactAt < contactTimeout {
+			inContact++
+		}
 	}
+	return 2*inContact > len(neighbours)
 }
 
 // watchesStore reports whether this instance has to watch the store: all
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -308,6 +308,10 @@
 // WatchesStore reports whether this instance watches the store for its failure domain.
 func (r *Runner) WatchesStore() bool { return r.status.Load().WatchesStore }
 
+// NeighboursInContact reports whether most of the instances that this one exchanges
+// heartbeats with were in contact lately.
+func (r *Runner) NeighboursInContact() bool { return r.status.Load().NeighboursInContact }
+
 // Leave announces that the instance accepts no new work. The registration remains
 // until Run ends, because running work continues.
 func (r *Runner) Leave(ctx context.Context) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,7 @@
 	retryBudget     *forward.RetryBudget
 	admission       *admission.Runner // nil if requests don't wait for engines
 	forwarder       *forward.Handler
+	memberHistory   memberHistory
 	newerTables     chan newerTable
 	membersKnown    chan struct{} // closed when another instance has sent its member table
 	// stopDeadline is the time by the boot clock at which the process exits, in
@@ -130,6 +131,7 @@
 	clock := bootclock.Now
 	s := o.Settings
 	g.settings.Store(&s)
+	g.memberHistory.recent = fleet.NewRecentMembers(s.Instance)
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock, SocketBufferBytes: s.socketBufferBytes()})
 	g.balancer = balance.New(balance.Options{
@@ -162,7 +164,7 @@
 	}
 	g.restartDetector = revive.New(revive.Options{
 		Client: o.IdentityClient, Table: g.table, Registry: g.registry, StoreUnreachable: g.follower.EndpointContact().Lost,
-		Versioned: s.Rollouts.Enabled, Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
+		TableConfirmed: g.tableConfirmed, Versioned: s.Rollouts.Enabled, Clock: clock, Log: o.Log, Scope: scope.SubScope("revive"),
 	})
 	g.loadProber = loadprobe.New(loadprobe.Options{
 		Client: o.EngineClient, Balance: g.balancer, Clock: clock, Log: o.Log, Scope: scope.SubScope("loadprobe"),
@@ -336,8 +338,8 @@
 	return !stopping && g.table.Load() != nil && g.registry.Len() > 0
 }
 
-// runHousekeeping closes idle connections and removes registrations whose grace period
-// after a store outage is over.
+// runHousekeeping closes idle connections, removes registrations whose grace period after
+// a store outage is over, and records which other instances are alive.
 func (g *Gateway) runHousekeeping(ctx context.Context) error {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
@@ -348,6 +350,7 @@
 		case <-ticker.C:
 			g.pool.CloseExpired()
 			g.registry.Apply(registry.Tick{})
+			g.updateMemberHistory()
 		}
 	}
 }
--- a/revive/revive.go
+++ b/revive/revive.go
@@ -56,6 +56,10 @@
 	Registry *registry.Registry
 	// StoreUnreachable reports whether the store does not respond.
 	StoreUnreachable func() bool
+	// TableConfirmed reports whether the configuration in use is the newest one as far as
+	// the fleet knows. A newer one may list the service of an engine that was given the
+	// address of another.
+	TableConfirmed func() bool
 	// Versioned says that requests are restricted to versions of the endpoints.
 	Versioned bool
 	Clock     bootclock.Func
@@ -75,6 +79,8 @@
 	endpoint  registry.Endpoint
 	startedAt time.Duration
 	nextQuery time.Duration
+	// unconfirmedLogged says that it was logged that the configuration is not confirmed.
+	unconfirmedLogged bool
 }
 
 // New returns a detector without active searches.
@@ -161,7 +167,12 @@
 	if found.ID == s.endpoint.ID {
 		return true // the endpoint was not replaced
 	}
+	if !d.o.TableConfirmed() {
+		d.reportUnconfirmed(s, found, table)
+		return false // other instances may be reached before the search ends
+	}
 	if !belongsToService(table, service, found) {
+		d.o.Scope.Counter("unknown_service").Inc(1)
 		d.o.Log.Info("restarted endpoint not used", "endpoint", found.ID, "address", s.endpoint.Address,
 			"reason", "its service cannot be determined")
 		return true
@@ -174,10 +185,25 @@
 		next.Version = registry.UnknownVersion
 	}
 	d.o.Scope.Counter("revived").Inc(1)
+	d.o.Log.Info("restarted endpoint used", "endpoint", found.ID, "replaces", s.endpoint.ID, "address", s.endpoint.Address,
+		"service", next.Service, "models", found.Models, "configuration", table.Version,
+		"since_failure_ms", (d.o.Clock() - s.startedAt).Milliseconds())
 	d.o.Registry.Apply(registry.ReplacementObserved{Endpoint: next, Replaces: s.endpoint.ID})
 	return true
 }
 
+// reportUnconfirmed counts and logs, once for a search, that an endpoint is not used because
+// the configuration may be out of date.
+func (d *RestartDetector) reportUnconfirmed(s *search, found Identity, table *routing.Table) {
+	if s.unconfirmedLogged {
+		return
+	}
+	s.unconfirmedLogged = true
+	d.o.Scope.Counter("table_unconfirmed").Inc(1)
+	d.o.Log.Info("restarted endpoint not used", "endpoint", found.ID, "address", s.endpoint.Address, "configuration", table.Version,
+		"reason", "a newer configuration may list another service with its models")
+}
+
 // hasOtherVersion reports whether endpoints of the service with another version are
 // registered.
 func (d *RestartDetector) hasOtherVersion(known registry.Endpoint) bool {
@@ -189,7 +215,8 @@
 // belongsToService reports whether the endpoint found at a known address
 // belongs to the same service as its predecessor. Addresses of removed
 // endpoints are reassigned to other services, so the endpoint has to be a model
-// engine, and its models have to be served by this service alone.
+// engine, and its models have to be served by this service alone. The table has to be the
+// newest one.
 func belongsToService(table *routing.Table, service routing.Service, found Identity) bool {
 	if len(found.Models) == 0 || service.Engine == nil {
 		return false
--- a/revive/revive_test.go
+++ b/revive/revive_test.go
@@ -60,6 +60,7 @@
 		reg              *registry.Registry
 		detector         *revive.RestartDetector
 		storeUnreachable atomic.Bool
+		tableConfirmed   atomic.Bool
 		table            *routing.CurrentTable
 	)
 
@@ -87,8 +88,9 @@
 		})
 		reg.Apply(registry.EndpointsListed{Endpoints: []registry.Endpoint{engine("a1", "a:1"), engine("b1", "b:1")}})
 		storeUnreachable.Store(true)
+		tableConfirmed.Store(true)
 		detector = revive.New(revive.Options{
-			Client: identifier, Table: table, Registry: reg, StoreUnreachable: storeUnreachable.Load, Versioned: true,
+			Client: identifier, Table: table, Registry: reg, StoreUnreachable: storeUnreachable.Load, TableConfirmed: tableConfirmed.Load, Versioned: true,
 			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -146,6 +148,18 @@
 			routing.Service{Name: "llm2", Engine: &routing.Engine{Models: []string{"m"}}}),
 	)
 
+	// Guards against requests to an engine of a service that only a configuration lists
+	// which this instance has not read, and against losing an engine for good because of it.
+	It("uses a restarted engine only once the configuration is confirmed", func() {
+		tableConfirmed.Store(false)
+		identifier.set("a:1", revive.Identity{ID: "a2", Incarnation: 2, Models: []string{"m"}})
+		detector.ReportFailure(engine("a1", "a:1"))
+		Eventually(identifier.queryCount, "3s").Should(BeNumerically(">=", 4))
+		Expect(endpointIDs()).To(ConsistOf(api.EndpointID("a1"), api.EndpointID("b1")))
+		tableConfirmed.Store(true)
+		Eventually(endpointIDs, "3s").Should(ContainElement(api.EndpointID("a2")))
+	})
+
 	// Guards against needless load on engines.
 	It("queries no address while the store responds", func() {
 		storeUnreachable.Store(false)
--- a/rollout/quorum.go
+++ b/rollout/quorum.go
@@ -4,21 +4,16 @@
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
 )
 
-const (
-	// lostLifetime is how long an instance that is no longer live counts among the known
-	// ones. Regions can lose each other for minutes.
-	lostLifetime = 10 * time.Minute
-	// memberInterval is the time between two updates of the known instances.
-	memberInterval = time.Second
-)
+// memberInterval is the time between two updates of the known instances.
+const memberInterval = time.Second
 
 // quorum knows how many of the instances report to this one. An instance coordinates a
 // service only if at least half of those that it has known lately do.
 type quorum struct {
-	self      api.InstanceID
-	liveAt    map[api.InstanceID]time.Duration
+	recent    *fleet.RecentMembers
 	updatedAt time.Duration
 	updated   bool
 	// reportedAt is when instances last reported, by service.
@@ -26,7 +21,7 @@
 }
 
 func newQuorum(self api.InstanceID) quorum {
-	return quorum{self: self, liveAt: make(map[api.InstanceID]time.Duration), reportedAt: make(map[string]map[api.InstanceID]time.Duration)}
+	return quorum{recent: fleet.NewRecentMembers(self), reportedAt: make(map[string]map[api.InstanceID]time.Duration)}
 }
 
 // update records which instances are live, at most once each memberInterval.
@@ -35,20 +30,7 @@
 		return
 	}
 	q.updated, q.updatedAt = true, now
-	for _, m := range members {
-		switch {
-		case m.ID == q.self:
-		case m.State == api.MemberAlive:
-			q.liveAt[m.ID] = now
-		case m.State.Gone():
-			delete(q.liveAt, m.ID)
-		}
-	}
-	for id, at := range q.liveAt {
-		if now-at > lostLifetime {
-			delete(q.liveAt, id)
-		}
-	}
+	q.recent.Update(now, members)
 }
 
 // add records a report and returns whether enough instances report about the service.
@@ -65,7 +47,7 @@
 			delete(reported, id)
 		}
 	}
-	known := len(q.liveAt) + 1
+	known := q.recent.Count()
 	if hasPeers && known == 1 {
 		return false
 	}
