Keep refusals of content that crashes engines in the store

Cause: what the instances know of crashes is in their memory only and ends with the last of them. Evidence: without kills there is no late retry, and after a kill no line about a crash comes before the next one. "stays refused after all instances were killed" (real processes) fails without the store: 6 of 9 requests late. Change: the instance that reported the crash for which content or a part is refused writes it to the store, as up to eight crashes with their times and hashes. Instances read the entries at the start, beside the rest, and decide from the crashes as from their own. An entry is deleted once the content was served or its crashes are 30 minutes old; 64 entries in all, 8 for an account. No request waits for the store. An instance doesn't read when the whole fleet starts for the first time, which endpoints that are older than the instance contradict.

--- a/cmd/hibiscusstair/gateway.go
+++ b/cmd/hibiscusstair/gateway.go
@@ -117,6 +117,7 @@
 		Protocol:       platform.Headers{},
 		Store:          store,
 		RolloutStore:   store,
+		RefusalStore:   store,
 		PartLister:     engines,
 		IdentityClient: engines,
 		EngineClient:   engines,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -240,7 +240,7 @@
 		return nil, refusal
 	}
 	req.body = body
-	req.identity = newIdentity(contentDigest(req.account, r.Host, r.RequestURI, body), info.SharedPartIDs)
+	req.identity = newIdentity(req.account, contentDigest(req.account, r.Host, r.RequestURI, body), info.SharedPartIDs)
 	req.log = h.o.Log.With("request", info.ID, "route", route.Name)
 	if refusal := h.stopRefusal(req); refusal != nil {
 		return nil, refusal
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -44,8 +44,8 @@
 
 // newIdentity returns what a request may crash engines with: its content and the parts
 // of its prompt that others may share.
-func newIdentity(digest api.Digest, sharedPartIDs []string) quarantine.Request {
-	identity := quarantine.Request{Content: quarantine.ContentOf(digest)}
+func newIdentity(account api.AccountID, digest api.Digest, sharedPartIDs []string) quarantine.Request {
+	identity := quarantine.Request{Content: quarantine.ContentOf(digest), Account: quarantine.AccountOf(account)}
 	for _, id := range sharedPartIDs {
 		identity.Shared = append(identity.Shared, quarantine.PartOf(id))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,7 +78,8 @@
 	ReloadSignals  <-chan os.Signal
 	Protocol       forward.Protocol
 	Store          Store
-	RolloutStore   rollout.Store // needed if the settings enable rollouts
+	RolloutStore   rollout.Store           // needed if the settings enable rollouts
+	RefusalStore   quarantine.RefusalStore // nil: refusals end with the instances
 	PartLister     prefixcache.PartLister
 	IdentityClient revive.IdentityClient
 	EngineClient   loadprobe.EngineClient
@@ -117,6 +118,7 @@
 	retryBudget     *forward.RetryBudget
 	admission       *admission.Runner // nil if requests don't wait for engines
 	forwarder       *forward.Handler
+	startedAt       time.Time
 	memberHistory   memberHistory
 	newerTables     chan newerTable
 	membersKnown    chan struct{} // closed when another instance has sent its member table
@@ -127,7 +129,7 @@
 
 // New builds an instance. It opens no listener; Run does.
 func New(o Options) (*Gateway, error) {
-	g := &Gateway{o: o, table: &routing.CurrentTable{}, newerTables: make(chan newerTable, 1), membersKnown: make(chan struct{})}
+	g := &Gateway{o: o, startedAt: time.Now(), table: &routing.CurrentTable{}, newerTables: make(chan newerTable, 1), membersKnown: make(chan struct{})}
 	clock := bootclock.Now
 	s := o.Settings
 	g.settings.Store(&s)
@@ -146,11 +148,13 @@
 	g.follower = storesync.New(storesync.Options{
 		Store: g.newStoreReader(), Table: g.table, Registry: g.registry, Recorder: g.relayCache,
 		TableActivation: s.TableActivation, Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
+		OnRestore: func() { g.quarantine.StoreRestored() },
 	})
 	g.relayCache.SetContacts(g.follower.TableContact(), g.follower.EndpointContact())
 	g.quarantine = quarantine.New(quarantine.Options{
 		Self: o.Settings.Instance, Members: g.knownMembers,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("quarantine"), OnUrgent: g.sendDeltas,
+		Store: o.RefusalStore, NothingStored: g.isFirstStart,
 	})
 	g.limiter = g.newLimiter()
 	if s.Rollouts.Enabled {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -27,6 +27,9 @@
 	g.addTask(&group, "registrations", g.follower.FollowEndpoints)
 	g.addTask(&group, "restarted engines", g.restartDetector.Run)
 	g.addTask(&group, "quarantine", g.quarantine.Run)
+	if keeper := g.quarantine.Keeper(); keeper != nil {
+		g.addTask(&group, "stored refusals", keeper.Run)
+	}
 	g.addTask(&group, "rate limits", g.limiter.Run)
 	if g.overflow != nil {
 		g.addTask(&group, "zone overflow", g.overflow.Run)
--- a/quarantine/core.go
+++ b/quarantine/core.go
@@ -57,6 +57,8 @@
 	// Rerun says of a request that an engine ran that it was sent there after an earlier
 	// attempt of it broke off.
 	Rerun bool
+	// Account stands for the client account that sent the request, see AccountOf.
+	Account uint64
 }
 
 // parts returns all parts, the content last.
@@ -112,6 +114,12 @@
 	byCrash map[uint64][]*crashRecord
 	served  map[Part]*partRecord
 	tried   map[Part]*partRecord // see StartTrial
+	// suspects are parts that were in minCrashes crashes, among them all that are refused.
+	suspects map[Part]bool
+	// reported are the requests in crashes that this instance has reported, by part, and
+	// taken the times of the last crashes that TakeRefusals has returned.
+	reported map[Part]Request
+	taken    map[Part]time.Duration
 	// unconfirmedCount is the number of unconfirmed records.
 	unconfirmedCount int
 	// unsentRecords, unsentServed and unsentTried are what other instances have not
@@ -129,6 +137,9 @@
 		byCrash:       make(map[uint64][]*crashRecord),
 		served:        make(map[Part]*partRecord),
 		tried:         make(map[Part]*partRecord),
+		suspects:      make(map[Part]bool),
+		reported:      make(map[Part]Request),
+		taken:         make(map[Part]time.Duration),
 		unsentRecords: make(map[recordKey]*crashRecord),
 		unsentServed:  make(map[Part]*partRecord),
 		unsentTried:   make(map[Part]*partRecord),
@@ -149,6 +160,7 @@
 		return c.recordsReceived(now, ev)
 	case Tick:
 		c.removeOld(now)
+		c.forgetReported()
 	}
 	return false
 }
@@ -161,7 +173,8 @@
 			Crash: crashHash(ev.Endpoint, ev.Incarnation), Domain: xxhash.Sum64String(string(ev.Domain)),
 			Parts: parts, Unconfirmed: ev.Unconfirmed, Rerun: request.Rerun,
 		}
-		urgent = c.addRecord(now, record) || urgent
+		urgent = c.addRecord(now, record, true) || urgent
+		c.rememberReported(request)
 	}
 	return urgent
 }
@@ -192,7 +205,7 @@
 		}
 	}
 	for _, record := range ev.Crashes {
-		urgent = c.addRecord(now, record) || urgent
+		urgent = c.addRecord(now, record, false) || urgent
 	}
 	for _, record := range ev.Tried {
 		urgent = c.recordTried(now-record.Age, record.Part) || urgent
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -57,6 +57,7 @@
 	at          time.Duration
 	unconfirmed bool
 	rerun       bool
+	own         bool // reported by this instance
 	sendsLeft   int
 }
 
@@ -87,12 +88,12 @@
 // addRecord adds a crash unless it is too old or has no parts. Of two reports of one
 // crash a confirmed one replaces an unconfirmed one, otherwise the earlier time holds.
 // It reports whether other instances should learn of it at once: if it shows a prompt
-// that waited, or a part that was in another crash.
-func (c *Core) addRecord(now time.Duration, record CrashRecord) (urgent bool) {
+// that waited, or a part that was in another crash. own says that this instance reports it.
+func (c *Core) addRecord(now time.Duration, record CrashRecord, own bool) (urgent bool) {
 	key := recordKey{crash: record.Crash, parts: partsHash(record.Parts)}
 	added := &crashRecord{
 		key: key, crash: record.Crash, domain: record.Domain, parts: slices.Clone(record.Parts), at: now - record.Age,
-		unconfirmed: record.Unconfirmed, rerun: record.Rerun, sendsLeft: gossipSends,
+		unconfirmed: record.Unconfirmed, rerun: record.Rerun, own: own, sendsLeft: gossipSends,
 	}
 	if len(record.Parts) == 0 || added.expired(now) {
 		return false
@@ -102,6 +103,7 @@
 			return false
 		}
 		added.at = min(added.at, known.at)
+		added.own = added.own || known.own
 		c.removeRecord(key)
 	}
 	if len(c.records) >= maxCrashRecords {
@@ -115,6 +117,9 @@
 	c.byCrash[added.crash] = append(c.byCrash[added.crash], added)
 	for _, part := range added.parts {
 		c.insert(part, added)
+		if len(c.byPart[part]) >= minCrashes {
+			c.suspects[part] = true
+		}
 		if last := c.served[part]; last != nil {
 			c.sendServed(part, last)
 		}
--- a/quarantine/runner.go
+++ b/quarantine/runner.go
@@ -27,6 +27,10 @@
 	// OnUrgent is called when other instances should learn of a change at once. It
 	// must not block; nil is none.
 	OnUrgent func()
+	// Store keeps refusals beyond the end of all instances; nil is none. NothingStored is as
+	// in KeeperOptions.
+	Store         RefusalStore
+	NothingStored func() (nothing, known bool)
 }
 
 // Runner makes a core safe for concurrent use. A crash has to take effect before the
@@ -35,6 +39,7 @@
 	o       Options
 	mu      sync.Mutex
 	core    *Core
+	keeper  *Keeper // nil if refusals are not stored
 	records tally.Gauge
 	crashes tally.Counter
 	trials  tally.Counter
@@ -53,14 +58,55 @@
 		r.assessments[state] = o.Scope.Tagged(map[string]string{"state": string(state)}).Counter("assessments")
 		r.assessments[state].Inc(0)
 	}
+	if o.Store != nil {
+		r.keeper = NewKeeper(KeeperOptions{
+			Store: o.Store, NothingStored: o.NothingStored, Self: o.Self, Members: r.members, Now: time.Now, Cleared: r.isCleared,
+			OnRead: func(crashes []CrashRecord) { r.step(RecordsReceived{Crashes: crashes}) }, Log: o.Log, Scope: o.Scope,
+		})
+	}
 	return r
 }
 
+// Keeper returns the keeper of refusals in the store, nil if they are not stored.
+func (r *Runner) Keeper() *Keeper { return r.keeper }
+
+// StoreRestored says that the store was restored from a copy.
+func (r *Runner) StoreRestored() {
+	if r.keeper != nil {
+		r.keeper.StoreRestored()
+	}
+}
+
+// members returns the known instances.
+func (r *Runner) members() []api.Member {
+	if r.o.Members == nil {
+		return nil
+	}
+	return r.o.Members()
+}
+
+func (r *Runner) isCleared(part Part) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.IsCleared(r.o.Clock(), part)
+}
+
+// storeRefusals hands new refusals to the keeper. mu has to be locked.
+func (r *Runner) storeRefusals(now time.Duration) {
+	if r.keeper != nil {
+		r.keeper.Store(r.core.TakeRefusals(now))
+	}
+}
+
 // Assess returns what the crashes say about a request.
 func (r *Runner) Assess(request Request) Assessment {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	assessment := r.core.Assess(r.o.Clock(), request)
+	now := r.o.Clock()
+	assessment := r.core.Assess(now, request)
+	if assessment.Refused() {
+		r.storeRefusals(now)
+	}
 	r.assessments[assessment.State].Inc(1)
 	return assessment
 }
@@ -70,10 +116,7 @@
 	if !a.Tied {
 		return false
 	}
-	var members []api.Member
-	if r.o.Members != nil {
-		members = r.o.Members()
-	}
+	members := r.members()
 	r.mu.Lock()
 	started := r.core.StartTrial(r.o.Clock(), a, trialRank(r.o.Self, members))
 	r.mu.Unlock()
@@ -128,7 +171,9 @@
 
 func (r *Runner) step(ev Event) {
 	r.mu.Lock()
-	urgent := r.core.Step(r.o.Clock(), ev)
+	now := r.o.Clock()
+	urgent := r.core.Step(now, ev)
+	r.storeRefusals(now)
 	r.records.Update(float64(len(r.core.records)))
 	r.mu.Unlock()
 	if urgent && r.o.OnUrgent != nil {
--- a/standins/platform/soak/crash_test.go
+++ b/standins/platform/soak/crash_test.go
@@ -140,6 +140,14 @@
 	}
 }
 
+// killAll kills all instances and waits until none is ready.
+func killAll(d *deployment.Deployment) {
+	for _, instance := range d.Instances {
+		instance.Process().Kill()
+	}
+	Eventually(func() int { return len(d.ReadyInstances()) }, "10s", "20ms").Should(BeZero())
+}
+
 var _ = Describe("Content that ends each engine which runs it", func() {
 	// Guards against content that goes on ending engines after three have ended, whatever way they end.
 	DescribeTable("is found by all instances", func(ending engineEnd) {
@@ -180,6 +188,33 @@
 		Entry("while instances are killed", engineEnd{kind: world.KindStream, end: endAndRefuse(engineRestart), killInstances: true}),
 	)
 
+	// Guards against content that crashes engines anew after each loss of all instances.
+	It("stays refused after all instances were killed", func() {
+		d := startDeployment(4, 12)
+		for _, e := range d.Engines {
+			e.SetPoisonContent(&world.PoisonContent{Body: []byte(poisonBody), End: endAndRefuse(engineRestart)(d)})
+			e.SetRegisteredAddress(e.Address())
+		}
+		sendPoison := func() {
+			load, stop := context.WithTimeout(context.Background(), 4*time.Second)
+			defer stop()
+			sendRequests(load, d, world.KindStream, "poison", poisonInterval, func(int) string { return poisonBody })
+		}
+		sendPoison()
+		for range 2 {
+			killAll(d)
+			Expect(d.WaitReady(context.Background())).To(Succeed())
+			time.Sleep(noticeTime)
+			sendPoison()
+		}
+		received := receivedWith(d, poisonBody)
+		Expect(len(received)).To(BeNumerically(">=", 3))
+		late := slices.DeleteFunc(slices.Clone(received), func(at time.Time) bool { return at.Before(received[2].Add(noticeTime)) })
+		GinkgoWriter.Printf("%d requests reached engines, %d of them late\n", len(received), len(late))
+		Expect(len(late)).To(BeNumerically("<=", maxLateRetries))
+		Expect(d.Store.Names("crash-refusals")).To(HaveLen(1))
+	})
+
 	// Guards against an instance that learns nothing of what was found while it stood still.
 	It("is known to an instance that stood still meanwhile", func() {
 		d := startDeployment(4, 12)
--- a/standins/platform/world/store.go
+++ b/standins/platform/world/store.go
@@ -181,7 +181,7 @@
 	return s.callCount
 }
 
-// ServeHTTP serves lists, single objects and watches.
+// ServeHTTP serves lists, single objects, watches and changes of objects.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, single := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
 	s.mu.Lock()
@@ -196,6 +196,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method == http.MethodPut && strings.HasSuffix(name, "/status"):
 		s.putStatus(w, r, kind, strings.TrimSuffix(name, "/status"))
+	case r.Method == http.MethodPost && !single, r.Method == http.MethodPut, r.Method == http.MethodDelete && single:
+		s.changeObject(w, r, kind, name)
 	case r.Method != http.MethodGet:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	case query.Has("watch"):
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -132,9 +132,11 @@
 	// TableActivation is the time within which a new configuration has to become
 	// active; 0 is unknown.
 	TableActivation time.Duration
-	Clock           bootclock.Func
-	Log             *slog.Logger
-	Scope           tally.Scope
+	// OnRestore is called when the store was restored from a copy; nil is none.
+	OnRestore func()
+	Clock     bootclock.Func
+	Log       *slog.Logger
+	Scope     tally.Scope
 }
 
 func (o Options) tableContactTimeout() time.Duration {
@@ -359,6 +361,9 @@
 func (f *Follower) applyRestore(before, now Revision) {
 	if before.Era != 0 && before.Era < now.Era {
 		f.o.Registry.Apply(registry.StoreRestored{})
+		if f.o.OnRestore != nil {
+			f.o.OnRestore()
+		}
 	}
 }
 
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,6 +143,7 @@
 		current  *routing.CurrentTable
 		entries  *registry.Registry
 		follower *storesync.Follower
+		restores atomic.Int32
 	)
 
 	start := func() {
@@ -153,13 +155,14 @@
 	}
 
 	BeforeEach(func() {
+		restores.Store(0)
 		store = &fakeStore{revision: 1, endpoints: map[string]registry.Endpoint{"a": endpoint("a")}}
 		current = &routing.CurrentTable{}
 		entries = registry.New(registry.Options{
 			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, OnChange: func(registry.Change) {},
 		})
 		follower = storesync.New(storesync.Options{
-			Store: store, Table: current, Registry: entries, Recorder: discardRecorder{},
+			Store: store, Table: current, Registry: entries, Recorder: discardRecorder{}, OnRestore: func() { restores.Add(1) },
 			Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 	})
@@ -285,6 +288,7 @@
 			Eventually(current.Version).Should(BeEquivalentTo(4))
 			register("b")
 			Eventually(entries.Endpoints).Should(HaveLen(2))
+			Expect(restores.Load()).To(BeEquivalentTo(1))
 		})
 
 		// Guards against changes that are missed since their revisions had been given out before.
