Do not take an endpoint whose service changes for a crashed one

The forwarder takes the end of an endpoint that did not drain for a crash and blames the requests that it ran, and the limiter forgets the limit that it named. Read in the code while following the change to the gateway. Change: registry.Change says that the endpoint was only reassigned; connections, limits, load and running requests stay.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -307,7 +307,7 @@
 	if change.Kind == registry.Added && g.limiter.Limited(change.Endpoint) {
 		g.balancer.SetLimited(change.Endpoint.ID, change.Endpoint.Incarnation, true)
 	}
-	if change.Kind == registry.Gone {
+	if change.Kind == registry.Gone && !change.Reassigned {
 		g.pool.CloseIdle(change.Endpoint)
 		g.loadProber.Forget(change.Endpoint.ID)
 		g.limiter.Forget(change.Endpoint)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -107,6 +107,9 @@
 type Change struct {
 	Endpoint Endpoint
 	Kind     ChangeKind
+	// Reassigned says of an endpoint that is gone that only its service has changed: it
+	// has not ended.
+	Reassigned bool
 }
 
 // ChangeKind names a change of an endpoint.
@@ -282,9 +285,7 @@
 	known.endpoint = endpoint
 	switch {
 	case !endpoint.Same(before):
-		c.recordDeparture(now, before)
-		c.appendChange(before, Gone)
-		c.appendChange(endpoint, Added)
+		c.replace(now, before, endpoint)
 	case endpoint.Draining && !before.Draining:
 		c.appendChange(endpoint, StartedDraining)
 	case lapsed:
@@ -373,6 +374,16 @@
 	c.appendChange(known.endpoint, Gone)
 }
 
+// replace reports that an entry has another endpoint than before, or another service.
+func (c *Core) replace(now time.Duration, before, endpoint Endpoint) {
+	reassigned := before.Incarnation == endpoint.Incarnation && before.Address == endpoint.Address
+	if !reassigned {
+		c.recordDeparture(now, before)
+	}
+	c.changes = append(c.changes, Change{Endpoint: before, Kind: Gone, Reassigned: reassigned})
+	c.appendChange(endpoint, Added)
+}
+
 func (c *Core) appendChange(endpoint Endpoint, kind ChangeKind) {
 	c.changes = append(c.changes, Change{Endpoint: endpoint, Kind: kind})
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -130,13 +130,19 @@
 		Expect(core.Step(steadyTime, registry.ReplacementObserved{Endpoint: elsewhere, Replaces: "b"})).To(BeEmpty())
 	})
 
-	// Guards against components that keep an endpoint for its former service: a corrected
-	// service is a new endpoint for them.
-	It("replaces an endpoint whose registration names another service", func() {
+	// Guards against components that keep an endpoint for its former service, and against
+	// blaming its running requests for a crash: the endpoint has not ended.
+	It("reassigns an endpoint whose registration names another service", func() {
 		corrected := endpoint("a", 1)
 		corrected.Service = "t"
-		Expect(kinds(core.Step(steadyTime, registry.EndpointChanged{Endpoint: corrected}))).
-			To(Equal([]registry.ChangeKind{registry.Gone, registry.Added}))
+		Expect(core.Step(steadyTime, registry.EndpointChanged{Endpoint: corrected})).To(Equal([]registry.Change{
+			{Endpoint: endpoint("a", 1), Kind: registry.Gone, Reassigned: true}, {Endpoint: corrected, Kind: registry.Added},
+		}))
+		restarted := endpoint("b", 2)
+		restarted.Service = "t"
+		Expect(core.Step(steadyTime, registry.EndpointChanged{Endpoint: restarted})).To(Equal([]registry.Change{
+			{Endpoint: endpoint("b", 1), Kind: registry.Gone}, {Endpoint: restarted, Kind: registry.Added},
+		}))
 	})
 
 	// Guards against requests of a replaced endpoint's service to one that has registered
