Let entries of unlisted services take no address from engines

Cause: the registry took any registration with a later start for the endpoint that has the address now (removeOlderAtAddress), and ignored the engines' own entries from then on. Evidence: the log has the engines as gone within 0.2 ms of the read of the entries. Only a registration whose service the configuration lists takes an address from an earlier start. One that loses its address is kept and decided anew when the other ends or moves, when the configuration lists other services, and when the endpoint itself answers at the address.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hibiscusstair/hibiscusstair/api"
 	"github.com/hibiscusstair/hibiscusstair/balance"
 	"github.com/hibiscusstair/hibiscusstair/quarantine"
 	"github.com/hibiscusstair/hibiscusstair/registry"
@@ -75,10 +76,13 @@
 }
 
 // reportMisdirected handles a response of another endpoint at the endpoint's address.
-// The endpoint has ended before the attempt was sent.
-func (h *Handler) reportMisdirected(endpoint registry.Endpoint, attempt *trackedAttempt) {
+// The endpoint has ended before the attempt was sent, or never had the address.
+func (h *Handler) reportMisdirected(endpoint registry.Endpoint, attempt *trackedAttempt, by api.EndpointID) {
 	h.attempts.remove(endpoint, attempt)
 	h.reportCrash(endpoint)
+	if by != "" && h.o.OnMisdirected != nil {
+		h.o.OnMisdirected(endpoint, by)
+	}
 }
 
 // EndpointGone handles the end of an endpoint's registration. One that did not drain
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -39,6 +39,9 @@
 	// OnLeaving is called when a response says that its endpoint leaves; nil ignores
 	// it. The balancer has to choose no leaving endpoint.
 	OnLeaving func(registry.Endpoint)
+	// OnMisdirected is called when another endpoint has answered at the address of an
+	// endpoint; nil ignores it.
+	OnMisdirected func(asked registry.Endpoint, by api.EndpointID)
 	// Permits limits the requests to endpoints that ask for it; nil limits none.
 	Permits Permits
 	// Quarantine tracks contents and prompt parts that crash endpoints; nil disables
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -317,7 +317,7 @@
 func (h *Handler) classifyResponse(r result, response *http.Response, body []byte, info ResponseInfo) result {
 	switch {
 	case info.Misdirected:
-		h.reportMisdirected(r.lease.Endpoint, r.tracked)
+		h.reportMisdirected(r.lease.Endpoint, r.tracked, info.AnsweredBy)
 		r.err = reason.New(reason.EndpointUnreachable, "another endpoint has the address").WithRetryAfter(busyRetryAfter)
 		r.outcome = balance.Unreachable
 	case info.NotExecuted:
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -63,8 +63,10 @@
 	ID string
 	// NotExecuted is true if the endpoint did not run the request.
 	NotExecuted bool
-	// Misdirected is true if another endpoint now has the address.
+	// Misdirected is true if another endpoint now has the address; AnsweredBy is its
+	// identifier, "" if it is not stated.
 	Misdirected bool
+	AnsweredBy  api.EndpointID
 	// Signed is true if the response carries the endpoint's signature.
 	Signed bool
 	// Leaving is true if the endpoint says that it leaves.
--- a/forward/run.go
+++ b/forward/run.go
@@ -187,7 +187,7 @@
 	}
 	switch {
 	case info.Misdirected:
-		s.h.reportMisdirected(r.lease.Endpoint, r.tracked)
+		s.h.reportMisdirected(r.lease.Endpoint, r.tracked, info.AnsweredBy)
 		return interrupted(reason.EndpointUnreachable, reason.RunNo, balance.Unreachable, "another endpoint has the address")
 	case info.NotExecuted:
 		return interrupted(reason.EngineRefused, reason.RunNo, balance.Refused, "the engine did not run the request")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -186,7 +186,7 @@
 	g.forwarder = forward.New(forward.Options{
 		Protocol: o.Protocol, Table: g.table, Balance: g.balancer, Pool: g.pool, PromptIndex: promptIndex, LoadProber: g.loadProber, Quarantine: g.quarantine,
 		RetryBudget: g.retryBudget, Admission: g.admission,
-		Permits: g.limiter, OnLeaving: g.recordLeaving,
+		Permits: g.limiter, OnLeaving: g.recordLeaving, OnMisdirected: g.recordAnswer,
 		Rollouts: g.rolloutSelector(), OnCrash: g.recordCrash,
 		Clock: clock, Log: o.Log, Scope: scope.SubScope("forward"), Stopping: g.stopping,
 		Synced:      g.follower.Synced(),
@@ -323,6 +323,11 @@
 	g.registry.Apply(registry.LeavingObserved{ID: endpoint.ID, Incarnation: endpoint.Incarnation})
 }
 
+// recordAnswer records that another endpoint has answered at the address of an endpoint.
+func (g *Gateway) recordAnswer(asked registry.Endpoint, by api.EndpointID) {
+	g.registry.Apply(registry.AddressAnswered{Asked: asked, By: by})
+}
+
 func (g *Gateway) reportSuspectedEndpoint(endpoint registry.Endpoint) {
 	g.restartDetector.ReportFailure(endpoint)
 }
--- a/registry/index_test.go
+++ b/registry/index_test.go
@@ -14,7 +14,8 @@
 )
 
 // TestIndexesFollowTheTable guards against an index that keeps what an endpoint had
-// before: after any events, the indexes equal those built anew from the table.
+// before, and against registrations that are kept from their address by none: after any
+// events, the indexes equal those built anew from the table.
 func TestIndexesFollowTheTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		core := NewCore()
@@ -23,6 +24,7 @@
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
 			core.Step(now, drawIndexEvent(t))
 			checkIndexes(t, core)
+			checkConflicts(t, core)
 		}
 	})
 }
@@ -38,7 +40,7 @@
 		}
 	}
 	e := drawEndpoint()
-	switch rapid.IntRange(0, 8).Draw(t, "event") {
+	switch rapid.IntRange(0, 11).Draw(t, "event") {
 	case 0:
 		return EndpointsListed{Endpoints: []Endpoint{e, drawEndpoint()}}
 	case 1, 2:
@@ -49,6 +51,10 @@
 		return LeavingObserved{ID: e.ID, Incarnation: e.Incarnation}
 	case 5:
 		return StoreRestored{}
+	case 6:
+		return ServicesListed{Version: 1, Services: rapid.SliceOfDistinct(rapid.SampledFrom([]string{"s1", "s2"}), rapid.ID).Draw(t, "services")}
+	case 7:
+		return AddressAnswered{Asked: e, By: drawEndpoint().ID}
 	}
 	return EndpointChanged{Endpoint: e}
 }
@@ -70,3 +76,26 @@
 		t.Fatalf("lapsed: have %v, want %v", core.lapsed, lapsed)
 	}
 }
+
+// checkConflicts checks that the registrations that are not in use are exactly those that
+// one in use outranks.
+func checkConflicts(t *rapid.T, core *Core) {
+	outranked := func(e Endpoint) bool {
+		return slices.ContainsFunc(core.Endpoints(), func(other Endpoint) bool {
+			return other.Address == e.Address && other.ID != e.ID && core.conflicts.outranks(other, e)
+		})
+	}
+	for _, e := range core.Endpoints() {
+		if outranked(e) {
+			t.Fatalf("%v is in use, though its address is another endpoint's", e)
+		}
+		if _, ok := core.conflicts.outranked[e.ID]; ok {
+			t.Fatalf("%v is in use and counts as outranked", e)
+		}
+	}
+	for _, e := range core.conflicts.outranked {
+		if !outranked(e) && !core.hasDrained(e) {
+			t.Fatalf("%v is not in use, though its address is free", e)
+		}
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -93,6 +93,21 @@
 	Replaces api.EndpointID
 }
 
+// ServicesListed carries the services of a version of the configuration.
+type ServicesListed struct {
+	Version  uint64
+	Services []string
+}
+
+// AddressAnswered reports that a request to an endpoint was answered by another one, which
+// has its address.
+type AddressAnswered struct {
+	Asked Endpoint
+	By    api.EndpointID
+}
+
+func (ServicesListed) event()      {}
+func (AddressAnswered) event()     {}
 func (ReplacementObserved) event() {}
 func (LeavingObserved) event()     {}
 func (EndpointsListed) event()     {}
@@ -110,6 +125,8 @@
 	// Reassigned says of an endpoint that is gone that only its service has changed: it
 	// has not ended.
 	Reassigned bool
+	// TakenBy is the endpoint that has the address of one that is gone; "" is none.
+	TakenBy api.EndpointID
 }
 
 // ChangeKind names a change of an endpoint.
@@ -156,8 +173,9 @@
 	departuresCheckedAt time.Duration
 	// fromCopy are registrations that had ended before the store was restored from a
 	// copy that has them. They are ignored for copyGrace.
-	fromCopy map[api.EndpointID]Endpoint
-	changes  []Change
+	fromCopy  map[api.EndpointID]Endpoint
+	conflicts conflicts
+	changes   []Change
 }
 
 // NewCore returns an empty table.
@@ -168,6 +186,7 @@
 		lapsed:    make(map[api.EndpointID]bool),
 		departed:  make(map[api.EndpointID]departure),
 		fromCopy:  make(map[api.EndpointID]Endpoint),
+		conflicts: newConflicts(),
 	}
 }
 
@@ -186,12 +205,17 @@
 	case EndpointRemoved:
 		c.recordStoreResponse(now)
 		delete(c.fromCopy, e.ID)
+		c.conflicts.forget(e.ID)
 		c.handleMissing(now, e.ID)
 	case StoreResponded:
 		c.recordStoreResponse(now)
 	case StoreRestored:
 		c.recordStoreResponse(now)
 		c.recoveredAt, c.restoredAt = now, now
+	case ServicesListed:
+		c.applyServices(now, e)
+	case AddressAnswered:
+		c.applyAnswer(now, e)
 	case ReplacementObserved:
 		c.applyReplacement(now, e)
 	case LeavingObserved:
@@ -208,6 +232,7 @@
 	}
 	c.expireLapsed(now)
 	c.expireDepartures(now)
+	c.reinstate(now)
 	return c.changes
 }
 
@@ -248,6 +273,7 @@
 			c.handleMissing(now, endpoint.ID)
 		}
 	}
+	c.conflicts.forgetExcept(seen)
 }
 
 // applyRegistration adds or updates an endpoint. It reports at most one kind of
@@ -256,7 +282,7 @@
 func (c *Core) applyRegistration(now time.Duration, endpoint Endpoint) {
 	known, ok := c.entries[endpoint.ID]
 	if !ok {
-		if c.hasDrained(endpoint) || c.removeOlderAtAddress(now, endpoint) {
+		if c.hasDrained(endpoint) || c.resolveAddress(now, endpoint) != "" {
 			return
 		}
 		c.entries[endpoint.ID] = &entry{endpoint: endpoint}
@@ -273,9 +299,11 @@
 		// lost its message.
 		endpoint.Draining = true
 	}
-	if moved := endpoint.Incarnation != before.Incarnation || endpoint.Address != before.Address; moved && c.removeOlderAtAddress(now, endpoint) {
-		c.remove(now, known)
-		return
+	if !endpoint.Same(before) {
+		if by := c.resolveAddress(now, endpoint); by != "" {
+			c.removeTaken(now, known, by)
+			return
+		}
 	}
 	lapsed := known.expiresAt != 0
 	known.expiresAt = 0
@@ -295,39 +323,6 @@
 	}
 }
 
-// applyReplacement replaces an endpoint by the one that has its address now. A registration
-// of that one stays as it is, because only a registration names the service.
-func (c *Core) applyReplacement(now time.Duration, observed ReplacementObserved) {
-	replaced, ok := c.entries[observed.Replaces]
-	if !ok || replaced.endpoint.Address != observed.Endpoint.Address || observed.Replaces == observed.Endpoint.ID {
-		return
-	}
-	c.remove(now, replaced)
-	if c.entries[observed.Endpoint.ID] == nil {
-		c.applyRegistration(now, observed.Endpoint)
-	}
-}
-
-// removeOlderAtAddress removes endpoints with a lower incarnation at the endpoint's
-// address, and reports whether the table has one there with a higher incarnation,
-// in which case the endpoint itself is outdated. An address has one endpoint, but
-// endpoints with equal incarnations both stay.
-func (c *Core) removeOlderAtAddress(now time.Duration, endpoint Endpoint) bool {
-	for _, id := range slices.Clone(c.byAddress[endpoint.Address]) {
-		if id == endpoint.ID {
-			continue
-		}
-		other := c.entries[id].endpoint
-		if other.Incarnation > endpoint.Incarnation {
-			return true
-		}
-		if other.Incarnation < endpoint.Incarnation {
-			c.remove(now, c.entries[other.ID])
-		}
-	}
-	return false
-}
-
 // handleMissing handles a registration that is missing from the store. In steady
 // state the endpoint is removed; after an outage of the store it has time to
 // register again.
@@ -353,25 +348,15 @@
 	}
 }
 
-func (c *Core) indexAddress(endpoint Endpoint) {
-	c.byAddress[endpoint.Address] = append(c.byAddress[endpoint.Address], endpoint.ID)
-}
-
-func (c *Core) unindexAddress(endpoint Endpoint) {
-	remaining := slices.DeleteFunc(c.byAddress[endpoint.Address], func(id api.EndpointID) bool { return id == endpoint.ID })
-	if len(remaining) == 0 {
-		delete(c.byAddress, endpoint.Address)
-		return
-	}
-	c.byAddress[endpoint.Address] = remaining
-}
+func (c *Core) remove(now time.Duration, known *entry) { c.removeTaken(now, known, "") }
 
-func (c *Core) remove(now time.Duration, known *entry) {
+// removeTaken removes an endpoint whose address another one has.
+func (c *Core) removeTaken(now time.Duration, known *entry, by api.EndpointID) {
 	c.recordDeparture(now, known.endpoint)
 	delete(c.entries, known.endpoint.ID)
 	delete(c.lapsed, known.endpoint.ID)
 	c.unindexAddress(known.endpoint)
-	c.appendChange(known.endpoint, Gone)
+	c.changes = append(c.changes, Change{Endpoint: known.endpoint, Kind: Gone, TakenBy: by})
 }
 
 // replace reports that an entry has another endpoint than before, or another service.
--- a/registry/runner.go
+++ b/registry/runner.go
@@ -42,10 +42,12 @@
 		if change.Kind != Updated && !first {
 			r.options.Log.Info("endpoint changed", "change", change.Kind, "endpoint", change.Endpoint.ID,
 				"address", change.Endpoint.Address, "service", change.Endpoint.Service,
-				"failure_domain", change.Endpoint.Domain, "incarnation", change.Endpoint.Incarnation)
+				"failure_domain", change.Endpoint.Domain, "incarnation", change.Endpoint.Incarnation,
+				"reassigned", change.Reassigned, "taken_by", change.TakenBy)
 		}
 		r.options.OnChange(change)
 	}
+	r.options.Scope.Gauge("registrations_outranked").Update(float64(len(r.core.conflicts.outranked)))
 	for kind, count := range counts {
 		r.options.Scope.Tagged(map[string]string{"change": string(kind)}).Counter("endpoint_changes").Inc(count)
 	}
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -281,6 +283,7 @@
 	if !f.o.Table.Apply(table) {
 		return
 	}
+	f.o.Registry.Apply(registry.ServicesListed{Version: table.Version, Services: slices.Collect(maps.Keys(table.Services))})
 	f.checkSynced()
 	f.o.Scope.Gauge("configuration_version").Update(float64(table.Version))
 	f.o.Log.Info("configuration activated", "version", table.Version, "before", before,
