Store a refusal anew when served content crashes engines again

Cause: content that was served is not handed to the store for five minutes after the last stored crash, although its entry was deleted. Change: serving a part ends what was handed out for it. Suspects are forgotten with their records, also without a store, and only events that can make a refusal look for one. Measured: TestServedContentThatCrashesEnginesAgainIsStored fails without the change and passes with it.

--- a/quarantine/lasting.go
+++ b/quarantine/lasting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -102,8 +103,9 @@
 	}
 }
 
-// forgetReported removes parts whose crashes are all forgotten.
+// forgetReported removes parts whose crashes are all forgotten, and suspects with few left.
 func (c *Core) forgetReported() {
+	maps.DeleteFunc(c.suspects, func(part Part, _ bool) bool { return len(c.byPart[part]) < minCrashes })
 	for part := range c.reported {
 		if len(c.byPart[part]) == 0 {
 			delete(c.reported, part)
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -163,6 +163,7 @@
 		c.served[part] = last
 	}
 	last.at = at
+	delete(c.taken, part) // crashes from now on are others
 	if hadCrashes {
 		c.sendServed(part, last)
 	}
--- a/quarantine/runner.go
+++ b/quarantine/runner.go
@@ -173,7 +173,10 @@
 	r.mu.Lock()
 	now := r.o.Clock()
 	urgent := r.core.Step(now, ev)
-	r.storeRefusals(now)
+	switch ev.(type) {
+	case EngineCrashed, RecordsReceived, Tick: // the others make no refusals
+		r.storeRefusals(now)
+	}
 	r.records.Update(float64(len(r.core.records)))
 	r.mu.Unlock()
 	if urgent && r.o.OnUrgent != nil {
--- a/quarantine/stored_test.go
+++ b/quarantine/stored_test.go
@@ -175,6 +175,29 @@
 	})
 }
 
+// TestServedContentThatCrashesEnginesAgainIsStored guards against content whose refusal is
+// not stored anew after it was cleared.
+func TestServedContentThatCrashesEnginesAgainIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		r, kill := startInstance(t, store, true)
+		crashEngines(r, Request{Content: content})
+		r.ReportCompleted(Request{Content: content})
+		time.Sleep(2 * time.Second)
+		crashEngines(r, Request{Content: content})
+		time.Sleep(servedConfirmation)
+		if !refused(r) {
+			t.Fatal("the content is not refused again")
+		}
+		time.Sleep(time.Second)
+		kill()
+		r, _ = startInstance(t, store, false)
+		if !refused(r) {
+			t.Error("the content is not refused after a loss of all instances")
+		}
+	})
+}
+
 // TestStoredRefusalEnds guards against a refusal that outlives restarts for longer than one
 // that is only in memory, and against entries that stay for good.
 func TestStoredRefusalEnds(t *testing.T) {
