Blame no request for an endpoint that never had its address

Cause: an entry of another writer whose address was answered by the engine itself counted as crashed, with all requests that were on their way to it. Found in the review of the diff. Change: registry.Change says that the endpoint was refuted; the forwarder then records no crash.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -79,16 +79,16 @@
 // The endpoint has ended before the attempt was sent, or never had the address.
 func (h *Handler) reportMisdirected(endpoint registry.Endpoint, attempt *trackedAttempt, by api.EndpointID) {
 	h.attempts.remove(endpoint, attempt)
-	h.reportCrash(endpoint)
-	if by != "" && h.o.OnMisdirected != nil {
-		h.o.OnMisdirected(endpoint, by)
+	if by != "" && h.o.OnMisdirected != nil && h.o.OnMisdirected(endpoint, by) {
+		return
 	}
+	h.reportCrash(endpoint)
 }
 
 // EndpointGone handles the end of an endpoint's registration. One that did not drain
-// before has crashed.
-func (h *Handler) EndpointGone(endpoint registry.Endpoint) {
-	if !endpoint.Draining {
+// before has crashed, unless it never had its address.
+func (h *Handler) EndpointGone(endpoint registry.Endpoint, refuted bool) {
+	if !endpoint.Draining && !refuted {
 		h.reportCrash(endpoint)
 	}
 	h.attempts.forget(endpoint)
--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -38,7 +38,7 @@
 			endpoint.Draining = draining
 			f.balance.Apply(registry.Change{Kind: registry.Gone, Endpoint: endpoint})
 			time.Sleep(50 * time.Millisecond) // the attempt is concluded after its caller has left
-			f.handler.EndpointGone(endpoint)
+			f.handler.EndpointGone(endpoint, false)
 		}
 	}
 
@@ -112,7 +112,7 @@
 			_ = send()
 			f.balance.Apply(registry.Change{Kind: registry.Gone, Endpoint: endpoint})
 			time.Sleep(50 * time.Millisecond) // the attempt is concluded after its caller has left
-			f.handler.EndpointGone(endpoint)
+			f.handler.EndpointGone(endpoint, false)
 		}
 		Expect(f.received()).To(HaveLen(3))
 		f.startEndpoint("sound", streamEvents(5, endStream))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -40,8 +40,8 @@
 	// it. The balancer has to choose no leaving endpoint.
 	OnLeaving func(registry.Endpoint)
 	// OnMisdirected is called when another endpoint has answered at the address of an
-	// endpoint; nil ignores it.
-	OnMisdirected func(asked registry.Endpoint, by api.EndpointID)
+	// endpoint; nil ignores it. It reports whether the one that was asked never had it.
+	OnMisdirected func(asked registry.Endpoint, by api.EndpointID) (refuted bool)
 	// Permits limits the requests to endpoints that ask for it; nil limits none.
 	Permits Permits
 	// Quarantine tracks contents and prompt parts that crash endpoints; nil disables
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -311,7 +311,7 @@
 		g.pool.CloseIdle(change.Endpoint)
 		g.loadProber.Forget(change.Endpoint.ID)
 		g.limiter.Forget(change.Endpoint)
-		g.forwarder.EndpointGone(change.Endpoint)
+		g.forwarder.EndpointGone(change.Endpoint, change.Refuted)
 	}
 	if g.rollouts != nil {
 		g.rollouts.ApplyChange(change)
@@ -323,9 +323,10 @@
 	g.registry.Apply(registry.LeavingObserved{ID: endpoint.ID, Incarnation: endpoint.Incarnation})
 }
 
-// recordAnswer records that another endpoint has answered at the address of an endpoint.
-func (g *Gateway) recordAnswer(asked registry.Endpoint, by api.EndpointID) {
-	g.registry.Apply(registry.AddressAnswered{Asked: asked, By: by})
+// recordAnswer records that another endpoint has answered at the address of an endpoint. It
+// reports whether the endpoint never had the address.
+func (g *Gateway) recordAnswer(asked registry.Endpoint, by api.EndpointID) (refuted bool) {
+	return g.registry.ApplyAnswer(registry.AddressAnswered{Asked: asked, By: by})
 }
 
 func (g *Gateway) reportSuspectedEndpoint(endpoint registry.Endpoint) {
--- a/registry/address_test.go
+++ b/registry/address_test.go
@@ -98,8 +98,9 @@
 		agent := at("agent", 9, "s")
 		change(agent)
 		Expect(ids(core)).To(Equal([]string{"agent"}))
-		core.Step(steadyTime, registry.AddressAnswered{Asked: agent, By: "a"})
-		Expect(ids(core)).To(Equal([]string{"a"}))
+		Expect(core.Step(steadyTime, registry.AddressAnswered{Asked: agent, By: "a"})).To(Equal([]registry.Change{
+			{Endpoint: agent, Kind: registry.Gone, TakenBy: "a", Refuted: true}, {Endpoint: old, Kind: registry.Added},
+		}))
 		agent.Slots++
 		change(agent)
 		Expect(ids(core)).To(Equal([]string{"a"}))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -125,8 +125,10 @@
 	// Reassigned says of an endpoint that is gone that only its service has changed: it
 	// has not ended.
 	Reassigned bool
-	// TakenBy is the endpoint that has the address of one that is gone; "" is none.
+	// TakenBy is the endpoint that has the address of one that is gone; "" is none. Refuted
+	// says that it has had it all along: the one that is gone ran no requests.
 	TakenBy api.EndpointID
+	Refuted bool
 }
 
 // ChangeKind names a change of an endpoint.
@@ -356,7 +358,8 @@
 	delete(c.entries, known.endpoint.ID)
 	delete(c.lapsed, known.endpoint.ID)
 	c.unindexAddress(known.endpoint)
-	c.changes = append(c.changes, Change{Endpoint: known.endpoint, Kind: Gone, TakenBy: by})
+	refuted := by != "" && c.conflicts.isRefuted(known.endpoint)
+	c.changes = append(c.changes, Change{Endpoint: known.endpoint, Kind: Gone, TakenBy: by, Refuted: refuted})
 }
 
 // replace reports that an entry has another endpoint than before, or another service.
--- a/registry/runner.go
+++ b/registry/runner.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// ApplyAnswer applies an answer of another endpoint at an address. It reports whether the
+// endpoint that was asked never had the address.
+func (r *Registry) ApplyAnswer(answer AddressAnswered) (refuted bool) {
+	r.Apply(answer)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.conflicts.isRefuted(answer.Asked)
+}
+
 // Len returns the number of endpoints in the table.
 func (r *Registry) Len() int {
 	r.mu.Lock()
