Tell the registry the services from the gateway, and lock the store of the refusal tests

The follower of the configuration used the registry, which followers of the configuration alone do not have (relay: nil pointer), and the race detector found the tests of stored refusals and their keeper using the store of the test at once. Change: storesync calls OnTable, and the gateway passes the services on. The store of the tests has a lock.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -148,7 +150,7 @@
 	g.follower = storesync.New(storesync.Options{
 		Store: g.newStoreReader(), Table: g.table, Registry: g.registry, Recorder: g.relayCache,
 		TableActivation: s.TableActivation, Clock: clock, Log: o.Log, Scope: scope.SubScope("storesync"),
-		OnRestore: func() { g.quarantine.StoreRestored() },
+		OnTable: g.listServices, OnRestore: func() { g.quarantine.StoreRestored() },
 	})
 	g.relayCache.SetContacts(g.follower.TableContact(), g.follower.EndpointContact())
 	g.quarantine = quarantine.New(quarantine.Options{
@@ -318,6 +320,11 @@
 	}
 }
 
+// listServices tells the registry the services of a configuration that becomes active.
+func (g *Gateway) listServices(table *routing.Table) {
+	g.registry.Apply(registry.ServicesListed{Version: table.Version, Services: slices.Collect(maps.Keys(table.Services))})
+}
+
 // recordLeaving records that an endpoint has said that it leaves.
 func (g *Gateway) recordLeaving(endpoint registry.Endpoint) {
 	g.registry.Apply(registry.LeavingObserved{ID: endpoint.ID, Incarnation: endpoint.Incarnation})
--- a/quarantine/stored_test.go
+++ b/quarantine/stored_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,8 +17,9 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 )
 
-// memoryStore keeps refusals in memory. The instances of a test use it one at a time.
+// memoryStore keeps refusals in memory. Tests that change its fields call update.
 type memoryStore struct {
+	mu       sync.Mutex
 	entries  map[Part]StoredRefusal
 	revision uint64
 	err      error // of each call
@@ -28,13 +30,23 @@
 
 func newMemoryStore() *memoryStore { return &memoryStore{entries: make(map[Part]StoredRefusal)} }
 
+func (s *memoryStore) update(change func(*memoryStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
 func (s *memoryStore) ListRefusals(context.Context) ([]StoredRefusal, int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.lists++
 	s.calls++
 	return slices.Collect(maps.Values(s.entries)), 0, s.err
 }
 
 func (s *memoryStore) WriteRefusal(_ context.Context, refusal StoredRefusal) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
 	if s.err != nil {
 		return s.err
@@ -45,7 +57,7 @@
 		s.entries[refusal.Part] = refusal
 	}
 	if s.unanswered > 0 {
-		time.AfterFunc(s.unanswered, put)
+		time.AfterFunc(s.unanswered, func() { s.update(func(*memoryStore) { put() }) })
 		return errors.New("no response")
 	}
 	if s.entries[refusal.Part].Revision != refusal.Revision {
@@ -57,6 +69,8 @@
 }
 
 func (s *memoryStore) DeleteRefusal(_ context.Context, part Part) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
 	if s.err != nil {
 		return s.err
@@ -66,6 +80,13 @@
 	return nil
 }
 
+// state returns a copy of the entries, and the numbers of calls.
+func (s *memoryStore) state() memoryStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return memoryStore{entries: maps.Clone(s.entries), lists: s.lists, writes: s.writes, deletes: s.deletes, calls: s.calls}
+}
+
 const content = Part(0x1234)
 
 // startInstance starts an instance that uses the store until the returned function is
@@ -113,8 +134,8 @@
 			}
 			kill()
 		}
-		if store.writes != 1 {
-			t.Errorf("%d writes, want one", store.writes)
+		if writes := store.state().writes; writes != 1 {
+			t.Errorf("%d writes, want one", writes)
 		}
 	})
 }
@@ -128,8 +149,8 @@
 		crashEngines(first, Request{Content: content})
 		second.Merge(first.Snapshot())
 		time.Sleep(time.Minute)
-		if !refused(second) || store.writes != 1 || store.lists != 1 {
-			t.Errorf("%d writes and %d lists, want one of each", store.writes, store.lists)
+		if s := store.state(); !refused(second) || s.writes != 1 || s.lists != 1 {
+			t.Errorf("%d writes and %d lists, want one of each", s.writes, s.lists)
 		}
 	})
 }
@@ -141,13 +162,13 @@
 		store := newMemoryStore()
 		startInstance(t, store, true)
 		time.Sleep(time.Hour)
-		if store.calls != 0 {
-			t.Errorf("an instance that starts for the first time made %d calls", store.calls)
+		if calls := store.state().calls; calls != 0 {
+			t.Errorf("an instance that starts for the first time made %d calls", calls)
 		}
 		startInstance(t, store, false)
 		time.Sleep(time.Hour)
-		if store.calls != 1 {
-			t.Errorf("an instance that starts again made %d calls, want one", store.calls)
+		if calls := store.state().calls; calls != 1 {
+			t.Errorf("an instance that starts again made %d calls, want one", calls)
 		}
 	})
 }
@@ -168,7 +189,7 @@
 			time.Sleep(2 * memberDelay)
 			kill()
 			r, _ = startInstance(t, store, false)
-			if refused(r) || len(store.entries) != 0 {
+			if refused(r) || len(store.state().entries) != 0 {
 				t.Errorf("served after a restart %v: the content is still refused", restarted)
 			}
 		}
@@ -215,7 +236,7 @@
 		time.Sleep(time.Minute)
 		r, _ = startInstance(t, store, false)
 		time.Sleep(2 * memberDelay)
-		if refused(r) || len(store.entries) != 0 {
+		if refused(r) || len(store.state().entries) != 0 {
 			t.Error("the refusal did not end with its crashes")
 		}
 	})
@@ -230,10 +251,10 @@
 		r, kill := startInstance(t, store, false)
 		crashEngines(r, Request{Content: content})
 		time.Sleep(5 * time.Minute)
-		if !refused(r) || store.calls > 50 {
-			t.Errorf("%d calls to a store that is away for 5 min", store.calls)
+		if calls := store.state().calls; !refused(r) || calls > 50 {
+			t.Errorf("%d calls to a store that is away for 5 min", calls)
 		}
-		store.err = nil
+		store.update(func(s *memoryStore) { s.err = nil })
 		time.Sleep(maxStoreBackoff)
 		kill()
 		r, _ = startInstance(t, store, false)
@@ -251,11 +272,11 @@
 		store.unanswered = lateCallTime - time.Second
 		r, _ := startInstance(t, store, true)
 		crashEngines(r, Request{Content: content})
-		store.unanswered = 0
+		store.update(func(s *memoryStore) { s.unanswered = 0 })
 		time.Sleep(time.Second)
 		r.ReportCompleted(Request{Content: content})
 		time.Sleep(3 * lateCallTime)
-		if len(store.entries) != 0 {
+		if len(store.state().entries) != 0 {
 			t.Error("a late write restored the refusal")
 		}
 	})
@@ -268,19 +289,19 @@
 		store := newMemoryStore()
 		r, _ := startInstance(t, store, true)
 		crashEngines(r, Request{Content: content})
-		written := maps.Clone(store.entries)
-		clear(store.entries)
+		written := store.state().entries
+		store.update(func(s *memoryStore) { clear(s.entries) })
 		r.StoreRestored()
 		time.Sleep(time.Second)
-		if len(store.entries) != 1 {
+		if len(store.state().entries) != 1 {
 			t.Error("the refusal is missing after a restore")
 		}
 		r.ReportCompleted(Request{Content: content})
 		time.Sleep(time.Second)
-		store.entries = written
+		store.update(func(s *memoryStore) { s.entries = written })
 		r.StoreRestored()
 		time.Sleep(time.Second)
-		if len(store.entries) != 0 {
+		if len(store.state().entries) != 0 {
 			t.Error("the refusal is back after a restore")
 		}
 	})
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -7,8 +7,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,6 +132,8 @@
 	// TableActivation is the time within which a new configuration has to become
 	// active; 0 is unknown.
 	TableActivation time.Duration
+	// OnTable is called when a configuration becomes active; nil is none.
+	OnTable func(*routing.Table)
 	// OnRestore is called when the store was restored from a copy; nil is none.
 	OnRestore func()
 	Clock     bootclock.Func
@@ -283,7 +283,9 @@
 	if !f.o.Table.Apply(table) {
 		return
 	}
-	f.o.Registry.Apply(registry.ServicesListed{Version: table.Version, Services: slices.Collect(maps.Keys(table.Services))})
+	if f.o.OnTable != nil {
+		f.o.OnTable(table)
+	}
 	f.checkSynced()
 	f.o.Scope.Gauge("configuration_version").Update(float64(table.Version))
 	f.o.Log.Info("configuration activated", "version", table.Version, "before", before,
--- a/storesync/transfer_test.go
+++ b/storesync/transfer_test.go
@@ -9,9 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/hibiscusstair/hibiscusstair/bootclock"
 	"github.com/hibiscusstair/hibiscusstair/internal/transfer"
-	"github.com/hibiscusstair/hibiscusstair/registry"
 	"github.com/hibiscusstair/hibiscusstair/routing"
 	"github.com/hibiscusstair/hibiscusstair/storesync"
 )
@@ -46,9 +44,6 @@
 			began := time.Now()
 			follower := storesync.New(storesync.Options{
 				Store: breakingStore{parts: parts}, Table: &routing.CurrentTable{}, Recorder: discardRecorder{},
-				Registry: registry.New(registry.Options{
-					Clock: bootclock.Now, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, OnChange: func(registry.Change) {},
-				}),
 				Clock: func() time.Duration { return time.Hour + time.Since(began) },
 				Log:   slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			})
