Do not write refusals that were cleared while the store was away

Cause: a refusal that waits for the store was written when it was back, also if its content had been served meanwhile, and nothing bounded how many wait. Found in the review of the diff. Measured: TestClearedRefusalIsNotStored, and TestLateWriteDoesNotRestoreARefusal, whose first case fails without the late deletion.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -111,8 +112,7 @@
 		case <-ctx.Done():
 			return nil
 		case refusal := <-k.refusals.C():
-			now := k.o.Now()
-			k.pending[refusal.Part] = change{refusal: refusal.toStored(now), at: now}
+			k.add(refusal)
 		case <-k.restored.C():
 			k.repeatChanges()
 		case <-ticker.C:
@@ -121,6 +121,17 @@
 	}
 }
 
+// add keeps a refusal until it is stored. While the store is away, refusals beyond
+// maxStored are dropped: it would not keep them.
+func (k *Keeper) add(refusal Refusal) {
+	if len(k.pending) >= maxStored {
+		k.count("dropped")
+		return
+	}
+	now := k.o.Now()
+	k.pending[refusal.Part] = change{refusal: refusal.toStored(now), at: now}
+}
+
 // callStore makes the calls that are due.
 func (k *Keeper) callStore(ctx context.Context) {
 	if k.o.Now().Before(k.retryAt) {
@@ -137,6 +148,11 @@
 		return
 	}
 	for part, change := range k.pending {
+		if !change.remove && k.o.Cleared(part) {
+			delete(k.pending, part)
+			k.deleteLate(part)
+			continue
+		}
 		what, err := "written", error(nil)
 		if change.remove {
 			what, err = "deleted", k.o.Store.DeleteRefusal(ctx, part)
@@ -231,10 +247,7 @@
 	k.made[part] = c
 	if c.remove {
 		delete(k.held, part)
-		if at, ok := k.unsure[part]; ok && now.Sub(at) < lateCallTime {
-			k.repeat[part] = at.Add(lateCallTime)
-		}
-		delete(k.unsure, part)
+		k.deleteLate(part)
 		k.count("deleted")
 		k.o.Log.Info("stored refusal removed", "part", part, "reason", "cleared")
 		return
@@ -244,6 +257,15 @@
 	k.o.Log.Info("refusal stored", "part", part, "account", c.refusal.Account, "crashes", len(c.refusal.Crashes))
 }
 
+// deleteLate makes a part be deleted once the store cannot execute an unanswered write of it
+// any more.
+func (k *Keeper) deleteLate(part Part) {
+	if at, ok := k.unsure[part]; ok && k.o.Now().Sub(at) < lateCallTime {
+		k.repeat[part] = at.Add(lateCallTime)
+	}
+	delete(k.unsure, part)
+}
+
 // findCleared deletes refusals that are not needed any more. Of those that were read, the
 // first instance in the order of trials does it.
 func (k *Keeper) findCleared() {
@@ -270,11 +292,8 @@
 			k.pending[part] = change{remove: true, at: now}
 		}
 	}
-	for part, c := range k.made {
-		if now.Sub(c.at) > restoreWindow {
-			delete(k.made, part)
-		}
-	}
+	maps.DeleteFunc(k.made, func(_ Part, c change) bool { return now.Sub(c.at) > restoreWindow })
+	maps.DeleteFunc(k.unsure, func(_ Part, at time.Time) bool { return now.Sub(at) > lateCallTime })
 }
 
 // repeatChanges repeats the changes that a restored store may lack.
--- a/quarantine/stored_test.go
+++ b/quarantine/stored_test.go
@@ -247,7 +247,7 @@
 func TestUnavailableStoreCostsNoRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
-		store.err = errors.New("unavailable")
+		store.update(func(s *memoryStore) { s.err = errors.New("unavailable") })
 		r, kill := startInstance(t, store, false)
 		crashEngines(r, Request{Content: content})
 		time.Sleep(5 * time.Minute)
@@ -264,24 +264,45 @@
 	})
 }
 
-// TestLateWriteDoesNotRestoreARefusal guards against a write that the store executes after
-// the refusal was deleted.
-func TestLateWriteDoesNotRestoreARefusal(t *testing.T) {
+// TestClearedRefusalIsNotStored guards against a refusal that is written when the store is
+// back, although its content was served meanwhile.
+func TestClearedRefusalIsNotStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
-		store.unanswered = lateCallTime - time.Second
 		r, _ := startInstance(t, store, true)
+		store.update(func(s *memoryStore) { s.err = errors.New("unavailable") })
 		crashEngines(r, Request{Content: content})
-		store.update(func(s *memoryStore) { s.unanswered = 0 })
-		time.Sleep(time.Second)
 		r.ReportCompleted(Request{Content: content})
-		time.Sleep(3 * lateCallTime)
-		if len(store.state().entries) != 0 {
-			t.Error("a late write restored the refusal")
+		store.update(func(s *memoryStore) { s.err = nil })
+		time.Sleep(2 * maxStoreBackoff)
+		if s := store.state(); s.writes != 0 {
+			t.Errorf("%d writes of a refusal that was cleared", s.writes)
 		}
 	})
 }
 
+// TestLateWriteDoesNotRestoreARefusal guards against a write that the store executes after
+// the refusal was deleted.
+func TestLateWriteDoesNotRestoreARefusal(t *testing.T) {
+	for _, writtenAgain := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newMemoryStore()
+			store.unanswered = lateCallTime - time.Second
+			r, _ := startInstance(t, store, true)
+			crashEngines(r, Request{Content: content})
+			if writtenAgain {
+				store.update(func(s *memoryStore) { s.unanswered = 0 })
+				time.Sleep(time.Second)
+			}
+			r.ReportCompleted(Request{Content: content})
+			time.Sleep(3 * lateCallTime)
+			if len(store.state().entries) != 0 {
+				t.Errorf("a late write restored the refusal; written again before: %v", writtenAgain)
+			}
+		})
+	}
+}
+
 // TestRestoredStoreGetsTheLatestChanges guards against an older copy of the store that
 // brings back a refusal or loses one.
 func TestRestoredStoreGetsTheLatestChanges(t *testing.T) {
