Keep which instances were alive lately in one place

Cause: ratelimit and rollout had the same code for it, and the search for restarted engines needs it too. Change: fleet.RecentMembers with an interval; the constants and loops of the other two go. Measured: go test ./ratelimit ./rollout ./fleet passes.

--- a/fleet/recent.go
+++ b/fleet/recent.go
@@ -6,27 +6,33 @@
 	"github.com/hibiscusstair/hibiscusstair/api"
 )
 
-// lostLifetime is how long an instance that is no longer alive counts among the recent
+// RecentLifetime is how long an instance that is no longer alive counts among the recent
 // ones. Regions can lose each other for minutes.
-const lostLifetime = 10 * time.Minute
+const RecentLifetime = 10 * time.Minute
 
 // RecentMembers knows which other instances were alive lately, so that a minority that is
 // cut off from the rest can tell that it is one. It has no clock and is not safe for
 // concurrent use.
 type RecentMembers struct {
 	self      api.InstanceID
+	interval  time.Duration
+	updated   bool
 	updatedAt time.Duration
 	aliveAt   map[api.InstanceID]time.Duration
 }
 
-// NewRecentMembers returns RecentMembers of the instance self, which knows no others.
-func NewRecentMembers(self api.InstanceID) *RecentMembers {
-	return &RecentMembers{self: self, aliveAt: make(map[api.InstanceID]time.Duration)}
+// NewRecentMembers returns RecentMembers of the instance self, which knows no others and is
+// updated at most once each interval.
+func NewRecentMembers(self api.InstanceID, interval time.Duration) *RecentMembers {
+	return &RecentMembers{self: self, interval: interval, aliveAt: make(map[api.InstanceID]time.Duration)}
 }
 
-// Update records which members are alive.
+// Update records which members are alive, unless it did so within the interval.
 func (r *RecentMembers) Update(now time.Duration, members []api.Member) {
-	r.updatedAt = now
+	if r.updated && now-r.updatedAt < r.interval {
+		return
+	}
+	r.updated, r.updatedAt = true, now
 	for _, m := range members {
 		switch {
 		case m.ID == r.self:
@@ -37,7 +43,7 @@
 		}
 	}
 	for id, at := range r.aliveAt {
-		if now-at > lostLifetime {
+		if now-at > RecentLifetime {
 			delete(r.aliveAt, id)
 		}
 	}
--- a/fleet/recent_test.go
+++ b/fleet/recent_test.go
@@ -35,7 +35,7 @@
 		"others died long ago":  {states(alive, alive, alive, alive), states(alive, dead, dead, dead), time.Hour, true},
 		"all others died early": {states(alive, alive), states(dead, dead), time.Hour, false},
 	} {
-		recent := fleet.NewRecentMembers("self")
+		recent := fleet.NewRecentMembers("self", 0)
 		recent.Update(time.Second, c.before)
 		recent.Update(time.Second+c.after, c.now)
 		if have := recent.HasMajority(); have != c.want {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 	clock := bootclock.Now
 	s := o.Settings
 	g.settings.Store(&s)
-	g.memberHistory.recent = fleet.NewRecentMembers(s.Instance)
+	g.memberHistory.recent = fleet.NewRecentMembers(s.Instance, 0)
 	scope := o.Metrics.Scope
 	g.pool = upstream.New(upstream.Options{Clock: clock, SocketBufferBytes: s.socketBufferBytes()})
 	g.balancer = balance.New(balance.Options{
--- a/ratelimit/core_test.go
+++ b/ratelimit/core_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/peer/peerpb"
 )
 
@@ -164,7 +165,7 @@
 	if share := alone.shareOf("n0"); math.Abs(share-1.0/6) > 1e-9 {
 		t.Errorf("one of six instances grants %v of the limit", share)
 	}
-	if share := r.order(lostLifetime+2*time.Second, desk, members(1, 5), false).shareOf("n0"); share != 1 {
+	if share := r.order(fleet.RecentLifetime+2*time.Second, desk, members(1, 5), false).shareOf("n0"); share != 1 {
 		t.Errorf("the last instance grants %v of the limit", share)
 	}
 	joining := newRoster("new").order(0, desk, members(6, 0), true)
--- a/ratelimit/order.go
+++ b/ratelimit/order.go
@@ -6,13 +6,11 @@
 	"time"
 
 	"github.com/hibiscusstair/hibiscusstair/api"
+	"github.com/hibiscusstair/hibiscusstair/fleet"
 	"github.com/hibiscusstair/hibiscusstair/peer"
 )
 
 const (
-	// lostLifetime is how long an instance that is no longer live counts among the
-	// known ones. Regions can lose each other for minutes.
-	lostLifetime = 10 * time.Minute
 	// rosterInterval is the time between two updates of a roster.
 	rosterInterval = time.Second
 	// joinTime is the time after its start during which an instance does not count
@@ -41,44 +39,20 @@
 	return g.score < other.score || g.score == other.score && g.id < other.id
 }
 
-// roster remembers when instances were last live.
+// roster knows the instances that were live lately.
 type roster struct {
-	self      api.InstanceID
-	liveAt    map[api.InstanceID]time.Duration
-	updated   bool
-	updatedAt time.Duration
+	self   api.InstanceID
+	recent *fleet.RecentMembers
 }
 
 func newRoster(self api.InstanceID) *roster {
-	return &roster{self: self, liveAt: make(map[api.InstanceID]time.Duration)}
-}
-
-// update records which instances are live, at most once each rosterInterval.
-func (r *roster) update(now time.Duration, members []api.Member) {
-	if r.updated && now-r.updatedAt < rosterInterval {
-		return
-	}
-	r.updated, r.updatedAt = true, now
-	for _, m := range members {
-		switch {
-		case m.ID == r.self:
-		case m.State == api.MemberAlive:
-			r.liveAt[m.ID] = now
-		case m.State.Gone():
-			delete(r.liveAt, m.ID)
-		}
-	}
-	for id, at := range r.liveAt {
-		if now-at > lostLifetime {
-			delete(r.liveAt, id)
-		}
-	}
+	return &roster{self: self, recent: fleet.NewRecentMembers(self, rosterInterval)}
 }
 
 // order returns the order for an endpoint. joining says that the other instances do
 // not know this one yet.
 func (r *roster) order(now time.Duration, e Endpoint, members []api.Member, joining bool) order {
-	r.update(now, members)
+	r.recent.Update(now, members)
 	key := "limit/" + string(e.ID)
 	o := order{granters: make([]granter, 0, len(members)+1), reachable: 1}
 	if !joining {
@@ -90,7 +64,7 @@
 			o.granters = append(o.granters, granter{id: m.ID, address: m.Address, score: peer.Score(key, m.ID)})
 		}
 	}
-	live, known := len(o.granters), len(r.liveAt)+1
+	live, known := len(o.granters), r.recent.Count()
 	if live*2 <= known && known > 1 {
 		o.reachable = float64(max(1, live)) / float64(known)
 	}
--- a/rollout/quorum.go
+++ b/rollout/quorum.go
@@ -13,25 +13,17 @@
 // quorum knows how many of the instances report to this one. An instance coordinates a
 // service only if at least half of those that it has known lately do.
 type quorum struct {
-	recent    *fleet.RecentMembers
-	updatedAt time.Duration
-	updated   bool
+	recent *fleet.RecentMembers
 	// reportedAt is when instances last reported, by service.
 	reportedAt map[string]map[api.InstanceID]time.Duration
 }
 
 func newQuorum(self api.InstanceID) quorum {
-	return quorum{recent: fleet.NewRecentMembers(self), reportedAt: make(map[string]map[api.InstanceID]time.Duration)}
+	return quorum{recent: fleet.NewRecentMembers(self, memberInterval), reportedAt: make(map[string]map[api.InstanceID]time.Duration)}
 }
 
-// update records which instances are live, at most once each memberInterval.
-func (q *quorum) update(now time.Duration, members []api.Member) {
-	if q.updated && now-q.updatedAt < memberInterval {
-		return
-	}
-	q.updated, q.updatedAt = true, now
-	q.recent.Update(now, members)
-}
+// update records which instances are live.
+func (q *quorum) update(now time.Duration, members []api.Member) { q.recent.Update(now, members) }
 
 // add records a report and returns whether enough instances report about the service.
 // hasPeers says that there are other instances, even if none is known yet.
