review: case 11, an outage of all engines makes requests be refused for half an hour

Cause: the quarantine takes a prompt part that engines of three failure domains read when they crashed at the same moment for the cause of the crashes, and forgives it only for 3 s although it was served before. All requests with it are refused, and none is tried again. Change: a script that kills the processes, crashes all engines once for 4.5 s and sends drafts that share their first part.

--- a/review/lab3/drain.go
+++ b/review/lab3/drain.go
@@ -42,12 +42,12 @@
 }
 
 // startEngines starts the engines, those of a zone one after the other.
-func (f *fleet) startEngines(log *world.RequestLog) ([]*world.Endpoint, error) {
+func (f *fleet) startEngines(log *world.RequestLog, perZone int, parameters world.EngineParameters) ([]*world.Endpoint, error) {
 	backups := world.NewBackups()
 	var engines []*world.Endpoint
 	for _, zone := range zones {
-		for range enginesPerZone {
-			e := world.NewEngine("panchanga-llm", zone, engineParameters, f.store, log, backups)
+		for range perZone {
+			e := world.NewEngine("panchanga-llm", zone, parameters, f.store, log, backups)
 			if err := e.Start(); err != nil {
 				return nil, err
 			}
@@ -61,7 +61,7 @@
 // drain-ms after it. No request may reach the engine that drains. That one exits later.
 func drainedBackup(f *fleet, trouble bool) (bool, error) {
 	log := &world.RequestLog{}
-	engines, err := f.startEngines(log)
+	engines, err := f.startEngines(log, enginesPerZone, engineParameters)
 	if err != nil {
 		return false, err
 	}
--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -35,6 +35,7 @@
 	ConfigName       string         `json:"config_name"`
 	Order            string         `json:"order"`
 	Lookup           string         `json:"lookup"`
+	Draft            string         `json:"draft"`
 	SignatureHeader  string         `json:"signature_header"`
 	Manifest         map[string]any `json:"manifest"`
 }
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"drained-backup": drainedBackup,
+	"shared-prompt":  sharedPrompt,
 }
 
 func main() { os.Exit(run()) }
