--- a/review/lab3/channel.go
+++ b/review/lab3/channel.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,17 +32,9 @@
 	err       error // the channel ended without a complete answer
 }
 
-// send sends a request as parts with a pause before each but the first.
-func (c *channel) send(pause time.Duration, parts ...string) error {
-	for i, part := range parts {
-		if i > 0 {
-			time.Sleep(pause)
-		}
-		if _, err := io.WriteString(c.conn, part); err != nil {
-			return err
-		}
-	}
-	return nil
+func (c *channel) send(text string) error {
+	_, err := io.WriteString(c.conn, text)
+	return err
 }
 
 // receive reads an answer.
@@ -57,9 +48,3 @@
 	body, err := io.ReadAll(response.Body)
 	return answer{status: response.StatusCode, signature: response.Header.Get(p.SignatureHeader), body: string(body), err: err}
 }
-
-// orderText returns the header and the body of an order.
-func orderText(p protocol, id string) (header, body string) {
-	body = "an order of " + id
-	return fmt.Sprintf(p.Order, id, id, len(body)), body
-}
--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -37,6 +37,11 @@
 	Lookup           string         `json:"lookup"`
 	Draft            string         `json:"draft"`
 	SignatureHeader  string         `json:"signature_header"`
+	AttemptHeader    string         `json:"attempt_header"`
+	TargetHeader     string         `json:"target_header"`
+	InstanceHeader   string         `json:"instance_header"`
+	ResumeHeader     string         `json:"resume_header"`
+	ServersKind      string         `json:"servers_kind"`
 	Manifest         map[string]any `json:"manifest"`
 }
 
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -19,8 +19,8 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"drained-backup": drainedBackup,
-	"shared-prompt":  sharedPrompt,
+	"shared-prompt":      sharedPrompt,
+	"numbered-by-tokens": numberedByTokens,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab3/shared.go
+++ b/review/lab3/shared.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -14,15 +13,15 @@
 const (
 	// sharedPart is the part that all prompts begin with, 200 tokens as on the sheet.
 	sharedPart = "5c1e07a2:200"
-	// sharedPromptTokens and sharedEvents are the size of the drafts, those of the sheet.
-	sharedPromptTokens = 8000
-	sharedEvents       = 130
+	// promptTokens and draftEvents are the size of the drafts, those of the sheet.
+	promptTokens = 8000
+	draftEvents  = 130
 	// groupInterval is the time between two groups of drafts, and groupSize the number of drafts in
 	// one: the sheet has 4.7 drafts a second.
 	groupInterval = 2560 * time.Millisecond
 	groupSize     = 12
-	// sheetEnginesPerZone is the number of engines in a zone on the sheet.
-	sheetEnginesPerZone = 6
+	// enginesPerZone is the number of engines in a zone on the sheet.
+	enginesPerZone = 6
 	// calmTime is the time before the final fault.
 	calmTime = 20 * time.Second
 	// crashAfterGroup is when the engines crash, after a group was sent. Reading a prompt takes a second.
@@ -36,15 +35,8 @@
 	// recoverTime is recover-s of the settings, and judgedTime how long requests are sent after it.
 	recoverTime = 12 * time.Second
 	judgedTime  = 15 * time.Second
-	// draftAim is the time limit within which a draft has to be served to count.
-	draftLimit = 25 * time.Second
 )
 
-// sheetEngine is an engine of the sheet.
-var sheetEngine = world.EngineParameters{
-	Slots: 64, QueueLength: 134, CapacityTokens: 88000, StepTime: 5090 * time.Microsecond, PrefillTokensPerMS: 8, PrefillChunkTokens: 200,
-}
-
 // draftResult is a draft with its answer.
 type draftResult struct {
 	sentAt time.Time
@@ -61,7 +53,7 @@
 // drafts have to be served.
 func sharedPrompt(f *fleet, trouble bool) (bool, error) {
 	log := &world.RequestLog{}
-	engines, err := f.startEngines(log, sheetEnginesPerZone, sheetEngine)
+	engines, err := f.startEngines(log, enginesPerZone)
 	if err != nil {
 		return false, err
 	}
@@ -174,22 +166,10 @@
 
 // sendDraft sends a draft to one of the instances. All drafts begin with the same part.
 func (f *fleet) sendDraft(n int) draftResult {
-	id, i := fmt.Sprintf("draft-%03d", n), f.instances[n%len(f.instances)]
+	i := f.instances[n%len(f.instances)]
 	d := draftResult{sentAt: time.Now()}
-	c, err := openChannel(i.Front)
-	if err != nil {
-		d.answer.err = err
-	} else {
-		defer func() { _ = c.conn.Close() }()
-		body := "a prompt of " + id
-		prefix := fmt.Sprintf("%s,%08x:%d", sharedPart, n, sharedPromptTokens-200)
-		header := fmt.Sprintf(f.protocol.Draft, id, id, sharedPromptTokens, sharedEvents*tokensPerEvent, prefix, len(body))
-		if err := c.send(0, header+body); err != nil {
-			d.answer.err = err
-		} else {
-			d.answer = c.receive(f.protocol, draftLimit)
-		}
-	}
-	f.record.addAt(d.sentAt, "draft", "request", id, "instance", i.Name, "status", d.answer.status, "bytes", len(d.answer.body), "ended_after", time.Since(d.sentAt).Round(time.Millisecond), "error", d.answer.err)
+	d.answer = f.call(i, f.protocol.draftText(n, promptTokens, draftEvents, sharedPart), limits[draft])
+	f.record.addAt(d.sentAt, "draft", "number", n, "instance", i.Name, "status", d.answer.status, "bytes", len(d.answer.body),
+		"ended_after", time.Since(d.sentAt).Round(time.Millisecond), "error", d.answer.err)
 	return d
 }
