--- a/review/lab3/shared.go
+++ b/review/lab3/shared.go
@@ -34,7 +34,7 @@
 	downTime = 1300 * time.Millisecond
 	// recoverTime is recover-s of the settings, and judgedTime how long requests are sent after it.
 	recoverTime = 12 * time.Second
-	judgedTime  = 15 * time.Second
+	judgedTime  = 6 * time.Second
 )
 
 // draftResult is a draft with its answer.
