--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -71,11 +71,12 @@
 	folder    string // temporary
 	binary    string
 	record    *record
+	given     map[string]bool // addresses
 }
 
 // newFleet starts the store and writes the configuration to it.
 func newFleet(binary string, r *record) (*fleet, error) {
-	f := &fleet{store: world.NewStore(), binary: binary, record: r}
+	f := &fleet{store: world.NewStore(), binary: binary, record: r, given: make(map[string]bool)}
 	if err := json.Unmarshal(platformText, &f.protocol); err != nil {
 		return nil, err
 	}
@@ -99,14 +100,18 @@
 	portCount = 10000
 )
 
-// freeAddress returns an address that was free just now.
-func freeAddress() (string, error) {
+// freeAddress returns an address that was free just now, and none twice.
+func (f *fleet) freeAddress() (string, error) {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
 		listener, err := net.Listen("tcp", address)
-		if err != nil {
+		if err != nil || f.given[address] {
+			if listener != nil {
+				_ = listener.Close()
+			}
 			continue
 		}
+		f.given[address] = true
 		return address, listener.Close()
 	}
 	return "", errors.New("no free port")
@@ -119,7 +124,7 @@
 		i := &instance{Name: fmt.Sprintf("front-%s-1", zones[n%len(zones)]), Zone: zones[n%len(zones)], Store: ""}
 		var metrics string
 		for _, address := range []*string{&i.Front, &i.Ready, &i.Control, &metrics} {
-			free, err := freeAddress()
+			free, err := f.freeAddress()
 			if err != nil {
 				return err
 			}
--- a/review/lab3/shared.go
+++ b/review/lab3/shared.go
@@ -26,10 +26,11 @@
 	calmTime = 20 * time.Second
 	// crashAfterGroup is when the engines crash, after a group was sent. Reading a prompt takes a second.
 	crashAfterGroup = 600 * time.Millisecond
-	// crashAfterReturn is how long the processes are back at least, before the engines crash, and
-	// outage how long these are down.
+	// crashAfterReturn is how long the processes are back at least, before the engines crash. They do
+	// so crashCount times and are down for crashTime each time.
 	crashAfterReturn = 4 * time.Second
-	outage           = 4500 * time.Millisecond
+	crashCount       = 4
+	crashTime        = 1200 * time.Millisecond
 	// downTime is how long the processes are down in the final fault.
 	downTime = 1300 * time.Millisecond
 	// recoverTime is recover-s of the settings, and judgedTime how long requests are sent after it.
@@ -107,21 +108,23 @@
 	return f.judgeRecovery(drafts, faultAt, backAt), nil
 }
 
-// crashAll crashes all engines, which are back after the outage.
+// crashAll crashes all engines crashCount times, each time as soon as they are back.
 func (f *fleet) crashAll(engines []*world.Endpoint) error {
-	var ids []string
-	for _, e := range engines {
-		ids = append(ids, e.Crash())
-	}
-	f.record.add("all engines crash", "engines", len(ids))
-	time.Sleep(outage)
-	for n, e := range engines {
-		if err := e.Start(); err != nil {
-			return err
+	for range crashCount {
+		var ids []string
+		for _, e := range engines {
+			ids = append(ids, e.Crash())
+		}
+		f.record.add("all engines crash", "engines", len(ids))
+		time.Sleep(crashTime)
+		for n, e := range engines {
+			if err := e.Start(); err != nil {
+				return err
+			}
+			e.Deregister(ids[n])
 		}
-		e.Deregister(ids[n])
+		f.record.add("the engines are back")
 	}
-	f.record.add("the engines are back")
 	return nil
 }
 
